Serve the whole path from caller to endpoint as separate processes

Cause: the project starts; nothing could be run or measured. Change: the folders, the core types and one path from end to end. An entry takes requests and submissions over HTTP, keeps a ledger of starts, relays a key to its home over one grpclib stream for each peer pair, and sends tasks to endpoints with one asyncio task for each connection.

--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples of use."""
--- /dev/null
+++ b/sesameroad/__init__.py
@@ -0,0 +1,1 @@
+"""Sesameroad: a dispatcher for sub-second tasks."""
--- /dev/null
+++ b/sesameroad/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the sesameroad command with python -m sesameroad."""
+
+from sesameroad.command_line import main
+
+if __name__ == "__main__":
+    main.run()
--- /dev/null
+++ b/sesameroad/caller/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' library."""
--- /dev/null
+++ b/sesameroad/command_line/__init__.py
@@ -0,0 +1,1 @@
+"""The sesameroad commands."""
--- /dev/null
+++ b/sesameroad/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' versioned configuration."""
--- /dev/null
+++ b/sesameroad/configuration/watcher.py
@@ -0,0 +1,26 @@
+"""Polls the configuration row of the platform's table."""
+
+import asyncio
+from collections.abc import Callable
+
+from sesameroad import errors
+from sesameroad.configuration import store as stores
+from sesameroad.telemetry import log
+
+
+async def watch(
+    store: stores.Store, *, period_s: float, changed: Callable[[], None]
+) -> None:
+    """Reads the row in every period and reports each newer version."""
+    while True:
+        try:
+            if await store.refresh():
+                changed()
+        except (errors.PlatformError, errors.ConfigurationError) as error:
+            log.problem(
+                "the configuration cannot be read; the last one stays in force",
+                step=error.step,
+                peer=error.peer,
+                error=str(error),
+            )
+        await asyncio.sleep(period_s)
--- /dev/null
+++ b/sesameroad/entry/__init__.py
@@ -0,0 +1,1 @@
+"""An entry instance: HTTP in front, peers beside, endpoints behind."""
--- /dev/null
+++ b/sesameroad/entry/problem.py
@@ -0,0 +1,85 @@
+"""Problem details (RFC 9457) and HTTP statuses of outcomes."""
+
+from typing import Any
+
+from aiohttp import web
+import msgspec
+
+from sesameroad.model import outcome as outcomes
+
+_CONTENT_TYPE = "application/problem+json"
+_TYPE_PREFIX = "urn:sesameroad:cause:"
+
+_NOT_RUN_STATUS = {
+    outcomes.Cause.OVERLOAD: 429,
+    outcomes.Cause.TEAM_QUOTA: 429,
+    outcomes.Cause.KIND_CEILING: 429,
+    outcomes.Cause.KEY_REUSED: 409,
+    outcomes.Cause.CANCELLED: 409,
+    outcomes.Cause.INVALID: 400,
+    outcomes.Cause.NOT_FOUND: 404,
+    outcomes.Cause.NO_ENDPOINT: 422,
+    outcomes.Cause.DEADLINE: 504,
+}
+_DEFAULT_NOT_RUN_STATUS = 503
+_FAILED_STATUS = 502
+_UNKNOWN_STATUS = 504
+_GONE_STATUS = 410
+
+
+def status(outcome: outcomes.Outcome) -> int:
+    """Returns the HTTP status of an outcome."""
+    match outcome:
+        case outcomes.Complete():
+            return 200
+        case outcomes.NotRun(cause=cause):
+            return _NOT_RUN_STATUS.get(cause, _DEFAULT_NOT_RUN_STATUS)
+        case outcomes.Failed(cause=outcomes.Cause.CANCELLED):
+            return 409
+        case outcomes.Failed():
+            return _FAILED_STATUS
+        case outcomes.Unknown(ask_again_at_ms=None):
+            return _GONE_STATUS
+        case outcomes.Unknown():
+            return _UNKNOWN_STATUS
+
+
+def response(
+    outcome: outcomes.Failed | outcomes.NotRun | outcomes.Unknown,
+    *,
+    key: str = "",
+    http_status: int | None = None,
+) -> web.Response:
+    """Returns the problem details of an outcome that is not complete."""
+    code = http_status or status(outcome)
+    body: dict[str, Any] = {
+        "type": _TYPE_PREFIX + outcome.cause.value,
+        "title": outcomes.label(outcome),
+        "status": code,
+        "detail": outcome.detail,
+        "outcome": outcomes.label(outcome),
+        "cause": outcome.cause.value,
+    }
+    headers = {}
+    if key:
+        body["key"] = key
+    match outcome:
+        case outcomes.NotRun(retry_after_s=float() as seconds):
+            headers["Retry-After"] = str(max(1, round(seconds)))
+        case outcomes.Unknown(ask_again_at_ms=int() as at_ms):
+            body["ask_again_at_ms"] = at_ms
+        case outcomes.Failed(may_have_run=may_have_run):
+            body["may_have_run"] = may_have_run
+    return web.Response(
+        status=code,
+        body=msgspec.json.encode(body),
+        content_type=_CONTENT_TYPE,
+        headers=headers,
+    )
+
+
+def invalid(detail: str, *, http_status: int = 400) -> web.Response:
+    """Returns the problem details of bad input, of which nothing ran."""
+    return response(
+        outcomes.NotRun(outcomes.Cause.INVALID, detail), http_status=http_status
+    )
--- /dev/null
+++ b/sesameroad/entry/service.py
@@ -0,0 +1,36 @@
+"""The entry daemon as an aiomisc service."""
+
+from typing import Any
+
+import aiomisc
+
+from sesameroad.entry import entry as entries
+from sesameroad.settings import settings as settings_module
+
+# aiomisc cancels a service that stops for longer; work in flight goes first.
+_SHUTDOWN_MARGIN_S = 30.0
+
+
+class EntryService(aiomisc.Service):
+    """Starts an entry, and stops it gracefully on SIGTERM."""
+
+    settings: settings_module.Settings
+
+    async def start(self) -> None:
+        """Starts the entry."""
+        self._entry = entries.Entry.from_settings(self.settings)
+        await self._entry.start()
+
+    async def stop(self, exception: Exception | None = None) -> Any:
+        """Stops the entry gracefully."""
+        await self._entry.stop()
+
+
+def run(settings: settings_module.Settings) -> None:
+    """Runs an entry until SIGTERM or SIGINT."""
+    service = EntryService(settings=settings)
+    timeout_s = settings.timing.graceful_stop_s + _SHUTDOWN_MARGIN_S
+    with aiomisc.entrypoint(
+        service, log_config=False, shutdown_timeout=timeout_s
+    ) as loop:
+        loop.run_forever()
--- /dev/null
+++ b/sesameroad/errors.py
@@ -0,0 +1,63 @@
+"""Errors of the library. Each carries the step and the peer where it arose."""
+
+
+class SesameroadError(Exception):
+    """Base class of all errors of this library.
+
+    Attributes:
+        step: What was being done, for example "claim" or "send".
+        peer: The instance, endpoint or service involved, empty if none.
+    """
+
+    def __init__(self, detail: str, *, step: str = "", peer: str = "") -> None:
+        super().__init__(detail)
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        parts = [super().__str__()]
+        if self.step:
+            parts.append(f"step={self.step}")
+        if self.peer:
+            parts.append(f"peer={self.peer}")
+        return " ".join(parts)
+
+
+class SettingsError(SesameroadError):
+    """The settings of a process are invalid."""
+
+
+class KeyInvalidError(SesameroadError):
+    """A key is malformed, or its signature does not match."""
+
+
+class StartRefusedError(SesameroadError):
+    """This incarnation does not hold the start of a task."""
+
+
+class LedgerFullError(SesameroadError):
+    """The ledger holds as many records as its settings allow."""
+
+
+class KeyReusedError(SesameroadError):
+    """A key was used again with a different body."""
+
+
+class PlatformError(SesameroadError):
+    """The platform did not answer, or answered with an error."""
+
+
+class PeerError(SesameroadError):
+    """A peer did not answer, or the stream to it broke."""
+
+
+class CommandError(SesameroadError):
+    """An operator's command cannot be parsed or carried out."""
+
+
+class ConfigurationError(SesameroadError):
+    """A configuration document is invalid."""
+
+
+class ConflictError(SesameroadError):
+    """A configuration change lost to a concurrent change."""
--- /dev/null
+++ b/sesameroad/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entries and endpoints are live."""
--- /dev/null
+++ b/sesameroad/membership/watcher.py
@@ -0,0 +1,31 @@
+"""Polls the platform's list of instances."""
+
+import asyncio
+from collections.abc import Callable
+
+from sesameroad import errors
+from sesameroad.membership import directory as directories
+from sesameroad.platform import instances
+from sesameroad.telemetry import log
+
+
+async def watch(
+    source: instances.Instances,
+    directory: directories.Directory,
+    *,
+    period_s: float,
+    changed: Callable[[], None],
+) -> None:
+    """Reads the list in every period and reports each newer one."""
+    while True:
+        try:
+            if directory.apply(await source.read()):
+                changed()
+        except errors.PlatformError as error:
+            log.problem(
+                "the instance list cannot be read; the last one stays in use",
+                step=error.step,
+                peer=error.peer,
+                error=str(error),
+            )
+        await asyncio.sleep(period_s)
--- /dev/null
+++ b/sesameroad/model/__init__.py
@@ -0,0 +1,1 @@
+"""Core types shared by all packages."""
--- /dev/null
+++ b/sesameroad/model/endpoint.py
@@ -0,0 +1,40 @@
+"""Endpoints that run tasks."""
+
+import dataclasses
+
+from sesameroad.model import need as needs
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Endpoint:
+    """An executor that runs tasks.
+
+    Attributes:
+        id: Name that is unique in the fleet.
+        url: Base URL by IP number, without a trailing slash.
+        data_centre: Data centre where it runs.
+        worker: Worker that hosts it.
+        rack: Rack of the worker.
+        slots: Tasks it runs at the same time.
+        connections: Connections it accepts from all entries together.
+        kinds: Kinds of work it accepts; empty means every kind.
+        offer: Resources it offers to one task.
+        leaving: Whether it must get no new work.
+    """
+
+    id: str
+    url: str
+    data_centre: str
+    worker: str = ""
+    rack: str = ""
+    slots: int = 8
+    connections: int = 64
+    kinds: tuple[str, ...] = ()
+    offer: needs.Need = needs.Need(cores=1.0, memory_mb=1024, accelerators=0)
+    leaving: bool = False
+
+    def accepts(self, kind: str, wanted: needs.Need) -> bool:
+        """Returns whether a task of this kind and need can run here."""
+        if self.kinds and kind not in self.kinds:
+            return False
+        return wanted.fits(self.offer)
--- /dev/null
+++ b/sesameroad/model/need.py
@@ -0,0 +1,26 @@
+"""Resources that a task needs or an endpoint offers."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Need:
+    """An amount of each resource.
+
+    Attributes:
+        cores: Processor cores.
+        memory_mb: Memory in megabytes.
+        accelerators: Number of accelerators.
+    """
+
+    cores: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def fits(self, offer: "Need") -> bool:
+        """Returns whether the offer covers this need."""
+        return (
+            self.cores <= offer.cores
+            and self.memory_mb <= offer.memory_mb
+            and self.accelerators <= offer.accelerators
+        )
--- /dev/null
+++ b/sesameroad/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' query and command language."""
--- /dev/null
+++ b/sesameroad/ownership/key.py
@@ -0,0 +1,125 @@
+"""Issued keys: signed names of work that carry their home and their expiry."""
+
+import dataclasses
+import hashlib
+import hmac
+import secrets
+from typing import Self
+
+from sesameroad import errors
+from sesameroad.model import clock as clocks
+
+PREFIX = "sr1"
+_FIELDS = 6
+_MAC_HEX_DIGITS = 32
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class IssuedKey:
+    """The parts of an issued key.
+
+    Attributes:
+        text: The whole key as callers hold it.
+        data_centre: Data centre of the home.
+        incarnation: The one incarnation that may start the key's tasks.
+        expiry_ms: Wall time after which the home starts nothing for the key.
+    """
+
+    text: str
+    data_centre: str
+    incarnation: str
+    expiry_ms: int
+
+
+def is_issued(text: str) -> bool:
+    """Returns whether a key has the form of an issued key."""
+    return text.startswith(PREFIX + ".")
+
+
+class Issuer:
+    """Issues keys of this incarnation and verifies keys of any."""
+
+    __slots__ = (
+        "_clock",
+        "_data_centre",
+        "_incarnation",
+        "_lifetime_ms",
+        "_secret",
+    )
+
+    def __init__(
+        self,
+        *,
+        secret: bytes,
+        data_centre: str,
+        incarnation: str,
+        lifetime_ms: int,
+        clock: clocks.Clock,
+    ) -> None:
+        self._secret = secret
+        self._data_centre = data_centre
+        self._incarnation = incarnation
+        self._lifetime_ms = lifetime_ms
+        self._clock = clock
+
+    @classmethod
+    def from_secret(
+        cls,
+        secret: str,
+        *,
+        data_centre: str,
+        incarnation: str,
+        lifetime_s: float,
+        clock: clocks.Clock,
+    ) -> Self:
+        """Returns an issuer for the secret of the settings."""
+        return cls(
+            secret=secret.encode(),
+            data_centre=data_centre,
+            incarnation=incarnation,
+            lifetime_ms=int(lifetime_s * 1_000),
+            clock=clock,
+        )
+
+    def issue(self) -> IssuedKey:
+        """Returns a new key whose home is this incarnation."""
+        expiry_ms = self._clock.wall_ms() + self._lifetime_ms
+        nonce = secrets.token_hex(8)
+        body = (
+            f"{PREFIX}.{self._data_centre}.{self._incarnation}"
+            f".{expiry_ms}.{nonce}"
+        )
+        return IssuedKey(
+            text=f"{body}.{self._sign(body)}",
+            data_centre=self._data_centre,
+            incarnation=self._incarnation,
+            expiry_ms=expiry_ms,
+        )
+
+    def verify(self, text: str) -> IssuedKey:
+        """Returns the parts of a key.
+
+        Raises:
+            KeyInvalidError: If the key is malformed or its signature is wrong.
+        """
+        parts = text.split(".")
+        if len(parts) != _FIELDS or parts[0] != PREFIX:
+            raise errors.KeyInvalidError("malformed key", step="verify key")
+        body, _, mac = text.rpartition(".")
+        if not hmac.compare_digest(self._sign(body).encode(), mac.encode()):
+            raise errors.KeyInvalidError("wrong signature", step="verify key")
+        return IssuedKey(
+            text=text,
+            data_centre=parts[1],
+            incarnation=parts[2],
+            expiry_ms=int(parts[3]),
+        )
+
+    def _sign(self, body: str) -> str:
+        mac = hmac.new(self._secret, body.encode(), hashlib.sha256)
+        return mac.hexdigest()[:_MAC_HEX_DIGITS]
+
+
+def new_incarnation() -> str:
+    """Returns 64 random bits as hexadecimal digits."""
+    return secrets.token_hex(8)
--- /dev/null
+++ b/sesameroad/peering/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between entry instances."""
--- /dev/null
+++ b/sesameroad/peering/codec.py
@@ -0,0 +1,300 @@
+"""Translates messages to and from protobuf."""
+
+from collections.abc import Iterable
+
+from sesameroad import errors
+from sesameroad.model import need as needs
+from sesameroad.model import outcome as outcomes
+from sesameroad.model import work as works
+from sesameroad.peering import message as messages
+from sesameroad.peering import peer_pb2
+
+
+def encode(batch: Iterable[messages.Message]) -> peer_pb2.Envelope:
+    """Returns one envelope that holds a batch of messages."""
+    return peer_pb2.Envelope(items=[_encode_item(m) for m in batch])
+
+
+def decode(envelope: peer_pb2.Envelope) -> list[messages.Message]:
+    """Returns the messages of an envelope; unknown ones are left out.
+
+    Raises:
+        PeerError: If a message is malformed.
+    """
+    decoded = []
+    for item in envelope.items:
+        # A peer of a newer release may send types that this one does not know.
+        if item.WhichOneof("body") is not None:
+            decoded.append(_decode_item(item))
+    return decoded
+
+
+def _encode_item(message: messages.Message) -> peer_pb2.Item:
+    match message:
+        case messages.Hello():
+            return peer_pb2.Item(
+                hello=peer_pb2.Hello(
+                    instance_id=message.instance_id,
+                    data_centre=message.data_centre,
+                    incarnation=message.incarnation,
+                )
+            )
+        case messages.Heartbeat():
+            return peer_pb2.Item(
+                heartbeat=peer_pb2.Heartbeat(
+                    configuration_version=message.configuration_version,
+                    listing_version=message.listing_version,
+                    leaving=message.leaving,
+                )
+            )
+        case messages.Demand():
+            return peer_pb2.Item(
+                demand=peer_pb2.Demand(
+                    epoch=message.epoch,
+                    lanes=[
+                        peer_pb2.LaneDemand(
+                            kind=lane.kind,
+                            team=lane.team,
+                            running=lane.running,
+                            queued=lane.queued,
+                        )
+                        for lane in message.lanes
+                    ],
+                    held=_encode_slots(message.held),
+                )
+            )
+        case messages.Allocation():
+            return peer_pb2.Item(
+                allocation=peer_pb2.Allocation(
+                    epoch=message.epoch,
+                    endpoints=_encode_slots(message.endpoints),
+                    kinds=_encode_slots(message.kinds),
+                    teams=_encode_slots(message.teams),
+                    valid_ms=message.valid_ms,
+                )
+            )
+        case messages.ConfigurationUpdate():
+            return peer_pb2.Item(
+                configuration_update=peer_pb2.ConfigurationUpdate(
+                    version=message.version
+                )
+            )
+        case messages.EndpointUpdate():
+            return peer_pb2.Item(
+                endpoint_update=peer_pb2.EndpointUpdate(
+                    listing=message.listing, leaving=message.leaving
+                )
+            )
+        case messages.RelayRequest():
+            return peer_pb2.Item(relay_request=_encode_relay(message))
+        case messages.RelayReply():
+            return peer_pb2.Item(
+                relay_reply=peer_pb2.RelayReply(
+                    id=message.id, outcome=_encode_outcome(message.outcome)
+                )
+            )
+        case messages.StatusQuery():
+            return peer_pb2.Item(
+                status_query=peer_pb2.StatusQuery(
+                    id=message.id, key=message.key, cancel=message.cancel
+                )
+            )
+        case messages.FleetQuery():
+            return peer_pb2.Item(
+                fleet_query=peer_pb2.FleetQuery(
+                    id=message.id, command=message.command
+                )
+            )
+        case messages.FleetReply():
+            return peer_pb2.Item(
+                fleet_reply=peer_pb2.FleetReply(
+                    id=message.id, result=message.result
+                )
+            )
+
+
+def _decode_item(item: peer_pb2.Item) -> messages.Message:
+    match item.WhichOneof("body"):
+        case "hello":
+            return messages.Hello(
+                item.hello.instance_id,
+                item.hello.data_centre,
+                item.hello.incarnation,
+            )
+        case "heartbeat":
+            return messages.Heartbeat(
+                item.heartbeat.configuration_version,
+                item.heartbeat.listing_version,
+                item.heartbeat.leaving,
+            )
+        case "demand":
+            return messages.Demand(
+                item.demand.epoch,
+                tuple(
+                    messages.LaneDemand(
+                        lane.kind, lane.team, lane.running, lane.queued
+                    )
+                    for lane in item.demand.lanes
+                ),
+                _decode_slots(item.demand.held),
+            )
+        case "allocation":
+            return messages.Allocation(
+                item.allocation.epoch,
+                _decode_slots(item.allocation.endpoints),
+                _decode_slots(item.allocation.kinds),
+                _decode_slots(item.allocation.teams),
+                item.allocation.valid_ms,
+            )
+        case "configuration_update":
+            return messages.ConfigurationUpdate(
+                item.configuration_update.version
+            )
+        case "endpoint_update":
+            return messages.EndpointUpdate(
+                item.endpoint_update.listing,
+                tuple(item.endpoint_update.leaving),
+            )
+        case "relay_request":
+            return _decode_relay(item.relay_request)
+        case "relay_reply":
+            return messages.RelayReply(
+                item.relay_reply.id, _decode_outcome(item.relay_reply.outcome)
+            )
+        case "status_query":
+            return messages.StatusQuery(
+                item.status_query.id,
+                item.status_query.key,
+                item.status_query.cancel,
+            )
+        case "fleet_query":
+            return messages.FleetQuery(
+                item.fleet_query.id, item.fleet_query.command
+            )
+        case "fleet_reply":
+            return messages.FleetReply(
+                item.fleet_reply.id, item.fleet_reply.result
+            )
+        case other:
+            raise errors.PeerError(f"unknown message {other}", step="decode")
+
+
+def _encode_slots(
+    counts: Iterable[messages.SlotCount],
+) -> list[peer_pb2.SlotCount]:
+    return [
+        peer_pb2.SlotCount(name=c.name, count=c.count, used=c.used)
+        for c in counts
+    ]
+
+
+def _decode_slots(
+    counts: Iterable[peer_pb2.SlotCount],
+) -> tuple[messages.SlotCount, ...]:
+    return tuple(messages.SlotCount(c.name, c.count, c.used) for c in counts)
+
+
+def _encode_relay(message: messages.RelayRequest) -> peer_pb2.RelayRequest:
+    work = message.work
+    return peer_pb2.RelayRequest(
+        id=message.id,
+        purpose=message.purpose.value,
+        key=work.key,
+        digest=message.digest,
+        expiry_ms=message.expiry_ms,
+        team=work.team,
+        kind=work.kind,
+        deadline_ms=work.deadline_ms,
+        idempotent=work.idempotent,
+        submission=isinstance(work, works.Submission),
+        tasks=[
+            peer_pb2.Task(
+                payload=task.payload,
+                cores=task.need.cores,
+                memory_mb=task.need.memory_mb,
+                accelerators=task.need.accelerators,
+            )
+            for task in work.tasks
+        ],
+    )
+
+
+def _decode_relay(relay: peer_pb2.RelayRequest) -> messages.RelayRequest:
+    tasks = tuple(
+        works.Task(
+            task.payload,
+            needs.Need(task.cores, task.memory_mb, task.accelerators),
+        )
+        for task in relay.tasks
+    )
+    if not tasks:
+        raise errors.PeerError("relayed work without tasks", step="decode")
+    if relay.submission:
+        work = works.Submission(
+            relay.key, relay.team, relay.kind, relay.deadline_ms, tasks
+        )
+    else:
+        work = works.Request(
+            relay.key,
+            relay.team,
+            relay.kind,
+            relay.deadline_ms,
+            tasks[0],
+            relay.idempotent,
+        )
+    return messages.RelayRequest(
+        relay.id,
+        messages.Purpose(relay.purpose),
+        work,
+        relay.digest,
+        relay.expiry_ms,
+    )
+
+
+def _encode_outcome(outcome: outcomes.Outcome) -> peer_pb2.Outcome:
+    match outcome:
+        case outcomes.Complete():
+            return peer_pb2.Outcome(
+                type=peer_pb2.Outcome.COMPLETE, answers=outcome.answers
+            )
+        case outcomes.Failed():
+            return peer_pb2.Outcome(
+                type=peer_pb2.Outcome.FAILED,
+                cause=outcome.cause.value,
+                detail=outcome.detail,
+                may_have_run=outcome.may_have_run,
+            )
+        case outcomes.NotRun():
+            return peer_pb2.Outcome(
+                type=peer_pb2.Outcome.NOT_RUN,
+                cause=outcome.cause.value,
+                detail=outcome.detail,
+                retry_after_s=outcome.retry_after_s or 0.0,
+            )
+        case outcomes.Unknown():
+            return peer_pb2.Outcome(
+                type=peer_pb2.Outcome.UNKNOWN,
+                cause=outcome.cause.value,
+                detail=outcome.detail,
+                ask_again_at_ms=outcome.ask_again_at_ms or 0,
+            )
+
+
+def _decode_outcome(outcome: peer_pb2.Outcome) -> outcomes.Outcome:
+    if outcome.type == peer_pb2.Outcome.COMPLETE:
+        return outcomes.Complete(tuple(outcome.answers))
+    try:
+        cause = outcomes.Cause(outcome.cause)
+    except ValueError as error:
+        raise errors.PeerError(str(error), step="decode") from error
+    match outcome.type:
+        case peer_pb2.Outcome.FAILED:
+            return outcomes.Failed(cause, outcome.detail, outcome.may_have_run)
+        case peer_pb2.Outcome.NOT_RUN:
+            return outcomes.NotRun(
+                cause, outcome.detail, outcome.retry_after_s or None
+            )
+        case _:
+            return outcomes.Unknown(
+                cause, outcome.detail, outcome.ask_again_at_ms or None
+            )
--- /dev/null
+++ b/sesameroad/peering/message.py
@@ -0,0 +1,150 @@
+"""Messages between entries, as the rest of the program sees them."""
+
+import dataclasses
+import enum
+
+from sesameroad.model import outcome as outcomes
+from sesameroad.model import work as works
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Hello:
+    """First message on a stream, in both directions."""
+
+    instance_id: str
+    data_centre: str
+    incarnation: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Heartbeat:
+    """Sent in every heartbeat period by both sides."""
+
+    configuration_version: int
+    listing_version: int
+    leaving: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LaneDemand:
+    """Tasks of one kind and team at one entry."""
+
+    kind: str
+    team: str
+    running: int
+    queued: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SlotCount:
+    """Slots that are held, and how many of them are used."""
+
+    name: str
+    count: int
+    used: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Demand:
+    """Report of an entry to the steward.
+
+    Attributes:
+        epoch: Epoch of the last allocation that the entry has applied.
+        lanes: Demand by kind and team.
+        held: Slots held of each endpoint.
+    """
+
+    epoch: int
+    lanes: tuple[LaneDemand, ...]
+    held: tuple[SlotCount, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Allocation:
+    """What the steward grants to an entry until it expires."""
+
+    epoch: int
+    endpoints: tuple[SlotCount, ...]
+    kinds: tuple[SlotCount, ...]
+    teams: tuple[SlotCount, ...]
+    valid_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConfigurationUpdate:
+    """A configuration version, as JSON."""
+
+    version: bytes
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndpointUpdate:
+    """The newest instance list known, as JSON, and leaving endpoints."""
+
+    listing: bytes
+    leaving: tuple[str, ...] = ()
+
+
+class Purpose(enum.Enum):
+    """Why work is relayed to another entry."""
+
+    HOME = 0
+    SPILL = 1
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RelayRequest:
+    """Work handed to another entry."""
+
+    id: int
+    purpose: Purpose
+    work: works.Work
+    digest: str
+    expiry_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RelayReply:
+    """The outcome of relayed work, or of a status query."""
+
+    id: int
+    outcome: outcomes.Outcome
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StatusQuery:
+    """Asks the home of a key for its outcome so far, or to cancel it."""
+
+    id: int
+    key: str
+    cancel: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class FleetQuery:
+    """An operator's query for this entry's part of the answer."""
+
+    id: int
+    command: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class FleetReply:
+    """One entry's part of the answer to a fleet query, as JSON."""
+
+    id: int
+    result: bytes
+
+
+Question = RelayRequest | StatusQuery | FleetQuery
+Reply = RelayReply | FleetReply
+Message = (
+    Hello
+    | Heartbeat
+    | Demand
+    | Allocation
+    | ConfigurationUpdate
+    | EndpointUpdate
+    | Question
+    | Reply
+)
--- /dev/null
+++ b/sesameroad/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to endpoints, the send itself, health and retries."""
--- /dev/null
+++ b/sesameroad/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Which task starts next, on which slots of the data centre."""
--- /dev/null
+++ b/sesameroad/scheduling/item.py
@@ -0,0 +1,46 @@
+"""A task that waits for a slot."""
+
+import dataclasses
+
+from sesameroad.model import need as needs
+from sesameroad.model import work as works
+from sesameroad.ownership import ledger
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Item:
+    """One task of a record, queued or being sent.
+
+    Attributes:
+        record: The record that the task belongs to.
+        index: Place of the task in the work.
+        enqueued_at: Monotonic seconds when it was first queued.
+        attempts: Sends so far.
+        withdrawn: Whether it must not be handed to a connection any more.
+    """
+
+    record: ledger.Record
+    index: int
+    enqueued_at: float
+    attempts: int = 0
+    withdrawn: bool = False
+
+    @property
+    def work(self) -> works.Work:
+        """The request or submission that the task belongs to."""
+        return self.record.work
+
+    @property
+    def task(self) -> works.Task:
+        """The task to run."""
+        return self.record.work.tasks[self.index]
+
+    @property
+    def need(self) -> needs.Need:
+        """Resources that the task needs."""
+        return self.task.need
+
+    @property
+    def id(self) -> str:
+        """Name of the task in the whole fleet."""
+        return f"{self.record.work.key}/{self.index}"
--- /dev/null
+++ b/sesameroad/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked JSON settings of a process."""
--- /dev/null
+++ b/sesameroad/settings/settings.py
@@ -0,0 +1,173 @@
+"""Settings of an entry instance, read from a JSON file and checked at start."""
+
+import dataclasses
+import pathlib
+from typing import Annotated
+from typing import Any
+from typing import Self
+
+import msgspec
+
+from sesameroad import errors
+from sesameroad.configuration import document
+from sesameroad.model import instance
+
+_Positive = Annotated[int, msgspec.Meta(ge=1)]
+_PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
+_Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_-]{1,64}$")]
+_Secret = Annotated[str, msgspec.Meta(min_length=16)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Address:
+    """An IP number and a port to listen on."""
+
+    host: str
+    port: _Port
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Limits:
+    """Bounds on what one entry holds in memory.
+
+    Attributes:
+        max_records: Keys in the ledger, finished ones included.
+        max_queued_tasks: Tasks that wait for a slot.
+        max_body_bytes: Size of one HTTP request body.
+        max_answer_bytes: Size of one endpoint answer.
+        max_held_bytes: Payloads and answers of all records together.
+    """
+
+    max_records: _Positive = 50_000
+    max_queued_tasks: _Positive = 20_000
+    max_body_bytes: _Positive = 4 * 1024 * 1024
+    max_answer_bytes: _Positive = 1024 * 1024
+    max_held_bytes: _Positive = 32 * 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Timing:
+    """Periods and timeouts, in seconds.
+
+    Attributes:
+        poll_s: Period of reads of the platform's list and configuration.
+        heartbeat_s: Period of heartbeats on a peer stream.
+        peer_timeout_s: Silence after which a peer counts as lost.
+        platform_timeout_s: Timeout of one call to the platform.
+        key_lifetime_s: Time from issue to expiry of a key.
+        clock_skew_s: Largest difference between two entries' clocks.
+        graceful_stop_s: Time that a graceful shutdown waits for work in flight.
+        answer_grace_s: Time past the deadline that a send still waits for the
+            endpoint's answer.
+    """
+
+    poll_s: _PositiveSeconds = 1.0
+    heartbeat_s: _PositiveSeconds = 0.25
+    peer_timeout_s: _PositiveSeconds = 1.5
+    platform_timeout_s: _PositiveSeconds = 2.0
+    key_lifetime_s: _PositiveSeconds = 120.0
+    clock_skew_s: _PositiveSeconds = 2.0
+    graceful_stop_s: _PositiveSeconds = 30.0
+    answer_grace_s: _PositiveSeconds = 10.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Operator:
+    """A person who may give commands.
+
+    Attributes:
+        name: Name that configuration changes carry.
+        role: Which part of the configuration the operator owns.
+        token: Bearer token.
+    """
+
+    name: _Name
+    role: document.Role
+    token: _Secret
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Settings:
+    """Settings of one entry instance.
+
+    Attributes:
+        instance_id: Name of this instance, unique in the fleet.
+        data_centre: Data centre where it runs.
+        web: Address of the HTTP service.
+        peer: Address of the peer service.
+        platform_url: Base URL of the platform's services.
+        key_secret: Secret shared by all entries that signs issued keys.
+        peers: Entries to try before the platform's list is known.
+        operators: Who may give commands.
+        limits: Bounds on memory.
+        timing: Periods and timeouts.
+        fallback: Configuration used until a newer one is known.
+    """
+
+    instance_id: _Name
+    data_centre: _Name
+    web: Address
+    peer: Address
+    platform_url: str
+    key_secret: _Secret
+    peers: tuple[instance.Instance, ...] = ()
+    operators: tuple[Operator, ...] = ()
+    limits: Limits = Limits()
+    timing: Timing = Timing()
+    fallback: document.Document | None = None
+
+    @classmethod
+    def from_json(cls, text: bytes, *, source: str = "") -> Self:
+        """Decodes and checks settings.
+
+        Args:
+            text: JSON text.
+            source: Where it comes from, for error messages.
+
+        Raises:
+            SettingsError: If a field is missing, unknown or out of range; the
+                message names the field and its place.
+        """
+        try:
+            raw = msgspec.json.decode(text)
+            _refuse_unknown_fields(raw, cls, "$")
+            return msgspec.convert(raw, cls)
+        except msgspec.MsgspecError as error:
+            raise errors.SettingsError(
+                str(error), step="read settings", peer=source
+            ) from error
+
+    @classmethod
+    def from_file(cls, path: str) -> Self:
+        """Reads settings from a file.
+
+        Raises:
+            SettingsError: If the file cannot be read or is invalid.
+        """
+        try:
+            text = pathlib.Path(path).read_bytes()
+        except OSError as error:
+            raise errors.SettingsError(
+                str(error), step="read settings", peer=path
+            ) from error
+        return cls.from_json(text, source=path)
+
+
+def _refuse_unknown_fields(raw: Any, expected: type, place: str) -> None:
+    """Raises ValidationError at a field that a data class does not have.
+
+    msgspec ignores unknown fields of data classes, so that a misspelt setting
+    would silently leave the default in force.
+    """
+    if not dataclasses.is_dataclass(expected) or not isinstance(raw, dict):
+        return
+    fields = {field.name: field.type for field in dataclasses.fields(expected)}
+    for name, value in raw.items():
+        if name not in fields:
+            raise msgspec.ValidationError(
+                f"Unknown field `{name}` - at `{place}`"
+            )
+        inner = fields[name]
+        if isinstance(inner, type):
+            _refuse_unknown_fields(value, inner, f"{place}.{name}")
--- /dev/null
+++ b/sesameroad/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the service-level burn report."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems, for tests, benchmarks and the demo."""
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,287 @@
+"""Starts a small fleet of plain processes on loopback ports."""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from typing import IO
+from typing import Self
+
+import aiohttp
+import msgspec
+
+from sesameroad.configuration import document
+from sesameroad.model import endpoint as endpoints
+from sesameroad.model import instance
+from sesameroad.platform import instances
+from sesameroad.settings import settings as settings_module
+
+_HOST = "127.0.0.1"
+_START_TIMEOUT_S = 20.0
+_STOP_TIMEOUT_S = 40.0
+_POLL_S = 0.05
+_LOG_TAIL_CHARACTERS = 5_000
+KEY_SECRET = "stand-in secret of the fleet"
+PRODUCT_TOKEN = "product-manager-token"
+OPERATIONS_TOKEN = "operations-lead-token"
+
+
+def free_port() -> int:
+    """Returns a port that the kernel gives out now."""
+    with socket.socket() as probe:
+        probe.bind((_HOST, 0))
+        return probe.getsockname()[1]
+
+
+def default_document() -> document.Document:
+    """Returns a configuration with three kinds and two teams."""
+    return document.Document(
+        product=document.Product(
+            kinds={
+                "checkout": document.Kind(urgency=0, share=2.0, target_ms=500),
+                "lookup": document.Kind(urgency=1, share=2.0, target_ms=500),
+                "appraisal": document.Kind(
+                    urgency=2, share=1.0, target_ms=60_000
+                ),
+            }
+        ),
+        operations=document.Operations(
+            team_quotas={"storefront": 200, "estates": 200}
+        ),
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Process:
+    """A running process of the fleet."""
+
+    name: str
+    url: str
+    popen: subprocess.Popen[bytes]
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kills the process and waits for its end."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def terminate(self) -> int:
+        """Stops the process gracefully and returns its exit code."""
+        self.popen.terminate()
+        return self.popen.wait(_STOP_TIMEOUT_S)
+
+
+class Fleet:
+    """A platform stand-in, entries and endpoint stand-ins."""
+
+    def __init__(self, directory: pathlib.Path, log: IO[bytes]) -> None:
+        self._directory = directory
+        self._log = log
+        self.platform: Process
+        self.entries: dict[str, Process] = {}
+        self.endpoints: dict[str, Process] = {}
+        self.settings: dict[str, settings_module.Settings] = {}
+        self.listing = instances.Listing(version=1)
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def open(
+        cls,
+        *,
+        data_centres: int = 3,
+        entries_each: int = 1,
+        endpoints_each: int = 2,
+        content: document.Document | None = None,
+        timing: settings_module.Timing | None = None,
+    ) -> "contextlib.AsyncIterator[Self]":  # type: ignore[name-defined]
+        """Starts a fleet and stops all of it at the end."""
+        with contextlib.ExitStack() as stack:
+            path = pathlib.Path(
+                stack.enter_context(tempfile.TemporaryDirectory())
+            )
+            log = stack.enter_context(open(path / "log.jsonl", "ab"))
+            fleet = cls(path, log)
+            stack.callback(fleet._kill_all)
+            fleet._plan(
+                data_centres,
+                entries_each,
+                endpoints_each,
+                content or default_document(),
+                timing or settings_module.Timing(),
+            )
+            fleet._start_platform()
+            for endpoint in fleet.listing.endpoints:
+                fleet._start_endpoint(endpoint)
+            for name in fleet.settings:
+                fleet.start_entry(name)
+            try:
+                await fleet.wait_ready(fleet.entries)
+            except TimeoutError:
+                print(fleet.log_path.read_text()[-_LOG_TAIL_CHARACTERS:])
+                raise
+            yield fleet
+
+    @property
+    def log_path(self) -> pathlib.Path:
+        """File with the JSON log lines of all entries."""
+        return self._directory / "log.jsonl"
+
+    def start_entry(self, name: str) -> Process:
+        """Starts an entry of the plan, again if it was stopped."""
+        settings = self.settings[name]
+        path = self._directory / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        process = self._spawn(
+            name,
+            ["sesameroad", "entry", f"--settings={path}"],
+            f"http://{settings.web.host}:{settings.web.port}",
+        )
+        self.entries[name] = process
+        return process
+
+    async def wait_ready(self, names: "list[str] | dict[str, Process]") -> None:
+        """Waits until entries answer that they are ready."""
+        async with aiohttp.ClientSession() as session:
+            for name in names:
+                await _wait_ready(session, self.entries[name].url)
+
+    async def control(self, process: Process, path: str, body: bytes) -> None:
+        """Posts to the control interface of a stand-in."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(f"{process.url}/control/{path}", data=body) as answer,
+        ):
+            answer.raise_for_status()
+
+    async def starts(self) -> dict[str, int]:
+        """Returns how often each task id was started on all endpoints."""
+        total: dict[str, int] = {}
+        async with aiohttp.ClientSession() as session:
+            for process in self.endpoints.values():
+                if process.popen.poll() is not None:
+                    continue
+                url = f"{process.url}/control/starts"
+                async with session.get(url) as answer:
+                    counts = msgspec.json.decode(
+                        await answer.read(), type=dict[str, int]
+                    )
+                for task, count in counts.items():
+                    total[task] = total.get(task, 0) + count
+        return total
+
+    def _plan(
+        self,
+        data_centres: int,
+        entries_each: int,
+        endpoints_each: int,
+        content: document.Document,
+        timing: settings_module.Timing,
+    ) -> None:
+        names = [f"dc{n}" for n in range(1, data_centres + 1)]
+        entries = tuple(
+            instance.Instance(
+                f"{name}-entry{n}", name, f"{_HOST}:{free_port()}"
+            )
+            for name in names
+            for n in range(1, entries_each + 1)
+        )
+        self.listing = instances.Listing(
+            version=1,
+            entries=entries,
+            endpoints=tuple(
+                endpoints.Endpoint(
+                    id=f"{name}-endpoint{n}",
+                    url=f"http://{_HOST}:{free_port()}",
+                    data_centre=name,
+                    worker=f"{name}-worker{n}",
+                    rack=f"{name}-rack{(n - 1) // 8 + 1}",
+                )
+                for name in names
+                for n in range(1, endpoints_each + 1)
+            ),
+        )
+        platform_url = f"http://{_HOST}:{free_port()}"
+        for entry in entries:
+            host, _, port = entry.address.rpartition(":")
+            self.settings[entry.id] = settings_module.Settings(
+                instance_id=entry.id,
+                data_centre=entry.data_centre,
+                web=settings_module.Address(_HOST, free_port()),
+                peer=settings_module.Address(host, int(port)),
+                platform_url=platform_url,
+                key_secret=KEY_SECRET,
+                peers=entries,
+                operators=(
+                    settings_module.Operator(
+                        "paola", document.Role.PRODUCT, PRODUCT_TOKEN
+                    ),
+                    settings_module.Operator(
+                        "omar", document.Role.OPERATIONS, OPERATIONS_TOKEN
+                    ),
+                ),
+                timing=timing,
+                fallback=content,
+            )
+
+    def _start_platform(self) -> None:
+        url = next(iter(self.settings.values())).platform_url
+        path = self._directory / "listing.json"
+        path.write_bytes(msgspec.json.encode(self.listing))
+        port = url.rpartition(":")[2]
+        self.platform = self._spawn(
+            "platform",
+            [
+                "standins.platform",
+                f"--platform_port={port}",
+                f"--platform_listing={path}",
+            ],
+            url,
+        )
+
+    def _start_endpoint(self, endpoint: endpoints.Endpoint) -> None:
+        port = endpoint.url.rpartition(":")[2]
+        self.endpoints[endpoint.id] = self._spawn(
+            endpoint.id,
+            [
+                "standins.endpoint",
+                f"--endpoint_port={port}",
+                f"--endpoint_slots={endpoint.slots}",
+            ],
+            endpoint.url,
+        )
+
+    def _spawn(self, name: str, arguments: list[str], url: str) -> Process:
+        popen = subprocess.Popen(
+            [sys.executable, "-m", *arguments],
+            stdout=self._log,
+            stderr=self._log,
+        )
+        return Process(name, url, popen)
+
+    def _kill_all(self) -> None:
+        processes = [*self.entries.values(), *self.endpoints.values()]
+        if hasattr(self, "platform"):
+            processes.append(self.platform)
+        for process in processes:
+            # A paused process handles SIGKILL as well.
+            process.popen.kill()
+        for process in processes:
+            process.popen.wait()
+
+
+async def _wait_ready(session: aiohttp.ClientSession, url: str) -> None:
+    async with asyncio.timeout(_START_TIMEOUT_S):
+        while True:
+            with contextlib.suppress(aiohttp.ClientError):
+                async with session.get(f"{url}/readyz") as answer:
+                    if answer.status == 200:
+                        return
+            await asyncio.sleep(_POLL_S)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools."""
