Show refusals, a resubmission and a killed entry in the demo

Cause: the demo ran only work that succeeds. Change: it also sends bad input, a key to two entries, and kills an entry in mid-job, then resubmits the job elsewhere.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -2,25 +2,76 @@
 
 import asyncio
 import collections
+import dataclasses
 import time
+from typing import Any
+from typing import Self
 
 import aiohttp
 
 from standins import fleet as fleets
 
 _TASKS = 1_100
+_LOOKUPS = 40
+_SECONDS_BEFORE_KILL = 0.5
 
 
-async def _post(
-    session: aiohttp.ClientSession, url: str, body: dict, key: str | None = None
-) -> tuple[int, dict]:
-    headers = {"Idempotency-Key": key} if key else {}
-    async with session.post(url, json=body, headers=headers) as answer:
-        return answer.status, await answer.json(content_type=None)
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """What a caller got."""
 
+    status: int
+    body: dict[str, Any]
+    seconds: float
 
-async def _lookups(session: aiohttp.ClientSession, url: str) -> None:
-    began = time.monotonic()
+    @property
+    def summary(self) -> str:
+        """One line for people."""
+        text = f"{self.status} {self.body.get('outcome', '')}"
+        if "cause" in self.body:
+            text += f" ({self.body['cause']}: {self.body['detail']})"
+        return f"{text}, {self.seconds:.2f} s"
+
+
+class Caller:
+    """Posts JSON to entries."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    @classmethod
+    def from_session(cls, session: aiohttp.ClientSession) -> Self:
+        """Returns a caller that uses a session."""
+        return cls(session)
+
+    async def post(
+        self, url: str, body: dict[str, Any], *, key: str | None = None
+    ) -> Answer:
+        """Posts a body, under a key if one is given."""
+        headers = {"Idempotency-Key": key} if key else {}
+        began = time.monotonic()
+        async with self._session.post(url, json=body, headers=headers) as http:
+            content = await http.json(content_type=None)
+        return Answer(http.status, content, time.monotonic() - began)
+
+    async def take_key(self, url: str) -> str:
+        """Takes a key whose home is the entry at a URL."""
+        answer = await self.post(f"{url}/v1/keys", {"count": 1})
+        return answer.body["keys"][0]
+
+
+def _submission(tasks: int, sleep_ms: int) -> dict[str, Any]:
+    return {
+        "team": "estates",
+        "kind": "appraisal",
+        "tasks": [
+            {"payload": {"sleep_ms": sleep_ms, "value": str(number)}}
+            for number in range(tasks)
+        ],
+    }
+
+
+async def _serve_lookups(caller: Caller, urls: list[str]) -> None:
     body = {
         "team": "storefront",
         "kind": "lookup",
@@ -28,56 +79,93 @@
         "payload": {"sleep_ms": 50, "value": "castle 6080"},
     }
     answers = await asyncio.gather(
-        *(_post(session, f"{url}/v1/requests", body) for _ in range(40))
+        *(
+            caller.post(f"{urls[number % len(urls)]}/v1/requests", body)
+            for number in range(_LOOKUPS)
+        )
     )
-    statuses = collections.Counter(status for status, _ in answers)
-    print(f"40 lookups: {dict(statuses)} in {time.monotonic() - began:.2f} s")
+    statuses = collections.Counter(answer.status for answer in answers)
+    slowest = max(answer.seconds for answer in answers)
+    print(f"{_LOOKUPS} lookups: {dict(statuses)}, slowest {slowest:.2f} s")
 
 
-async def _checkout(session: aiohttp.ClientSession, url: str) -> None:
-    async with session.post(f"{url}/v1/keys", json={"count": 1}) as answer:
-        key = (await answer.json())["keys"][0]
+async def _serve_checkout(caller: Caller, urls: list[str]) -> None:
+    """Sends the same checkout to two entries; it must be charged once."""
     body = {
         "team": "storefront",
         "kind": "checkout",
         "payload": {"sleep_ms": 80, "value": "charged"},
     }
-    for attempt in ("first", "resubmitted"):
-        status, outcome = await _post(
-            session, f"{url}/v1/requests", body, key=key
-        )
-        print(f"checkout, {attempt}: {status} {outcome['answers']}")
-
-
-async def _submission(
-    session: aiohttp.ClientSession, url: str, tasks: int
-) -> None:
-    body = {
-        "team": "estates",
-        "kind": "appraisal",
-        "tasks": [
-            {"payload": {"sleep_ms": 50, "value": str(n)}} for n in range(tasks)
-        ],
+    key = await caller.take_key(urls[0])
+    for url in (urls[0], urls[-1]):
+        answer = await caller.post(f"{url}/v1/requests", body, key=key)
+        print(f"checkout: {answer.summary}")
+    answer = await caller.post(f"{urls[1]}/v1/requests", body, key="order-7261")
+    print(f"checkout under the caller's own key: {answer.summary}")
+
+
+async def _serve_submission(caller: Caller, url: str) -> None:
+    answer = await caller.post(f"{url}/v1/submissions", _submission(_TASKS, 50))
+    values = [item["value"] for item in answer.body.get("answers", [])]
+    whole = values == [str(number) for number in range(_TASKS)]
+    print(f"submission of {_TASKS} tasks: {answer.summary}, whole: {whole}")
+
+
+async def _show_refusals(caller: Caller, url: str) -> None:
+    unknown_kind = {"team": "storefront", "kind": "mining", "payload": {}}
+    answer = await caller.post(f"{url}/v1/requests", unknown_kind)
+    print(f"unknown kind: {answer.summary}")
+    too_large = {
+        "team": "storefront",
+        "kind": "lookup",
+        "payload": {},
+        "need": {"accelerators": 9},
     }
-    began = time.monotonic()
-    status, outcome = await _post(session, f"{url}/v1/submissions", body)
-    whole = [a["value"] for a in outcome.get("answers", [])] == [
-        str(n) for n in range(tasks)
-    ]
-    print(
-        f"submission of {tasks} tasks: {status} {outcome['outcome']},"
-        f" whole: {whole}, {time.monotonic() - began:.2f} s"
+    answer = await caller.post(f"{url}/v1/requests", too_large)
+    print(f"request that no endpoint can run: {answer.summary}")
+    answer = await caller.post(
+        f"{url}/v1/submissions", _submission(_TASKS + 1, 1)
+    )
+    print(f"submission of {_TASKS + 1} tasks: {answer.summary}")
+
+
+async def _kill_entry(caller: Caller, fleet: fleets.Fleet) -> None:
+    """Kills an entry in mid-job and resubmits the job elsewhere."""
+    names = list(fleet.entries)
+    victim = fleet.entries[names[-1]]
+    other = fleet.entries[names[0]]
+    key = await caller.take_key(victim.url)
+    job = asyncio.create_task(
+        caller.post(
+            f"{victim.url}/v1/submissions", _submission(200, 100), key=key
+        )
+    )
+    await asyncio.sleep(_SECONDS_BEFORE_KILL)
+    victim.kill()
+    try:
+        await job
+    except aiohttp.ClientError as error:
+        print(f"killed {victim.name}: its caller got {type(error).__name__}")
+    answer = await caller.post(
+        f"{other.url}/v1/submissions", _submission(200, 100), key=key
     )
+    print(f"the same job at {other.name}: {answer.summary}")
 
 
 async def main() -> None:
     """Runs the demo."""
-    async with fleets.Fleet.open() as fleet, aiohttp.ClientSession() as session:
+    async with (
+        fleets.Fleet.open(entries_each=2) as fleet,
+        aiohttp.ClientSession() as session,
+    ):
+        caller = Caller.from_session(session)
         urls = [process.url for process in fleet.entries.values()]
         print(f"{len(urls)} entries, {len(fleet.endpoints)} endpoints ready")
-        await _lookups(session, urls[0])
-        await _checkout(session, urls[1])
-        await _submission(session, urls[2], _TASKS)
+        await _serve_lookups(caller, urls)
+        await _serve_checkout(caller, urls)
+        await _serve_submission(caller, urls[0])
+        await _show_refusals(caller, urls[0])
+        await _kill_entry(caller, fleet)
         starts = await fleet.starts()
         twice = sum(1 for count in starts.values() if count > 1)
         print(f"endpoints ran {len(starts)} tasks, {twice} of them twice")
