--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 lint: $(STAMP)
 	$(BIN)/pyink --check --quiet . || ($(BIN)/pyink --diff --quiet . ; exit 1)
 	$(BIN)/ruff check --quiet .
+	$(BIN)/python -m tools.imports
 
 format: $(STAMP)
 	$(BIN)/ruff check --quiet --fix . || true
