Answer operators' queries and count what callers are told

Operators had no way to see or change anything. A lark grammar parses their commands into slotted classes; each entry answers for itself and the asked entry merges the parts and names the entries that did not answer. Answers to callers are counted at the entry that gives them, for metrics, the burn report, the memory of refused, failed and late work, and sampled logs. Errors of any route are problem details.

Configuration changes go through a Protocol whose only implementation here refuses them.

--- a/sesameroad/entry/dispatcher.py
+++ b/sesameroad/entry/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 
 from sesameroad import errors
 from sesameroad.model import clock as clocks
@@ -54,6 +55,11 @@
         """Number of records whose outcome is not decided."""
         return len(self._queued)
 
+    @property
+    def open_items(self) -> Mapping[str, list[items.Item]]:
+        """Tasks of each key whose outcome is not decided."""
+        return self._queued
+
     def stop_accepting(self) -> None:
         """Refuses new work from now on."""
         self._stopping = True
--- a/sesameroad/entry/entry.py
+++ b/sesameroad/entry/entry.py
@@ -7,14 +7,22 @@
 
 from sesameroad.configuration import store as stores
 from sesameroad.configuration import watcher as configuration_watcher
+from sesameroad.entry import console as consoles
 from sesameroad.entry import dispatcher as dispatchers
+from sesameroad.entry import fleet as fleets
 from sesameroad.entry import intake as intakes
+from sesameroad.entry import observer as observers
+from sesameroad.entry import view as views
 from sesameroad.entry import web as webs
 from sesameroad.membership import directory as directories
 from sesameroad.membership import watcher as membership_watcher
 from sesameroad.model import clock as clocks
 from sesameroad.model import outcome as outcomes
 from sesameroad.model import work as works
+from sesameroad.operators import access as accesses
+from sesameroad.operators import edit as edits
+from sesameroad.operators import interpreter as interpreters
+from sesameroad.operators import inventory as inventories
 from sesameroad.ownership import claim as claims
 from sesameroad.ownership import key as keys
 from sesameroad.ownership import ledger as ledgers
@@ -25,13 +33,17 @@
 from sesameroad.platform import instances
 from sesameroad.platform import table as tables
 from sesameroad.routing import pool as pools
+from sesameroad.routing import result as results
 from sesameroad.routing import sender as senders
 from sesameroad.scheduling import allocation as allocations
+from sesameroad.scheduling import item as items
 from sesameroad.scheduling import matcher as matchers
 from sesameroad.scheduling import policy as policies
 from sesameroad.scheduling import queue as queues
 from sesameroad.settings import settings as settings_module
+from sesameroad.telemetry import burn as burns
 from sesameroad.telemetry import log
+from sesameroad.telemetry import metrics as metric_module
 
 _SWEEP_PERIOD_S = 1.0
 
@@ -82,7 +94,7 @@
         self._pool = pools.Pool(
             matcher=self._matcher,
             sender=self._sender,
-            settle=self._dispatcher.settle,
+            settle=self._settle,
         )
         self._mesh = meshes.Mesh(
             hello=messages.Hello(
@@ -116,12 +128,52 @@
             clock=clock,
             clock_skew_ms=int(timing.clock_skew_s * 1_000),
         )
+        self._inventory = inventories.Inventory()
+        self._view = views.View(
+            settings=settings,
+            incarnation=self._incarnation,
+            clock=clock,
+            store=self._store,
+            directory=self._directory,
+            ledger=self._ledger,
+            dispatcher=self._dispatcher,
+            allocation=self._allocation,
+            pool=self._pool,
+            mesh=self._mesh,
+            inventory=self._inventory,
+            counts=burns.Burn(),
+        )
+        self._metrics = metric_module.Metrics(self._view.figures)
+        self._observer = observers.Observer(
+            metrics=self._metrics,
+            burn=self._view.counts,
+            inventory=self._inventory,
+            clock=clock,
+            content=lambda: self._store.current.document,
+        )
+        self._interpreter = interpreters.Interpreter(
+            view=self._view,
+            fleet=fleets.Fleet(
+                instance_id=settings.instance_id,
+                directory=self._directory,
+                mesh=self._mesh,
+            ),
+            inventory=self._inventory,
+            configuration=self._store,
+            changer=edits.Unchangeable(),
+        )
         self._web = webs.Web(
             intake=self._intake,
             store=self._store,
             clock=clock,
             accepts=self._pool.accepts,
             ready=lambda: self.ready,
+            observer=self._observer,
+            console=consoles.Console(
+                access=accesses.Access(settings.operators),
+                interpreter=self._interpreter,
+                metrics=self._metrics,
+            ),
         )
 
     @classmethod
@@ -176,7 +228,7 @@
 
     async def stop(self) -> None:
         """Stops gracefully: no request in flight is cut off."""
-        self._leaving = True
+        self._leaving = self._view.leaving = True
         self._dispatcher.stop_accepting()
         try:
             async with asyncio.timeout(self._settings.timing.graceful_stop_s):
@@ -206,8 +258,13 @@
 
     def _receive(self, link: links.Link, message: messages.Message) -> None:
         match message:
-            case messages.RelayRequest() | messages.StatusQuery():
+            case messages.RelayRequest(purpose=purpose):
+                self._metrics.relay_received(purpose.name.lower())
+                self._intake.receive(link, message)
+            case messages.StatusQuery():
                 self._intake.receive(link, message)
+            case messages.FleetQuery():
+                fleets.reply(link, message, self._interpreter.answer_peer)
             case _:
                 return
 
@@ -224,23 +281,28 @@
         self._matcher.match()
 
     def _configuration_changed(self) -> None:
-        content = self._store.current.document
+        version = self._store.current
+        self._inventory.changed(
+            {
+                "version": version.number,
+                "author": version.author,
+                "role": version.role.value,
+                "summary": version.summary,
+            }
+        )
+        content = version.document
         self._policy.configure(content)
         self._directory.drain(content.operations.drained)
         self._members_changed()
 
     def _observe(
-        self, work: works.Work, outcome: outcomes.Outcome, seconds: float
+        self, work: works.Work, outcome: outcomes.Outcome, _seconds: float
     ) -> None:
-        log.event(
-            "work finished",
-            step="answer",
-            key=work.key,
-            kind=work.kind,
-            team=work.team,
-            outcome=outcomes.label(outcome),
-            seconds=round(seconds, 4),
-        )
+        self._metrics.decided(work.kind, outcomes.label(outcome))
+
+    def _settle(self, item: items.Item, result: results.Result) -> None:
+        self._observer.sent(item, result)
+        self._dispatcher.settle(item, result)
 
     async def _sweep(self) -> None:
         while True:
--- /dev/null
+++ b/sesameroad/entry/observer.py
@@ -0,0 +1,152 @@
+"""Passes each answer and each send to metrics, reports and logs."""
+
+from collections.abc import Callable
+
+from sesameroad.configuration import document
+from sesameroad.model import clock as clocks
+from sesameroad.model import outcome as outcomes
+from sesameroad.operators import inventory as inventories
+from sesameroad.routing import result as results
+from sesameroad.scheduling import item as items
+from sesameroad.telemetry import burn as burns
+from sesameroad.telemetry import log
+from sesameroad.telemetry import metrics as metric_module
+
+UNKNOWN = "unknown"
+
+# At 5,000 answers a second a line for each would be most of the processor time.
+_SAMPLE_EVERY = 1_000
+_LINES_PER_CAUSE_S = 5
+
+
+class Observer:
+    """Counts and remembers what an entry answers and sends."""
+
+    __slots__ = (
+        "_burn",
+        "_clock",
+        "_complete",
+        "_content",
+        "_inventory",
+        "_limiter",
+        "_metrics",
+    )
+
+    def __init__(
+        self,
+        *,
+        metrics: metric_module.Metrics,
+        burn: burns.Burn,
+        inventory: inventories.Inventory,
+        clock: clocks.Clock,
+        content: Callable[[], document.Document],
+    ) -> None:
+        self._metrics = metrics
+        self._burn = burn
+        self._inventory = inventory
+        self._clock = clock
+        self._content = content
+        self._limiter = log.Limiter(per_second=_LINES_PER_CAUSE_S)
+        self._complete = 0
+
+    def answered(
+        self,
+        *,
+        key: str,
+        kind: str,
+        team: str,
+        tasks: int,
+        outcome: outcomes.Outcome,
+        seconds: float,
+    ) -> None:
+        """Notes one answer to a caller.
+
+        Args:
+            key: Key of the work, empty if it has none.
+            kind: Kind of the work, as the caller gave it.
+            team: Team of the work, as the caller gave it.
+            tasks: Number of tasks.
+            outcome: What the caller is told.
+            seconds: Time since the request was read.
+        """
+        content = self._content()
+        known = content.product.kinds.get(kind)
+        if known is None:
+            kind, known = UNKNOWN, document.Kind()
+        if team not in content.operations.team_quotas:
+            team = UNKNOWN
+        self._metrics.answered(kind, team, outcome, seconds)
+        self._burn.add(
+            kind=kind,
+            team=team,
+            outcome=outcome,
+            seconds=seconds,
+            target_ms=known.target_ms,
+            objective=known.objective,
+            now_s=self._clock.monotonic(),
+        )
+        self._inventory.answered(
+            key=key,
+            kind=kind,
+            team=team,
+            tasks=tasks,
+            outcome=outcome,
+            seconds=seconds,
+            target_ms=known.target_ms,
+            now_ms=self._clock.wall_ms(),
+        )
+        self._log(key, kind, team, outcome, seconds)
+
+    def sent(self, item: items.Item, result: results.Result) -> None:
+        """Notes one send to an endpoint."""
+        match result:
+            case results.Answered():
+                self._metrics.sent("answered")
+                return
+            case results.RanAndFailed(status=status, detail=text):
+                name, detail = "failed", f"status {status}: {text}"
+            case results.Refused(leaving=leaving):
+                name, detail = "refused", "leaving" if leaving else ""
+            case results.NeverSent(detail=detail):
+                name = "never-sent"
+            case results.Lost(detail=detail):
+                name = "lost"
+            case results.Withheld(detail=detail):
+                name = "withheld"
+        self._metrics.sent(name)
+        self._inventory.sent(
+            inventories.Send(
+                self._clock.wall_ms(), item.work.key, item.index, name, detail
+            )
+        )
+
+    def _log(
+        self,
+        key: str,
+        kind: str,
+        team: str,
+        outcome: outcomes.Outcome,
+        seconds: float,
+    ) -> None:
+        match outcome:
+            case outcomes.Complete():
+                self._complete += 1
+                if self._complete % _SAMPLE_EVERY != 1:
+                    return
+                message, cause, detail = "sampled answer", "", ""
+            case _:
+                cause, detail = outcome.cause.value, outcome.detail
+                if not self._limiter.admit(cause, self._clock.monotonic()):
+                    return
+                message = "work was not answered in full"
+        log.event(
+            message,
+            step="answer",
+            key=key,
+            kind=kind,
+            team=team,
+            outcome=outcomes.label(outcome),
+            cause=cause,
+            detail=detail,
+            seconds=round(seconds, 4),
+        )
--- a/sesameroad/entry/problem.py
+++ b/sesameroad/entry/problem.py
@@ -1,11 +1,19 @@
 """Problem details (RFC 9457) and HTTP statuses of outcomes."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
+import http
+import traceback
 from typing import Any
 
+import aiohttp
 from aiohttp import web
 import msgspec
 
 from sesameroad.model import outcome as outcomes
+from sesameroad.telemetry import log
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 _CONTENT_TYPE = "application/problem+json"
 _TYPE_PREFIX = "urn:sesameroad:cause:"
@@ -83,3 +91,74 @@
     return response(
         outcomes.NotRun(outcomes.Cause.INVALID, detail), http_status=http_status
     )
+
+
+def refused(
+    cause: str,
+    detail: str,
+    *,
+    http_status: int,
+    headers: dict[str, str] | None = None,
+) -> web.Response:
+    """Returns the problem details of something other than work."""
+    body = {
+        "type": _TYPE_PREFIX + cause,
+        "title": http.HTTPStatus(http_status).phrase,
+        "status": http_status,
+        "detail": detail,
+        "cause": cause,
+    }
+    return web.Response(
+        status=http_status,
+        body=msgspec.json.encode(body),
+        content_type=_CONTENT_TYPE,
+        headers=headers,
+    )
+
+
+def unauthorized() -> web.Response:
+    """Returns the problem details of a missing or wrong token."""
+    return refused(
+        "unauthorized",
+        "a bearer token of the settings is needed",
+        http_status=401,
+        headers={"WWW-Authenticate": "Bearer"},
+    )
+
+
+@web.middleware
+async def middleware(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Turns every error into problem details."""
+    try:
+        return await handler(request)
+    except web.HTTPRequestEntityTooLarge as error:
+        return invalid(error.text or error.reason, http_status=error.status)
+    except web.HTTPNotFound:
+        return invalid(f"no route {request.path!r}", http_status=404)
+    except web.HTTPMethodNotAllowed as error:
+        allowed = ", ".join(sorted(error.allowed_methods))
+        response = invalid(
+            f"{request.method} is not allowed here, but {allowed}",
+            http_status=error.status,
+        )
+        response.headers["Allow"] = allowed
+        return response
+    except web.HTTPException as error:
+        return invalid(error.text or error.reason, http_status=error.status)
+    except (aiohttp.ClientPayloadError, aiohttp.http.HttpProcessingError):
+        return invalid("the body cannot be read", http_status=400)
+    except Exception as error:
+        log.problem(
+            "unexpected error in a request",
+            step="serve",
+            path=request.path,
+            error=f"{type(error).__name__}: {error}",
+            trace=traceback.format_exc(),
+        )
+        return refused(
+            "internal",
+            "unexpected error; the outcome of this request is not known",
+            http_status=500,
+        )
--- /dev/null
+++ b/sesameroad/entry/view.py
@@ -0,0 +1,214 @@
+"""What an entry knows of itself, for operators' queries and metrics."""
+
+import collections
+import dataclasses
+from typing import Any
+
+from sesameroad.configuration import store as stores
+from sesameroad.entry import dispatcher as dispatchers
+from sesameroad.membership import directory as directories
+from sesameroad.model import clock as clocks
+from sesameroad.model import outcome as outcomes
+from sesameroad.operators import answer as answers
+from sesameroad.operators import inventory as inventories
+from sesameroad.ownership import ledger as ledgers
+from sesameroad.peering import mesh as meshes
+from sesameroad.routing import pool as pools
+from sesameroad.scheduling import allocation as allocations
+from sesameroad.scheduling import item as items
+from sesameroad.settings import settings as settings_module
+from sesameroad.telemetry import burn as burns
+from sesameroad.telemetry import metrics
+
+
+@dataclasses.dataclass(slots=True)
+class View:
+    """Reads the parts of an entry; changes nothing but by cancel."""
+
+    settings: settings_module.Settings
+    incarnation: str
+    clock: clocks.Clock
+    store: stores.Store
+    directory: directories.Directory
+    ledger: ledgers.Ledger
+    dispatcher: dispatchers.Dispatcher
+    allocation: allocations.Allocation
+    pool: pools.Pool
+    mesh: meshes.Mesh
+    inventory: inventories.Inventory
+    counts: burns.Burn
+    leaving: bool = False
+
+    @property
+    def entry(self) -> str:
+        """Id of the entry."""
+        return self.settings.instance_id
+
+    def work(self) -> list[answers.Row]:
+        """Returns a row for each key whose outcome is not decided."""
+        now = self.clock.monotonic()
+        return [
+            self._work_row(group, now)
+            for group in self.dispatcher.open_items.values()
+        ]
+
+    def summary(self) -> answers.Row:
+        """Returns the row of this entry."""
+        running = queued = 0
+        for group in self.dispatcher.open_items.values():
+            record = group[0].record
+            running += len(record.started) - len(record.answers)
+            queued += len(group) - len(record.started)
+        state = "leaving" if self.leaving else "live"
+        return {
+            "entry": self.entry,
+            "data_centre": self.settings.data_centre,
+            "state": state,
+            "incarnation": self.incarnation,
+            "address": f"{self.settings.peer.host}:{self.settings.peer.port}",
+            "configuration": self.store.current.number,
+            "listing": self.directory.listing.version,
+            "peers": len(self.mesh.peers),
+            "running": running,
+            "queued": queued,
+            "records": len(self.ledger.records),
+            "slots_used": self._slots_used(),
+            "slots": sum(e.slots for e in self.pool.live),
+        }
+
+    def endpoints(self) -> list[answers.Row]:
+        """Returns a row for each listed endpoint."""
+        live = {
+            endpoint.id
+            for name in {
+                e.data_centre for e in self.directory.listing.endpoints
+            }
+            for endpoint in self.directory.live_endpoints(name)
+        }
+        return [
+            {
+                "endpoint": endpoint.id,
+                "data_centre": endpoint.data_centre,
+                "rack": endpoint.rack,
+                "worker": endpoint.worker,
+                "state": (
+                    "live" if endpoint.id in live else "leaving or drained"
+                ),
+                "slots": endpoint.slots,
+                "slots_used": self.allocation.used(endpoint.id),
+            }
+            for endpoint in self.directory.listing.endpoints
+        ]
+
+    def explain(self, key: str) -> list[answers.Row]:
+        """Returns what this entry knows of a key."""
+        rows = [self._remembered(item) for item in self.inventory.of_key(key)]
+        record = self.ledger.find(key)
+        if record is None:
+            return rows
+        group = self.dispatcher.open_items.get(key)
+        if group is not None:
+            rows.append(self._accepted(group))
+        rows.append(self._row("now", self._state(record, group)))
+        return rows
+
+    def cancel(self, key: str) -> bool:
+        """Withdraws the work of a key; returns whether it is known here."""
+        return self.dispatcher.cancel(key)
+
+    def burn(self) -> list[burns.Part]:
+        """Returns the counts of the burn report."""
+        return self.counts.parts(self.clock.monotonic())
+
+    def figures(self) -> metrics.Figures:
+        """Returns the state that metrics show."""
+        queued = collections.Counter(
+            dict.fromkeys(self.store.current.document.product.kinds, 0)
+        )
+        for group in self.dispatcher.open_items.values():
+            record = group[0].record
+            queued[record.work.kind] += len(group) - len(record.started)
+        return metrics.Figures(
+            queued=queued,
+            slots_used=self._slots_used(),
+            slots=sum(e.slots for e in self.pool.live),
+            ledger_records=len(self.ledger.records),
+            peers=len(self.mesh.peers),
+            configuration_version=self.store.current.number,
+        )
+
+    def _slots_used(self) -> int:
+        return sum(self.allocation.used(e.id) for e in self.pool.live)
+
+    def _work_row(self, group: list[items.Item], now: float) -> answers.Row:
+        record = group[0].record
+        running = len(record.started) - len(record.answers)
+        queued = len(group) - len(record.started)
+        return {
+            "entry": self.entry,
+            "key": record.work.key,
+            "kind": record.work.kind,
+            "team": record.work.team,
+            "state": "running" if running else "queued",
+            "age_ms": round((now - group[0].enqueued_at) * 1_000),
+            "tasks": len(group),
+            "running": running,
+            "queued": queued,
+            "answered": len(record.answers),
+        }
+
+    def _accepted(self, group: list[items.Item]) -> answers.Row:
+        work = group[0].record.work
+        age_s = self.clock.monotonic() - group[0].enqueued_at
+        return self._row(
+            "accepted and queued",
+            f"{work.kind} of {work.team}, {len(group)} tasks,"
+            f" {sum(item.attempts for item in group)} sends so far",
+            at_ms=self.clock.wall_ms() - round(age_s * 1_000),
+        )
+
+    def _state(
+        self, record: ledgers.Record, group: list[items.Item] | None
+    ) -> str:
+        if record.finished:
+            outcome = record.done.result()
+            match outcome:
+                case outcomes.Complete(answers=whole):
+                    return f"complete with {len(whole)} answers"
+                case _:
+                    return (
+                        f"{outcomes.label(outcome)}, {outcome.cause.value}:"
+                        f" {outcome.detail}"
+                    )
+        started, answered = len(record.started), len(record.answers)
+        return (
+            f"{len(group or ()) - started} tasks queued,"
+            f" {started - answered} running, {answered} answered"
+        )
+
+    def _remembered(
+        self, item: inventories.Event | inventories.Send
+    ) -> answers.Row:
+        match item:
+            case inventories.Send():
+                return self._row(
+                    f"send {item.result}",
+                    f"task {item.index} {item.detail}".strip(),
+                    at_ms=item.at_ms,
+                )
+            case inventories.Event():
+                return self._row(
+                    f"caller was told: {item.state.value}, {item.cause}",
+                    f"after {item.age_ms} ms; {item.detail}",
+                    at_ms=item.at_ms,
+                )
+
+    def _row(
+        self, step: str, detail: str, *, at_ms: int | None = None
+    ) -> dict[str, Any]:
+        return {
+            "at_ms": self.clock.wall_ms() if at_ms is None else at_ms,
+            "entry": self.entry,
+            "step": step,
+            "detail": detail,
+        }
--- a/sesameroad/entry/web.py
+++ b/sesameroad/entry/web.py
@@ -11,7 +11,9 @@
 
 from sesameroad import errors
 from sesameroad.configuration import store as stores
+from sesameroad.entry import console as consoles
 from sesameroad.entry import intake as intakes
+from sesameroad.entry import observer as observers
 from sesameroad.entry import problem
 from sesameroad.model import clock as clocks
 from sesameroad.model import need as needs
@@ -22,6 +24,7 @@
 _JSON = "application/json"
 _MAX_TIMEOUT_MS = 600_000
 _MAX_KEYS = 1_000
+_MAX_KEY_CHARACTERS = 255
 _UNPROCESSABLE = 422
 _ACCEPTED = 202
 
@@ -60,10 +63,27 @@
     count: Annotated[int, msgspec.Meta(ge=1, le=_MAX_KEYS)] = 1
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Refusal:
+    """Why a request is refused before its home is known."""
+
+    detail: str
+    http_status: int = 400
+    cause: outcomes.Cause = outcomes.Cause.INVALID
+
+
 class Web:
     """Translates HTTP to work, and outcomes to HTTP."""
 
-    __slots__ = ("_accepts", "_clock", "_intake", "_ready", "_store")
+    __slots__ = (
+        "_accepts",
+        "_clock",
+        "_console",
+        "_intake",
+        "_observer",
+        "_ready",
+        "_store",
+    )
 
     def __init__(
         self,
@@ -73,16 +93,22 @@
         clock: clocks.Clock,
         accepts: Callable[[str, needs.Need], bool],
         ready: Callable[[], bool],
+        observer: observers.Observer,
+        console: consoles.Console,
     ) -> None:
         self._intake = intake
         self._store = store
         self._clock = clock
         self._accepts = accepts
         self._ready = ready
+        self._observer = observer
+        self._console = console
 
     def application(self, *, max_body_bytes: int) -> web.Application:
-        """Returns the aiohttp application with all callers' routes."""
-        application = web.Application(client_max_size=max_body_bytes)
+        """Returns the aiohttp application with all routes."""
+        application = web.Application(
+            client_max_size=max_body_bytes, middlewares=[problem.middleware]
+        )
         application.add_routes(
             [
                 web.post("/v1/requests", self._request),
@@ -92,6 +118,7 @@
                 web.delete("/v1/keys/{key}", self._cancel),
                 web.get("/healthz", self._healthz),
                 web.get("/readyz", self._readyz),
+                *self._console.routes(),
             ]
         )
         return application
@@ -100,7 +127,7 @@
         text = await http.read()
         body = _decode(text, _RequestBody)
         if isinstance(body, web.Response):
-            return body
+            return self._unreadable(body)
         deadline_ms = self._clock.wall_ms() + body.timeout_ms
         task = works.Task(bytes(body.payload), body.need)
 
@@ -115,7 +142,7 @@
         text = await http.read()
         body = _decode(text, _SubmissionBody)
         if isinstance(body, web.Response):
-            return body
+            return self._unreadable(body)
         deadline_ms = self._clock.wall_ms() + body.timeout_ms
         tasks = tuple(
             works.Task(bytes(task.payload), task.need) for task in body.tasks
@@ -135,38 +162,59 @@
         build: Callable[[str], works.Work],
         tasks: tuple[works.Task, ...],
     ) -> web.Response:
-        refusal = self._check(build(""), tasks)
+        began = self._clock.monotonic()
+        work = build("")
+        key = http.headers.get(KEY_HEADER)
+        refusal = self._check(work, tasks) or _check_key(key)
+        if refusal is None:
+            try:
+                key, outcome = await self._intake.submit(
+                    build, key=key, digest=xxhash.xxh3_128_hexdigest(text)
+                )
+            except errors.KeyInvalidError as error:
+                refusal = _Refusal(str(error))
         if refusal is not None:
-            return refusal
-        try:
-            key, outcome = await self._intake.submit(
-                build,
-                key=http.headers.get(KEY_HEADER),
-                digest=xxhash.xxh3_128_hexdigest(text),
-            )
-        except errors.KeyInvalidError as error:
-            return problem.invalid(str(error))
-        return _respond(key, outcome)
+            outcome = outcomes.NotRun(refusal.cause, refusal.detail)
+        self._observer.answered(
+            key=key or "",
+            kind=work.kind,
+            team=work.team,
+            tasks=len(tasks),
+            outcome=outcome,
+            seconds=self._clock.monotonic() - began,
+        )
+        if refusal is not None:
+            return problem.response(outcome, http_status=refusal.http_status)
+        return _respond(key or "", outcome)
+
+    def _unreadable(self, response: web.Response) -> web.Response:
+        """Counts a request whose body is no valid work."""
+        self._observer.answered(
+            key="",
+            kind="",
+            team="",
+            tasks=0,
+            outcome=outcomes.NotRun(outcomes.Cause.INVALID, "invalid body"),
+            seconds=0.0,
+        )
+        return response
 
     def _check(
         self, work: works.Work, tasks: tuple[works.Task, ...]
-    ) -> web.Response | None:
+    ) -> _Refusal | None:
         content = self._store.current.document
         if work.kind not in content.product.kinds:
-            return problem.invalid(
-                f"unknown kind {work.kind!r}", http_status=_UNPROCESSABLE
-            )
+            return _Refusal(f"unknown kind {work.kind!r}", _UNPROCESSABLE)
         if work.team not in content.operations.team_quotas:
-            return problem.invalid(
-                f"unknown team {work.team!r}", http_status=_UNPROCESSABLE
-            )
+            return _Refusal(f"unknown team {work.team!r}", _UNPROCESSABLE)
         for need in {task.need for task in tasks}:
+            if min(need.cores, need.memory_mb, need.accelerators) < 0:
+                return _Refusal(f"negative need {need}", _UNPROCESSABLE)
             if not self._accepts(work.kind, need):
-                return problem.response(
-                    outcomes.NotRun(
-                        outcomes.Cause.NO_ENDPOINT,
-                        f"no endpoint can run kind {work.kind!r} with {need}",
-                    )
+                return _Refusal(
+                    f"no endpoint can run kind {work.kind!r} with {need}",
+                    _UNPROCESSABLE,
+                    outcomes.Cause.NO_ENDPOINT,
                 )
         return None
 
@@ -187,6 +235,9 @@
 
     async def _ask(self, http: web.Request, *, cancel: bool) -> web.Response:
         key = http.match_info["key"]
+        refusal = _check_key(key)
+        if refusal is not None:
+            return problem.invalid(refusal.detail)
         try:
             outcome = await self._intake.status(key, cancel=cancel)
         except errors.KeyInvalidError as error:
@@ -214,6 +265,21 @@
         return msgspec.json.decode(text, type=expected)
     except msgspec.MsgspecError as error:
         return problem.invalid(str(error))
+    except RecursionError:
+        return problem.invalid("the body is nested too deeply")
+
+
+def _check_key(key: str | None) -> _Refusal | None:
+    """Refuses keys that claim rows, logs or headers cannot carry unchanged."""
+    if key is None:
+        return None
+    if not 0 < len(key) <= _MAX_KEY_CHARACTERS:
+        return _Refusal(
+            f"a key has 1 to {_MAX_KEY_CHARACTERS} characters, not {len(key)}"
+        )
+    if not (key.isascii() and key.isprintable()):
+        return _Refusal("a key has printable ASCII characters only")
+    return None
 
 
 def _respond(key: str, outcome: outcomes.Outcome) -> web.Response:
--- a/sesameroad/errors.py
+++ b/sesameroad/errors.py
@@ -55,6 +55,10 @@
     """An operator's command cannot be parsed or carried out."""
 
 
+class RoleError(SesameroadError):
+    """An operator's role does not own what a command changes."""
+
+
 class ConfigurationError(SesameroadError):
     """A configuration document is invalid."""
 
--- /dev/null
+++ b/sesameroad/operators/access.py
@@ -0,0 +1,45 @@
+"""Who may give commands: bearer tokens of the settings."""
+
+from collections.abc import Iterable
+import hashlib
+import hmac
+
+from sesameroad.operators import interpreter as interpreters
+from sesameroad.settings import settings as settings_module
+
+_SCHEME = "bearer"
+
+
+class Access:
+    """Finds the operator that a bearer token belongs to."""
+
+    __slots__ = ("_operators",)
+
+    def __init__(self, operators: Iterable[settings_module.Operator]) -> None:
+        self._operators = [
+            (
+                _digest(operator.token),
+                interpreters.Author(operator.name, operator.role),
+            )
+            for operator in operators
+        ]
+
+    def find(self, authorization: str | None) -> interpreters.Author | None:
+        """Returns the operator of an Authorization header, or None.
+
+        The time it takes tells nothing about the tokens: digests of equal
+        length are compared in constant time, and all of them every time.
+        """
+        scheme, _, token = (authorization or "").partition(" ")
+        if scheme.lower() != _SCHEME:
+            return None
+        given = _digest(token.strip())
+        found = None
+        for digest, author in self._operators:
+            if hmac.compare_digest(digest, given):
+                found = author
+        return found
+
+
+def _digest(token: str) -> bytes:
+    return hashlib.sha256(token.encode(errors="surrogateescape")).digest()
--- /dev/null
+++ b/sesameroad/operators/interpreter.py
@@ -0,0 +1,430 @@
+"""Carries out operators' commands for the whole fleet."""
+
+import dataclasses
+import json
+from typing import Any
+from typing import Protocol
+
+import msgspec
+
+from sesameroad import errors
+from sesameroad.configuration import document
+from sesameroad.operators import answer as answers
+from sesameroad.operators import command as commands
+from sesameroad.operators import edit as edits
+from sesameroad.operators import grammar
+from sesameroad.operators import inventory as inventories
+from sesameroad.telemetry import burn as burns
+
+_WORK_COLUMNS = (
+    *("entry", "key", "kind", "team", "state", "cause"),
+    *("age_ms", "tasks", "running", "queued", "answered", "detail"),
+)
+_FLEET_COLUMNS = (
+    *("data_centre", "entries", "running", "queued", "records"),
+    *("slots_used", "slots"),
+)
+_ENTRY_COLUMNS = (
+    *("entry", "data_centre", "state", "incarnation", "address"),
+    *("configuration", "listing", "peers", "running", "queued", "records"),
+)
+_ENDPOINT_COLUMNS = (
+    *("endpoint", "data_centre", "rack", "worker", "state"),
+    *("slots", "slots_used"),
+)
+_HISTORY_COLUMNS = ("version", "author", "role", "summary", "entries")
+_EXPLAIN_COLUMNS = ("at_ms", "entry", "step", "detail")
+_BURN_COLUMNS = (
+    *("scope", "name", "alert", "5m", "30m", "1h", "6h", "budget_left"),
+    *("answers", "bad", "median_ms", "p99_ms", "causes"),
+)
+
+
+class View(Protocol):
+    """What an entry knows of itself; all rows are for this entry only."""
+
+    @property
+    def entry(self) -> str:
+        """Id of the entry."""
+
+    def work(self) -> list[answers.Row]:
+        """Returns a row for each key whose outcome is not decided."""
+
+    def summary(self) -> answers.Row:
+        """Returns the row of this entry."""
+
+    def endpoints(self) -> list[answers.Row]:
+        """Returns a row for each listed endpoint."""
+
+    def explain(self, key: str) -> list[answers.Row]:
+        """Returns what this entry knows of a key."""
+
+    def cancel(self, key: str) -> bool:
+        """Withdraws the work of a key; returns whether it is known here."""
+
+    def burn(self) -> list[burns.Part]:
+        """Returns the counts of the burn report."""
+
+
+class Fleet(Protocol):
+    """The other entries."""
+
+    async def ask(self, text: str) -> tuple[dict[str, bytes], list[str]]:
+        """Returns the parts by entry, and the entries that did not answer."""
+
+    def listed(self) -> list[answers.Row]:
+        """Returns a row for each entry of the instance list."""
+
+
+class Configuration(Protocol):
+    """The configuration in force."""
+
+    @property
+    def current(self) -> document.Version:
+        """The version in force on this entry."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Author:
+    """Who gives a command."""
+
+    name: str
+    role: document.Role
+
+
+class Interpreter:
+    """Carries out commands: asks all entries, merges, changes."""
+
+    __slots__ = (
+        "_changer",
+        "_configuration",
+        "_fleet",
+        "_inventory",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        *,
+        view: View,
+        fleet: Fleet,
+        inventory: inventories.Inventory,
+        configuration: Configuration,
+        changer: edits.Changer,
+    ) -> None:
+        self._view = view
+        self._fleet = fleet
+        self._inventory = inventory
+        self._configuration = configuration
+        self._changer = changer
+
+    async def run(self, text: str, author: Author) -> answers.Answer:
+        """Carries out a command.
+
+        Args:
+            text: The command.
+            author: Who gives it.
+
+        Raises:
+            CommandError: If it cannot be parsed or does not fit.
+            RoleError: If the author's role does not own what it changes.
+            ConflictError: If another change came first.
+            PlatformError: If the platform did not accept the change.
+        """
+        statement = grammar.parse(text)
+        match statement.command:
+            case commands.Show(topic=commands.Topic.CONFIGURATION):
+                return _show_configuration(self._configuration.current)
+            case (
+                commands.ShowWork()
+                | commands.Show()
+                | commands.Explain()
+                | commands.Cancel()
+            ) as command:
+                return await self._ask_fleet(command, text)
+            case change:
+                return await self._change(change, statement, text, author)
+
+    async def burn(self) -> tuple[list[burns.Row], list[str]]:
+        """Returns the burn report of the fleet, and which entries are missing."""
+        parts, missing = await self._collect(
+            commands.Show(commands.Topic.BURN), "show burn"
+        )
+        counts: list[burns.Part] = []
+        for part in parts:
+            try:
+                counts += burns.decode_parts(list(part.rows))
+            except msgspec.ValidationError:
+                missing.append(part.entry)
+        return burns.report(counts), missing
+
+    def answer_peer(self, text: str) -> bytes:
+        """Returns this entry's part of the answer to a peer's query."""
+        try:
+            statement = grammar.parse(text)
+            return self._part(statement.command).to_json()
+        except errors.CommandError as error:
+            # A peer of a newer release may know commands that this one does
+            # not.
+            return answers.Part(self._view.entry, error=str(error)).to_json()
+
+    def _part(self, command: commands.Command) -> answers.Part:
+        entry = self._view.entry
+        match command:
+            case commands.ShowWork(
+                state=state, conditions=conditions, limit=limit
+            ):
+                kept, total = inventories.newest(
+                    (
+                        row
+                        for row in self._work(state)
+                        if inventories.matches(row, conditions)
+                    ),
+                    limit,
+                )
+                return answers.Part(entry, tuple(kept), total)
+            case commands.Show(topic=topic):
+                rows = self._topic(topic)
+            case commands.Explain(key=key):
+                rows = self._view.explain(key)
+            case commands.Cancel(key=key):
+                rows = [{"entry": entry}] if self._view.cancel(key) else []
+            case _:
+                raise errors.CommandError(
+                    "changes are made at one entry", step="answer peer"
+                )
+        return answers.Part(entry, tuple(rows), len(rows))
+
+    def _topic(self, topic: commands.Topic) -> list[answers.Row]:
+        match topic:
+            case commands.Topic.FLEET | commands.Topic.ENTRIES:
+                return [self._view.summary()]
+            case commands.Topic.ENDPOINTS:
+                return self._view.endpoints()
+            case commands.Topic.HISTORY:
+                return list(self._inventory.changes)
+            case commands.Topic.BURN:
+                return msgspec.to_builtins(self._view.burn())
+            case commands.Topic.CONFIGURATION:
+                return []
+
+    def _work(self, state: commands.State) -> list[answers.Row]:
+        entry = self._view.entry
+        rows: list[answers.Row] = []
+        match state:
+            case commands.State.RUNNING:
+                rows = [row for row in self._view.work() if row["running"]]
+            case commands.State.QUEUED:
+                rows = [row for row in self._view.work() if row["queued"]]
+            case commands.State.LATE:
+                rows = [row for row in self._view.work() if self._late(row)]
+            case commands.State.REFUSED | commands.State.FAILED:
+                pass
+        for event in self._inventory.events(state):
+            rows.append(
+                {
+                    "entry": entry,
+                    "at_ms": event.at_ms,
+                    "key": event.key,
+                    "kind": event.kind,
+                    "team": event.team,
+                    "state": state.value,
+                    "cause": event.cause,
+                    "age_ms": event.age_ms,
+                    "tasks": event.tasks,
+                    "detail": event.detail,
+                }
+            )
+        return rows
+
+    def _late(self, row: answers.Row) -> bool:
+        kinds = self._configuration.current.document.product.kinds
+        kind = kinds.get(row["kind"])
+        return kind is not None and row["age_ms"] > kind.target_ms
+
+    async def _collect(
+        self, command: commands.Command, text: str
+    ) -> tuple[list[answers.Part], list[str]]:
+        """Returns the parts of all entries, this one first."""
+        parts = [self._part(command)]
+        replies, missing = await self._fleet.ask(text)
+        for entry, reply in replies.items():
+            try:
+                part = answers.decode_part(reply, entry=entry)
+            except errors.PeerError:
+                missing.append(entry)
+                continue
+            if part.error:
+                missing.append(entry)
+            else:
+                parts.append(part)
+        return parts, missing
+
+    async def _ask_fleet(
+        self, command: commands.Query | commands.Cancel, text: str
+    ) -> answers.Answer:
+        if command == commands.Show(commands.Topic.BURN):
+            rows, missing = await self.burn()
+            return _burn_answer(rows, missing)
+        parts, missing = await self._collect(command, text)
+        rows = [row for part in parts for row in part.rows]
+        total = sum(part.total for part in parts)
+        notes: tuple[str, ...] = ()
+        match command:
+            case commands.ShowWork(limit=limit):
+                columns = _WORK_COLUMNS
+                rows, _ = inventories.newest(rows, limit)
+            case commands.Show(topic=commands.Topic.FLEET):
+                columns, rows = _FLEET_COLUMNS, _by_data_centre(rows)
+            case commands.Show(topic=commands.Topic.ENTRIES):
+                columns, rows = _ENTRY_COLUMNS, self._entries(rows)
+            case commands.Show(topic=commands.Topic.ENDPOINTS):
+                columns, rows = _ENDPOINT_COLUMNS, _by_endpoint(rows)
+            case commands.Show():
+                columns, rows = _HISTORY_COLUMNS, _by_version(rows)
+            case commands.Explain(key=key):
+                columns = _EXPLAIN_COLUMNS
+                rows.sort(key=lambda row: row.get("at_ms", 0))
+                notes = (
+                    () if rows else (f"no entry that answered knows {key!r}",)
+                )
+            case commands.Cancel(key=key):
+                columns = ("entry",)
+                notes = (
+                    (f"{key} is withdrawn; started tasks run to their end",)
+                    if rows
+                    else (f"no entry that answered knows {key!r}",)
+                )
+        if not isinstance(command, commands.ShowWork):
+            total = len(rows)
+        return answers.Answer(
+            columns=columns,
+            rows=tuple(rows),
+            total=total,
+            not_answered=tuple(sorted(missing)),
+            version=self._configuration.current.number,
+            notes=notes,
+        )
+
+    def _entries(self, rows: list[answers.Row]) -> list[answers.Row]:
+        """Adds listed entries that did not answer."""
+        known = {row["entry"] for row in rows}
+        return rows + [
+            row for row in self._fleet.listed() if row["entry"] not in known
+        ]
+
+    async def _change(
+        self,
+        change: commands.Change,
+        statement: commands.Statement,
+        text: str,
+        author: Author,
+    ) -> answers.Answer:
+        owners = edits.roles(change)
+        if owners - {author.role}:
+            names = " and ".join(sorted(role.value for role in owners))
+            raise errors.RoleError(
+                f"this belongs to {names}; {author.name} has the role"
+                f" {author.role.value}",
+                step="change configuration",
+            )
+        version = await self._changer.change(
+            lambda content: edits.apply(change, content),
+            author=author.name,
+            role=author.role,
+            summary=" ".join(text.split()),
+            expected_version=statement.expected_version,
+        )
+        return answers.Answer(
+            version=version.number,
+            notes=(
+                f"version {version.number} by {version.author}:"
+                f" {version.summary}",
+            ),
+        )
+
+
+def _show_configuration(version: document.Version) -> answers.Answer:
+    rows = tuple(
+        {"setting": path, "value": value}
+        for path, value in _flatten(msgspec.to_builtins(version.document), "")
+    )
+    return answers.Answer(
+        columns=("setting", "value"),
+        rows=rows,
+        total=len(rows),
+        version=version.number,
+        notes=(
+            f"version {version.number} by {version.author}"
+            f" ({version.role.value}): {version.summary}",
+        ),
+    )
+
+
+def _flatten(value: Any, path: str) -> list[tuple[str, Any]]:
+    if not isinstance(value, dict):
+        shown = json.dumps(value) if isinstance(value, list) else value
+        return [(path, shown)]
+    flat: list[tuple[str, Any]] = []
+    for name, inner in value.items():
+        flat += _flatten(inner, f"{path}.{name}" if path else name)
+    return flat
+
+
+def _by_data_centre(rows: list[answers.Row]) -> list[answers.Row]:
+    sums: dict[str, answers.Row] = {}
+    for row in rows:
+        name = row["data_centre"]
+        whole = sums.setdefault(
+            name, {"data_centre": name, **dict.fromkeys(_FLEET_COLUMNS[1:], 0)}
+        )
+        whole["entries"] += 1
+        for column in ("running", "queued", "records", "slots_used"):
+            whole[column] += row[column]
+        # All entries of a data centre see the same slots.
+        whole["slots"] = max(whole["slots"], row["slots"])
+    return sorted(sums.values(), key=lambda row: row["data_centre"])
+
+
+def _by_endpoint(rows: list[answers.Row]) -> list[answers.Row]:
+    merged: dict[str, answers.Row] = {}
+    for row in rows:
+        known = merged.setdefault(row["endpoint"], {**row, "slots_used": 0})
+        known["slots_used"] += row["slots_used"]
+        # An entry of another data centre knows less of the state.
+        if row["state"] != "live":
+            known["state"] = row["state"]
+    return sorted(merged.values(), key=lambda row: row["endpoint"])
+
+
+def _by_version(rows: list[answers.Row]) -> list[answers.Row]:
+    merged: dict[int, answers.Row] = {}
+    for row in rows:
+        known = merged.setdefault(row["version"], {**row, "entries": 0})
+        known["entries"] += 1
+    return sorted(merged.values(), key=lambda row: -row["version"])
+
+
+def _burn_answer(rows: list[burns.Row], missing: list[str]) -> answers.Answer:
+    return answers.Answer(
+        columns=_BURN_COLUMNS,
+        rows=tuple(_burn_row(row) for row in rows),
+        total=len(rows),
+        not_answered=tuple(sorted(missing)),
+    )
+
+
+def _burn_row(row: burns.Row) -> answers.Row:
+    """Returns a row of the burn report as a row of a table."""
+    return {
+        "scope": row.scope.value,
+        "name": row.name,
+        "alert": row.alert.value,
+        **row.rates,
+        "budget_left": row.budget_left,
+        "answers": row.answers,
+        "bad": row.bad,
+        "median_ms": row.median_ms,
+        "p99_ms": row.p99_ms,
+        "causes": ", ".join(f"{c} {n}" for c, n in row.causes.items()),
+    }
--- /dev/null
+++ b/sesameroad/operators/inventory.py
@@ -0,0 +1,185 @@
+"""A bounded memory of refused, failed and late work, for operators' queries."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+from typing import Any
+
+from sesameroad.model import outcome as outcomes
+from sesameroad.operators import command as commands
+
+# Kept for each state and cause, so that a flood of one cause does not push out
+# the few events of another.
+_EVENTS_EACH = 500
+_SENDS = 5_000
+_CHANGES = 200
+# Details come from endpoints and may be long.
+_DETAIL_CHARACTERS = 200
+
+_FAR_FUTURE_MS = 2**63
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Event:
+    """An answer that was not given in full and in time.
+
+    Attributes:
+        at_ms: Wall time of the answer.
+        key: Key of the work, empty if it had none.
+        kind: Kind of the work.
+        team: Team of the work.
+        tasks: Number of its tasks.
+        state: Under which query it is listed.
+        cause: Cause of the outcome, or "late".
+        age_ms: Response time.
+        detail: Text for people.
+    """
+
+    at_ms: int
+    key: str
+    kind: str
+    team: str
+    tasks: int
+    state: commands.State
+    cause: str
+    age_ms: int
+    detail: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Send:
+    """A send that brought no answer.
+
+    Attributes:
+        at_ms: Wall time of its end.
+        key: Key of the work.
+        index: Place of the task in the work.
+        result: Name of the result.
+        detail: Text for people.
+    """
+
+    at_ms: int
+    key: str
+    index: int
+    result: str
+    detail: str
+
+
+class Inventory:
+    """Remembers what went wrong, in memory of fixed size."""
+
+    __slots__ = ("_changes", "_events", "_sends")
+
+    def __init__(self) -> None:
+        self._events: dict[
+            tuple[commands.State, str], collections.deque[Event]
+        ] = {}
+        self._sends: collections.deque[Send] = collections.deque(maxlen=_SENDS)
+        self._changes: collections.deque[dict[str, Any]] = collections.deque(
+            maxlen=_CHANGES
+        )
+
+    @property
+    def changes(self) -> Iterable[dict[str, Any]]:
+        """Configuration versions that came into force here."""
+        return self._changes
+
+    def answered(
+        self,
+        *,
+        key: str,
+        kind: str,
+        team: str,
+        tasks: int,
+        outcome: outcomes.Outcome,
+        seconds: float,
+        target_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Remembers an answer unless it was complete and in time."""
+        age_ms = round(seconds * 1_000)
+        match outcome:
+            case outcomes.Complete() if age_ms <= target_ms:
+                return
+            case outcomes.Complete():
+                state, cause = commands.State.LATE, "late"
+                detail = f"target {target_ms} ms"
+            case outcomes.NotRun():
+                state, cause = commands.State.REFUSED, outcome.cause.value
+                detail = outcome.detail
+            case outcomes.Failed() | outcomes.Unknown():
+                state, cause = commands.State.FAILED, outcome.cause.value
+                detail = f"{outcomes.label(outcome)}: {outcome.detail}"
+        events = self._events.get((state, cause))
+        if events is None:
+            events = collections.deque(maxlen=_EVENTS_EACH)
+            self._events[state, cause] = events
+        events.append(
+            Event(
+                now_ms,
+                key,
+                kind,
+                team,
+                tasks,
+                state,
+                cause,
+                age_ms,
+                detail[:_DETAIL_CHARACTERS],
+            )
+        )
+
+    def sent(self, send: Send) -> None:
+        """Remembers a send that brought no answer."""
+        self._sends.append(
+            dataclasses.replace(send, detail=send.detail[:_DETAIL_CHARACTERS])
+        )
+
+    def changed(self, change: dict[str, Any]) -> None:
+        """Remembers a configuration version."""
+        self._changes.append(change)
+
+    def events(self, state: commands.State) -> Iterator[Event]:
+        """Yields the remembered answers of a state."""
+        for (known, _), events in self._events.items():
+            if known is state:
+                yield from events
+
+    def of_key(self, key: str) -> list[Event | Send]:
+        """Returns what is remembered of a key, oldest first."""
+        found: list[Event | Send] = [s for s in self._sends if s.key == key]
+        for events in self._events.values():
+            found += [event for event in events if event.key == key]
+        found.sort(key=lambda item: item.at_ms)
+        return found
+
+
+def matches(
+    row: dict[str, Any], conditions: Iterable[commands.Condition]
+) -> bool:
+    """Returns whether a row meets all conditions."""
+    return all(_meets(row.get(c.field.value), c) for c in conditions)
+
+
+def newest(
+    rows: Iterable[dict[str, Any]], limit: int
+) -> tuple[list[dict[str, Any]], int]:
+    """Returns the newest rows, and how many there are in all."""
+    ranked = sorted(rows, key=_at_ms, reverse=True)
+    return ranked[:limit], len(ranked)
+
+
+def _at_ms(row: dict[str, Any]) -> int:
+    return row.get("at_ms", _FAR_FUTURE_MS)
+
+
+def _meets(value: Any, condition: commands.Condition) -> bool:
+    match condition.comparison:
+        case commands.Comparison.EQUAL:
+            return value == condition.value
+        case commands.Comparison.NOT_EQUAL:
+            return value != condition.value
+        case commands.Comparison.LESS:
+            return value is not None and value < condition.value
+        case commands.Comparison.GREATER:
+            return value is not None and value > condition.value
--- a/sesameroad/telemetry/log.py
+++ b/sesameroad/telemetry/log.py
@@ -1,5 +1,7 @@
 """Structured logs: one JSON object a line, through absl.logging."""
 
+import collections
+
 from absl import logging
 from pythonjsonlogger import json as json_formatter
 
@@ -34,3 +36,34 @@
 ) -> None:
     """Logs a warning with the step and the peer it belongs to."""
     logging.warning(message, extra={"step": step, "peer": peer, **fields})
+
+
+class Limiter:
+    """Lets a bounded number of lines a second through for each cause."""
+
+    __slots__ = ("_per_second", "_second", "_seen")
+
+    def __init__(self, *, per_second: int) -> None:
+        self._per_second = per_second
+        self._second = 0
+        self._seen: collections.Counter[str] = collections.Counter()
+
+    def admit(self, cause: str, now_s: float) -> bool:
+        """Returns whether a line of a cause may be written now."""
+        second = int(now_s)
+        if second != self._second:
+            self._report()
+            self._second = second
+        self._seen[cause] += 1
+        return self._seen[cause] <= self._per_second
+
+    def _report(self) -> None:
+        """Says how many lines of the past second were left out."""
+        left_out = {
+            cause: count - self._per_second
+            for cause, count in self._seen.items()
+            if count > self._per_second
+        }
+        self._seen.clear()
+        if left_out:
+            event("log lines left out", step="log", left_out=left_out)
