Give each command of the command line a module, help and exit codes

The one command took its flag from a shared name space and explained nothing. Each subcommand now has flags of its own, a help text and exit codes that scripts can tell apart.

--- /dev/null
+++ b/sesameroad/command_line/burn.py
@@ -0,0 +1,56 @@
+"""Prints the service-level burn report of the whole fleet.
+
+usage: sesameroad burn --url=URL --token_file=FILE
+
+Each row is a kind or a team. The columns 5m to 6h are burn rates: 1 uses up the
+error budget exactly. An alert "page" wants a person now, "warn" within days.
+"""
+
+import sys
+
+from absl import flags
+
+from sesameroad.command_line import _session
+from sesameroad.command_line import exits
+
+FLAGS = flags.FlagValues()
+_session.define_connection(FLAGS, token=True)
+flags.DEFINE_bool(
+    "check",
+    False,
+    f"Exit with {exits.PAGING} if any alert is in the state page.",
+    flag_values=FLAGS,
+)
+
+_COLUMNS = [
+    *("scope", "name", "alert", "5m", "30m", "1h", "6h", "budget_left"),
+    *("answers", "bad", "median_ms", "p99_ms", "causes"),
+]
+
+
+def run(arguments: list[str]) -> int:
+    """Prints the report; returns the exit code."""
+    if arguments:
+        print("sesameroad: burn takes flags only", file=sys.stderr)
+        return exits.USAGE
+    reply = _session.call(FLAGS, "GET", "/v1/operator/burn")
+    if reply.code != exits.OK:
+        return reply.code
+    rows = reply.body["rows"]
+    if FLAGS.json:
+        _session.print_json(reply.body)
+    elif rows:
+        _session.print_table(_COLUMNS, [_flat(row) for row in rows])
+    else:
+        print("no answers yet")
+    missing = reply.body["not_answered"]
+    if missing:
+        print(f"no answer from {', '.join(missing)}", file=sys.stderr)
+    if FLAGS.check and any(row["alert"] == "page" for row in rows):
+        return exits.PAGING
+    return exits.PARTIAL if missing else exits.OK
+
+
+def _flat(row: dict) -> dict:
+    causes = ", ".join(f"{name} {n}" for name, n in row["causes"].items())
+    return {**row, **row["rates"], "causes": causes}
--- /dev/null
+++ b/sesameroad/command_line/check.py
@@ -0,0 +1,36 @@
+"""Checks a settings file without starting anything.
+
+usage: sesameroad check --settings=FILE
+"""
+
+import sys
+
+from absl import flags
+
+from sesameroad import errors
+from sesameroad.command_line import exits
+from sesameroad.settings import settings as settings_module
+
+FLAGS = flags.FlagValues()
+
+_SETTINGS = flags.DEFINE_string(
+    "settings", None, "Path of the JSON settings file.", flag_values=FLAGS
+)
+
+
+def run(arguments: list[str]) -> int:
+    """Checks the file; returns the exit code."""
+    if arguments or not _SETTINGS.value:
+        print("usage: sesameroad check --settings=FILE", file=sys.stderr)
+        return exits.USAGE
+    try:
+        settings = settings_module.Settings.from_file(_SETTINGS.value)
+    except errors.SettingsError as error:
+        print(f"sesameroad: {error}", file=sys.stderr)
+        return exits.USAGE
+    print(
+        f"{_SETTINGS.value}: valid; entry {settings.instance_id} of"
+        f" {settings.data_centre}, {len(settings.peers)} peers,"
+        f" {len(settings.operators)} operators"
+    )
+    return exits.OK
--- /dev/null
+++ b/sesameroad/command_line/entry.py
@@ -0,0 +1,42 @@
+"""Runs an entry instance until SIGTERM, which stops it gracefully.
+
+usage: sesameroad entry --settings=FILE
+
+Logs go to standard error, one JSON object a line.
+"""
+
+import sys
+
+from absl import flags
+
+from sesameroad import errors
+from sesameroad.command_line import exits
+from sesameroad.entry import service
+from sesameroad.settings import settings as settings_module
+from sesameroad.telemetry import log
+
+FLAGS = flags.FlagValues()
+
+_SETTINGS = flags.DEFINE_string(
+    "settings",
+    None,
+    "Path of the JSON settings file of this entry.",
+    flag_values=FLAGS,
+)
+
+
+def run(arguments: list[str]) -> int:
+    """Runs the entry; returns the exit code."""
+    if arguments or not _SETTINGS.value:
+        print("usage: sesameroad entry --settings=FILE", file=sys.stderr)
+        return exits.USAGE
+    try:
+        settings = settings_module.Settings.from_file(_SETTINGS.value)
+    except errors.SettingsError as error:
+        print(f"sesameroad: {error}", file=sys.stderr)
+        return exits.USAGE
+    log.configure(
+        instance_id=settings.instance_id, data_centre=settings.data_centre
+    )
+    service.run(settings)
+    return exits.OK
--- a/sesameroad/command_line/main.py
+++ b/sesameroad/command_line/main.py
@@ -1,48 +1,88 @@
-"""The sesameroad command: runs an entry instance."""
+"""The sesameroad command: finds the subcommand and runs it."""
 
 import sys
 
 from absl import app
 from absl import flags
 
-from sesameroad import errors
-from sesameroad.entry import service
-from sesameroad.settings import settings as settings_module
-from sesameroad.telemetry import log
+from sesameroad.command_line import burn
+from sesameroad.command_line import check
+from sesameroad.command_line import command
+from sesameroad.command_line import entry
+from sesameroad.command_line import exits
+from sesameroad.command_line import keys
 
-_SETTINGS = flags.DEFINE_string(
-    "settings", None, "Path of the JSON settings file of this entry."
-)
-
-_USAGE = "usage: sesameroad entry --settings=FILE"
+_COMMANDS = {
+    "entry": entry,
+    "check": check,
+    "command": command,
+    "burn": burn,
+    "keys": keys,
+}
+_HELP = {"help", "-h", "--help", "-help", "--helpfull"}
 
 
 def main(arguments: list[str]) -> int:
-    """Runs the command named by the arguments; returns the exit code."""
+    """Runs the subcommand named by the arguments; returns the exit code."""
     match arguments[1:]:
-        case ["entry"] if _SETTINGS.value:
-            return _entry(_SETTINGS.value)
-        case _:
-            print(_USAGE, file=sys.stderr)
-            return 2
+        case []:
+            print(_overview(), file=sys.stderr)
+            return exits.USAGE
+        case [first, name, *_] if first in _HELP and name in _COMMANDS:
+            print(_help(name))
+            return exits.OK
+        case [first, *_] if first in _HELP:
+            print(_overview())
+            return exits.OK
+        case [name, *rest] if name in _COMMANDS:
+            return _run(name, rest)
+        case [name, *_]:
+            print(
+                f"sesameroad: unknown command {name!r}\n\n{_overview()}",
+                file=sys.stderr,
+            )
+            return exits.USAGE
 
 
 def run() -> None:
     """Entry point of the installed script."""
-    app.run(main)
+    app.run(main, flags_parser=_leave_to_subcommand)
+
 
+def _leave_to_subcommand(arguments: list[str]) -> list[str]:
+    """Parses nothing: each subcommand has flags of its own."""
+    flags.FLAGS(arguments[:1])
+    return arguments
 
-def _entry(path: str) -> int:
+
+def _run(name: str, arguments: list[str]) -> int:
+    module = _COMMANDS[name]
+    if _HELP & set(arguments):
+        print(_help(name))
+        return exits.OK
     try:
-        settings = settings_module.Settings.from_file(path)
-    except errors.SettingsError as error:
-        print(error, file=sys.stderr)
-        return 2
-    log.configure(
-        instance_id=settings.instance_id, data_centre=settings.data_centre
-    )
-    service.run(settings)
-    return 0
+        rest = module.FLAGS([f"sesameroad {name}", *arguments])[1:]
+    except flags.Error as error:
+        print(f"sesameroad {name}: {error}\n\n{_help(name)}", file=sys.stderr)
+        return exits.USAGE
+    return module.run(rest)
+
+
+def _help(name: str) -> str:
+    module = _COMMANDS[name]
+    return f"{module.__doc__.strip()}\n\n{module.FLAGS.get_help().strip()}"
+
+
+def _overview() -> str:
+    lines = ["usage: sesameroad COMMAND [FLAGS] [ARGUMENTS]", ""]
+    lines += [
+        f"  {name:8} {module.__doc__.splitlines()[0]}"
+        for name, module in _COMMANDS.items()
+    ]
+    lines += ["", "sesameroad help COMMAND describes a command and its flags."]
+    lines += ["", "Exit codes:"]
+    lines += [f"  {code}  {text}" for code, text in exits.MEANINGS.items()]
+    return "\n".join(lines)
 
 
 if __name__ == "__main__":
