Check settings inside lists, maps and optional fields

A misspelt field of the fallback configuration or of an operator was ignored and left a default in force. Contradictions between fields are refused as well.

--- a/sesameroad/settings/settings.py
+++ b/sesameroad/settings/settings.py
@@ -1,7 +1,10 @@
 """Settings of an entry instance, read from a JSON file and checked at start."""
 
+import builtins
 import dataclasses
 import pathlib
+import types
+import typing
 from typing import Annotated
 from typing import Any
 from typing import Self
@@ -132,11 +135,17 @@
         try:
             raw = msgspec.json.decode(text)
             _refuse_unknown_fields(raw, cls, "$")
-            return msgspec.convert(raw, cls)
-        except msgspec.MsgspecError as error:
+            settings = msgspec.convert(raw, cls)
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise errors.SettingsError(
                 str(error), step="read settings", peer=source
             ) from error
+        found = _contradictions(settings)
+        if found:
+            raise errors.SettingsError(
+                "; ".join(found), step="read settings", peer=source
+            )
+        return settings
 
     @classmethod
     def from_file(cls, path: str) -> Self:
@@ -154,20 +163,53 @@
         return cls.from_json(text, source=path)
 
 
-def _refuse_unknown_fields(raw: Any, expected: type, place: str) -> None:
+def _refuse_unknown_fields(raw: Any, expected: Any, place: str) -> None:
     """Raises ValidationError at a field that a data class does not have.
 
     msgspec ignores unknown fields of data classes, so that a misspelt setting
     would silently leave the default in force.
     """
-    if not dataclasses.is_dataclass(expected) or not isinstance(raw, dict):
-        return
-    fields = {field.name: field.type for field in dataclasses.fields(expected)}
-    for name, value in raw.items():
-        if name not in fields:
-            raise msgspec.ValidationError(
-                f"Unknown field `{name}` - at `{place}`"
+    arguments = typing.get_args(expected)
+    match typing.get_origin(expected), raw:
+        case types.UnionType, _:
+            for argument in arguments:
+                _refuse_unknown_fields(raw, argument, place)
+        case builtins.tuple, list():
+            for index, value in enumerate(raw):
+                _refuse_unknown_fields(value, arguments[0], f"{place}[{index}]")
+        case builtins.dict, dict():
+            for name, value in raw.items():
+                _refuse_unknown_fields(value, arguments[1], f"{place}.{name}")
+        case None, dict() if dataclasses.is_dataclass(expected):
+            known = {f.name: f.type for f in dataclasses.fields(expected)}
+            for name, value in raw.items():
+                if name not in known:
+                    raise msgspec.ValidationError(
+                        f"Unknown field `{name}` - at `{place}`"
+                    )
+                _refuse_unknown_fields(value, known[name], f"{place}.{name}")
+
+
+def _contradictions(settings: Settings) -> list[str]:
+    """Returns what cannot be right although each field is valid."""
+    found = []
+    for what in ("name", "token"):
+        values = [getattr(operator, what) for operator in settings.operators]
+        if len(set(values)) < len(values):
+            found.append(f"two operators have the same {what}")
+    timing = settings.timing
+    if timing.heartbeat_s >= timing.peer_timeout_s:
+        found.append("timing.heartbeat_s is not below timing.peer_timeout_s")
+    limits = settings.limits
+    if limits.max_body_bytes > limits.max_held_bytes:
+        found.append("limits.max_body_bytes is above limits.max_held_bytes")
+    if not settings.platform_url.startswith(("http://", "https://")):
+        found.append("platform_url is no http URL")
+    fallback = settings.fallback or document.Document()
+    for name, kind in fallback.product.kinds.items():
+        if kind.share <= 0 or not 0 <= kind.objective < 1:
+            found.append(
+                f"fallback kind {name}: share is not above 0, or objective is"
+                " not from 0 to below 1"
             )
-        inner = fields[name]
-        if isinstance(inner, type):
-            _refuse_unknown_fields(value, inner, f"{place}.{name}")
+    return found
