--- a/sesameroad/command_line/main.py
+++ b/sesameroad/command_line/main.py
@@ -60,6 +60,9 @@
     if _HELP & set(arguments):
         print(_help(name))
         return exits.OK
+    # Values of an earlier run in the same process would stay otherwise.
+    for flag in module.FLAGS:
+        module.FLAGS[flag].unparse()
     try:
         rest = module.FLAGS([f"sesameroad {name}", *arguments])[1:]
     except flags.Error as error:
--- /dev/null
+++ b/tests/test_command_line.py
@@ -0,0 +1,85 @@
+"""The command line and the operators' routes over processes."""
+
+import asyncio
+import contextlib
+import io
+import pathlib
+import tempfile
+import unittest
+
+from sesameroad.command_line import exits
+from sesameroad.command_line import main
+from standins import fleet as fleets
+
+
+def _run(*arguments):
+    with (
+        contextlib.redirect_stdout(io.StringIO()) as out,
+        contextlib.redirect_stderr(io.StringIO()) as err,
+    ):
+        code = main.main(["sesameroad", *arguments])
+    return code, out.getvalue() + err.getvalue()
+
+
+class UsageTest(unittest.TestCase):
+    """Guards the help for a stranger and the codes for scripts."""
+
+    def test_help_and_wrong_use(self):
+        cases = (
+            ((), exits.USAGE, "Exit codes"),
+            (("--help",), exits.OK, "sesameroad help COMMAND"),
+            (("help", "command"), exits.OK, "--token_file"),
+            (("burn", "--help"), exits.OK, "error budget"),
+            (("fly",), exits.USAGE, "unknown command 'fly'"),
+            (("entry", "--nope"), exits.USAGE, "nope"),
+            (("check", "--settings=/nonexistent"), exits.USAGE, "No such file"),
+            (("command", "show", "fleet"), exits.USAGE, "--token_file"),
+            (("keys", "--count=0"), exits.USAGE, "count"),
+            (
+                ("keys", "--url=http://127.0.0.1:1"),
+                exits.UNREACHABLE,
+                "no answer",
+            ),
+        )
+        for arguments, code, text in cases:
+            with self.subTest(arguments):
+                self.assertEqual(_run(*arguments)[0], code)
+                self.assertIn(text, _run(*arguments)[1])
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    """Guards operators' answers over processes."""
+
+    async def test_commands_over_a_fleet_that_loses_an_entry(self):
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "token"
+            path.write_text(fleets.OPERATIONS_TOKEN + "\n")
+            async with fleets.Fleet.open(
+                data_centres=2, endpoints_each=1
+            ) as fleet:
+                url = fleet.entries["dc1-entry1"].url
+                flags = (f"--url={url}", f"--token_file={path}")
+
+                async def run(*arguments):
+                    return await asyncio.to_thread(_run, *arguments)
+
+                code, keys = await run("keys", f"--url={url}", "--count=3")
+                self.assertEqual((code, len(keys.split())), (exits.OK, 3))
+                # An entry is ready before its streams to peers are up.
+                for _ in range(50):
+                    code, text = await run("command", *flags, "show", "entries")
+                    if code != exits.PARTIAL:
+                        break
+                    await asyncio.sleep(0.1)
+                self.assertEqual(code, exits.OK, text)
+                self.assertIn("dc2-entry1", text)
+                code, text = await run(
+                    "command", *flags, "set kind lookup share 3"
+                )
+                self.assertEqual(code, exits.NOT_ALLOWED, text)
+                fleet.entries["dc2-entry1"].kill()
+                code, text = await run("command", *flags, "show fleet")
+                self.assertEqual(code, exits.PARTIAL, text)
+                self.assertIn("no answer from dc2-entry1", text)
+                code, text = await run("burn", *flags, "--json")
+                self.assertIn('"not_answered":["dc2-entry1"]', text)
