--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,46 @@
+"""Pages that must name everything."""
+
+import dataclasses
+import pathlib
+import unittest
+
+from sesameroad.command_line import exits
+from sesameroad.configuration import document
+from sesameroad.model import instance
+from sesameroad.model import outcome as outcomes
+from sesameroad.operators import command as commands
+from sesameroad.settings import settings as settings_module
+
+_DOCS = pathlib.Path(__file__).parent.parent / "docs"
+
+
+class PagesTest(unittest.TestCase):
+    """Guards against fields, causes and commands that no page explains."""
+
+    def test_settings_page_has_every_field(self):
+        page = (_DOCS / "settings.md").read_text()
+        classes = (
+            *(settings_module.Settings, settings_module.Limits),
+            *(settings_module.Timing, settings_module.Operator),
+            *(document.Kind, document.Product, document.Operations),
+            *(document.Membership, instance.Instance),
+        )
+        for owner in classes:
+            for field in dataclasses.fields(owner):
+                self.assertRegex(page, rf"`([a-z.*]+\.)?{field.name}(\.|`)")
+
+    def test_callers_page_has_every_cause(self):
+        page = (_DOCS / "callers.md").read_text()
+        for cause in outcomes.Cause:
+            self.assertIn(f"`{cause.value}`", page)
+
+    def test_operators_page_has_the_whole_language(self):
+        page = (_DOCS / "operators.md").read_text()
+        names = [*commands.State, *commands.Topic, *commands.Level]
+        for name in names:
+            self.assertIn(name.value, page)
+        for code, text in exits.MEANINGS.items():
+            self.assertIn(
+                f"| {code} | {text.replace('burn --check', '`burn --check`')} |",
+                page,
+            )
