--- a/sesameroad/operators/interpreter.py
+++ b/sesameroad/operators/interpreter.py
@@ -174,7 +174,7 @@
             case commands.ShowWork(
                 state=state, conditions=conditions, limit=limit
             ):
-                kept, total = inventories.newest(
+                kept, total = inventories.rank(
                     (
                         row
                         for row in self._work(state)
@@ -273,7 +273,7 @@
         match command:
             case commands.ShowWork(limit=limit):
                 columns = _WORK_COLUMNS
-                rows, _ = inventories.newest(rows, limit)
+                rows, _ = inventories.rank(rows, limit)
             case commands.Show(topic=commands.Topic.FLEET):
                 columns, rows = _FLEET_COLUMNS, _by_data_centre(rows)
             case commands.Show(topic=commands.Topic.ENTRIES):
--- a/sesameroad/operators/inventory.py
+++ b/sesameroad/operators/inventory.py
@@ -17,8 +17,6 @@
 # Details come from endpoints and may be long.
 _DETAIL_CHARACTERS = 200
 
-_FAR_FUTURE_MS = 2**63
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Event:
@@ -161,16 +159,20 @@
     return all(_meets(row.get(c.field.value), c) for c in conditions)
 
 
-def newest(
+def rank(
     rows: Iterable[dict[str, Any]], limit: int
 ) -> tuple[list[dict[str, Any]], int]:
-    """Returns the newest rows, and how many there are in all."""
-    ranked = sorted(rows, key=_at_ms, reverse=True)
+    """Returns the first rows, and how many there are in all.
+
+    Open work goes first, the oldest at the top, then the newest answers.
+    """
+    ranked = sorted(rows, key=_order)
     return ranked[:limit], len(ranked)
 
 
-def _at_ms(row: dict[str, Any]) -> int:
-    return row.get("at_ms", _FAR_FUTURE_MS)
+def _order(row: dict[str, Any]) -> tuple[bool, int]:
+    at_ms = row.get("at_ms")
+    return (False, -row["age_ms"]) if at_ms is None else (True, -at_ms)
 
 
 def _meets(value: Any, condition: commands.Condition) -> bool:
--- a/tests/test_interpreter.py
+++ b/tests/test_interpreter.py
@@ -106,6 +106,7 @@
         self.assertEqual(answer.not_answered, ("bad", "gone", "old"))
         limited = await self._run("show running limit 1")
         self.assertEqual((len(limited.rows), limited.total), (1, 4))
+        self.assertEqual(limited.rows[0]["age_ms"], 900)
 
     async def test_topics_are_merged(self):
         fleet = await self._run("show fleet")
