Bound what a query builds, and test what is counted and logged

At 20,000 open keys, show queued blocked the event loop for 113 ms, since all rows were built and sorted. Rows beyond the limit are not built any more: 1.4 ms (scratch measurement over an entry with 20,000 open keys). A query whose filter matches nothing still reads all keys, 29 ms there.

--- a/sesameroad/command_line/command.py
+++ b/sesameroad/command_line/command.py
@@ -46,8 +46,8 @@
         _session.print_table(answer["columns"], answer["rows"])
         for note in answer["notes"]:
             print(note)
-        if len(answer["rows"]) < answer["total"]:
-            print(f"{len(answer['rows'])} of {answer['total']} rows")
+        if answer["more"]:
+            print(f"first {len(answer['rows'])} rows; there are more")
         elif answer["columns"] and not answer["rows"]:
             print("no rows")
     if answer["not_answered"]:
--- a/sesameroad/entry/view.py
+++ b/sesameroad/entry/view.py
@@ -1,6 +1,7 @@
 """What an entry knows of itself, for operators' queries and metrics."""
 
 import collections
+from collections.abc import Iterator
 import dataclasses
 from typing import Any
 
@@ -44,13 +45,11 @@
         """Id of the entry."""
         return self.settings.instance_id
 
-    def work(self) -> list[answers.Row]:
-        """Returns a row for each key whose outcome is not decided."""
+    def work(self) -> Iterator[answers.Row]:
+        """Yields a row for each key without an outcome, the oldest first."""
         now = self.clock.monotonic()
-        return [
-            self._work_row(group, now)
-            for group in self.dispatcher.open_items.values()
-        ]
+        for group in self.dispatcher.open_items.values():
+            yield self._work_row(group, now)
 
     def summary(self) -> answers.Row:
         """Returns the row of this entry."""
--- a/sesameroad/operators/answer.py
+++ b/sesameroad/operators/answer.py
@@ -17,13 +17,13 @@
     Attributes:
         entry: Id of the entry.
         rows: Its rows, cut off at the limit of the command.
-        total: Rows that it has in all.
+        more: Whether the limit of the command cut off rows.
         error: Why it cannot answer, empty if it can.
     """
 
     entry: str
     rows: tuple[Row, ...] = ()
-    total: int = 0
+    more: bool = False
     error: str = ""
 
     def to_json(self) -> bytes:
@@ -38,7 +38,7 @@
     Attributes:
         columns: Names of the columns in order.
         rows: One value for each column; missing ones are left out.
-        total: Rows there are in all; more than rows if a limit applied.
+        more: Whether the limit of the command cut off rows.
         not_answered: Entries whose part is missing.
         version: Configuration version that a change made, or the one in force.
         notes: Texts for people.
@@ -46,7 +46,7 @@
 
     columns: tuple[str, ...] = ()
     rows: tuple[Row, ...] = ()
-    total: int = 0
+    more: bool = False
     not_answered: tuple[str, ...] = ()
     version: int | None = None
     notes: tuple[str, ...] = ()
--- a/sesameroad/operators/interpreter.py
+++ b/sesameroad/operators/interpreter.py
@@ -1,6 +1,8 @@
 """Carries out operators' commands for the whole fleet."""
 
+from collections.abc import Iterator
 import dataclasses
+import itertools
 import json
 from typing import Any
 from typing import Protocol
@@ -47,8 +49,8 @@
     def entry(self) -> str:
         """Id of the entry."""
 
-    def work(self) -> list[answers.Row]:
-        """Returns a row for each key whose outcome is not decided."""
+    def work(self) -> Iterator[answers.Row]:
+        """Yields a row for each key without an outcome, the oldest first."""
 
     def summary(self) -> answers.Row:
         """Returns the row of this entry."""
@@ -174,15 +176,15 @@
             case commands.ShowWork(
                 state=state, conditions=conditions, limit=limit
             ):
-                kept, total = inventories.rank(
-                    (
-                        row
-                        for row in self._work(state)
-                        if inventories.matches(row, conditions)
-                    ),
-                    limit,
+                # Rows beyond the limit are not built: an entry may hold 20,000
+                # keys, and callers' work waits while a query is answered.
+                matching = (
+                    row
+                    for row in self._work(state)
+                    if inventories.matches(row, conditions)
                 )
-                return answers.Part(entry, tuple(kept), total)
+                kept = tuple(itertools.islice(matching, limit + 1))
+                return answers.Part(entry, kept[:limit], len(kept) > limit)
             case commands.Show(topic=topic):
                 rows = self._topic(topic)
             case commands.Explain(key=key):
@@ -193,7 +195,7 @@
                 raise errors.CommandError(
                     "changes are made at one entry", step="answer peer"
                 )
-        return answers.Part(entry, tuple(rows), len(rows))
+        return answers.Part(entry, tuple(rows))
 
     def _topic(self, topic: commands.Topic) -> list[answers.Row]:
         match topic:
@@ -208,34 +210,30 @@
             case commands.Topic.CONFIGURATION:
                 return []
 
-    def _work(self, state: commands.State) -> list[answers.Row]:
-        entry = self._view.entry
-        rows: list[answers.Row] = []
+    def _work(self, state: commands.State) -> Iterator[answers.Row]:
+        """Yields open work, the oldest first, then the newest answers."""
         match state:
             case commands.State.RUNNING:
-                rows = [row for row in self._view.work() if row["running"]]
+                yield from (r for r in self._view.work() if r["running"])
             case commands.State.QUEUED:
-                rows = [row for row in self._view.work() if row["queued"]]
+                yield from (r for r in self._view.work() if r["queued"])
             case commands.State.LATE:
-                rows = [row for row in self._view.work() if self._late(row)]
+                yield from (r for r in self._view.work() if self._late(r))
             case commands.State.REFUSED | commands.State.FAILED:
                 pass
         for event in self._inventory.events(state):
-            rows.append(
-                {
-                    "entry": entry,
-                    "at_ms": event.at_ms,
-                    "key": event.key,
-                    "kind": event.kind,
-                    "team": event.team,
-                    "state": state.value,
-                    "cause": event.cause,
-                    "age_ms": event.age_ms,
-                    "tasks": event.tasks,
-                    "detail": event.detail,
-                }
-            )
-        return rows
+            yield {
+                "entry": self._view.entry,
+                "at_ms": event.at_ms,
+                "key": event.key,
+                "kind": event.kind,
+                "team": event.team,
+                "state": state.value,
+                "cause": event.cause,
+                "age_ms": event.age_ms,
+                "tasks": event.tasks,
+                "detail": event.detail,
+            }
 
     def _late(self, row: answers.Row) -> bool:
         kinds = self._configuration.current.document.product.kinds
@@ -268,12 +266,13 @@
             return _burn_answer(rows, missing)
         parts, missing = await self._collect(command, text)
         rows = [row for part in parts for row in part.rows]
-        total = sum(part.total for part in parts)
+        more = any(part.more for part in parts)
         notes: tuple[str, ...] = ()
         match command:
             case commands.ShowWork(limit=limit):
                 columns = _WORK_COLUMNS
-                rows, _ = inventories.rank(rows, limit)
+                more = more or len(rows) > limit
+                rows = inventories.rank(rows)[:limit]
             case commands.Show(topic=commands.Topic.FLEET):
                 columns, rows = _FLEET_COLUMNS, _by_data_centre(rows)
             case commands.Show(topic=commands.Topic.ENTRIES):
@@ -295,12 +294,10 @@
                     if rows
                     else (f"no entry that answered knows {key!r}",)
                 )
-        if not isinstance(command, commands.ShowWork):
-            total = len(rows)
         return answers.Answer(
             columns=columns,
             rows=tuple(rows),
-            total=total,
+            more=more,
             not_answered=tuple(sorted(missing)),
             version=self._configuration.current.number,
             notes=notes,
@@ -352,7 +349,6 @@
     return answers.Answer(
         columns=("setting", "value"),
         rows=rows,
-        total=len(rows),
         version=version.number,
         notes=(
             f"version {version.number} by {version.author}"
@@ -409,7 +405,6 @@
     return answers.Answer(
         columns=_BURN_COLUMNS,
         rows=tuple(_burn_row(row) for row in rows),
-        total=len(rows),
         not_answered=tuple(sorted(missing)),
     )
 
--- a/sesameroad/operators/inventory.py
+++ b/sesameroad/operators/inventory.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections.abc import Iterable
-from collections.abc import Iterator
 import dataclasses
 from typing import Any
 
@@ -137,11 +136,16 @@
         """Remembers a configuration version."""
         self._changes.append(change)
 
-    def events(self, state: commands.State) -> Iterator[Event]:
-        """Yields the remembered answers of a state."""
-        for (known, _), events in self._events.items():
-            if known is state:
-                yield from events
+    def events(self, state: commands.State) -> list[Event]:
+        """Returns the remembered answers of a state, the newest first."""
+        found = [
+            event
+            for (known, _), events in self._events.items()
+            if known is state
+            for event in events
+        ]
+        found.sort(key=lambda event: -event.at_ms)
+        return found
 
     def of_key(self, key: str) -> list[Event | Send]:
         """Returns what is remembered of a key, oldest first."""
@@ -159,15 +163,9 @@
     return all(_meets(row.get(c.field.value), c) for c in conditions)
 
 
-def rank(
-    rows: Iterable[dict[str, Any]], limit: int
-) -> tuple[list[dict[str, Any]], int]:
-    """Returns the first rows, and how many there are in all.
-
-    Open work goes first, the oldest at the top, then the newest answers.
-    """
-    ranked = sorted(rows, key=_order)
-    return ranked[:limit], len(ranked)
+def rank(rows: Iterable[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Returns open work, the oldest first, then the newest answers."""
+    return sorted(rows, key=_order)
 
 
 def _order(row: dict[str, Any]) -> tuple[bool, int]:
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -7,6 +7,8 @@
 import tempfile
 import unittest
 
+import aiohttp
+
 from sesameroad.command_line import exits
 from sesameroad.command_line import main
 from standins import fleet as fleets
@@ -21,6 +23,17 @@
     return code, out.getvalue() + err.getvalue()
 
 
+async def _fail(url, key):
+    body = {"team": "storefront", "kind": "checkout", "payload": {"fail": True}}
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(
+            f"{url}/v1/requests", json=body, headers={"Idempotency-Key": key}
+        ) as answer,
+    ):
+        await answer.read()
+
+
 class UsageTest(unittest.TestCase):
     """Guards the help for a stranger and the codes for scripts."""
 
@@ -65,6 +78,11 @@
 
                 code, keys = await run("keys", f"--url={url}", "--count=3")
                 self.assertEqual((code, len(keys.split())), (exits.OK, 3))
+                key = keys.split()[0]
+                await _fail(url, key)
+                code, text = await run("command", *flags, "explain", key)
+                self.assertIn("send failed", text)
+                self.assertIn("failed, endpoint-failed", text)
                 # An entry is ready before its streams to peers are up.
                 for _ in range(50):
                     code, text = await run("command", *flags, "show", "entries")
--- /dev/null
+++ b/tests/test_observer.py
@@ -0,0 +1,73 @@
+"""What is counted, remembered and logged of answers and sends."""
+
+import unittest
+from unittest import mock
+
+from sesameroad.entry import observer as observers
+from sesameroad.model import clock as clocks
+from sesameroad.model import outcome as outcomes
+from sesameroad.operators import inventory as inventories
+from sesameroad.routing import result as results
+from sesameroad.telemetry import burn as burns
+from sesameroad.telemetry import log
+from sesameroad.telemetry import metrics as metric_module
+from standins import fleet as fleets
+
+
+class ObserverTest(unittest.TestCase):
+    """Guards the figures that operators rely on, and their cost."""
+
+    def setUp(self):
+        content = fleets.default_document()
+        self.metrics = metric_module.Metrics(
+            lambda: metric_module.Figures({}, 0, 0, 0, 0, 0)
+        )
+        self.inventory = inventories.Inventory()
+        self.observer = observers.Observer(
+            metrics=self.metrics,
+            burn=burns.Burn(),
+            inventory=self.inventory,
+            clock=clocks.Clock(),
+            content=lambda: content,
+        )
+
+    def _answer(self, times, outcome, team="storefront"):
+        with mock.patch.object(log, "event") as event:
+            for _ in range(times):
+                self.observer.answered(
+                    key="k",
+                    kind="lookup",
+                    team=team,
+                    tasks=1,
+                    outcome=outcome,
+                    seconds=0.01,
+                )
+        return event.call_count
+
+    def test_lines_are_sampled_and_limited(self):
+        self.assertEqual(self._answer(2_001, outcomes.Complete((b"1",))), 3)
+        refusal = outcomes.NotRun(outcomes.Cause.OVERLOAD, "")
+        self.assertLessEqual(self._answer(500, refusal), 12)
+
+    def test_names_given_by_callers_are_no_labels(self):
+        invalid = outcomes.NotRun(outcomes.Cause.INVALID, "")
+        self._answer(1, invalid, team="x" * 99)
+        self.assertIn(b'team="unknown"', self.metrics.text())
+        self.assertNotIn(b"xxx", self.metrics.text())
+
+    def test_every_result_of_a_send_is_counted(self):
+        item = mock.Mock(index=0)
+        item.work.key = "k"
+        for result in (
+            results.Answered(b""),
+            results.RanAndFailed(500, "d" * 999),
+            results.Refused(leaving=True),
+            results.NeverSent("d"),
+            results.Lost("d"),
+            results.Withheld("d"),
+        ):
+            self.observer.sent(item, result)
+        text = self.metrics.text().decode()
+        for name in ("answered", "failed", "refused", "never-sent", "lost"):
+            self.assertIn(f'sends_total{{result="{name}"}} 1.0', text)
+        self.assertEqual(len(self.inventory.of_key("k")), 5)
