--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks: ratios and costs measured on the present machine."""
+"""Benchmarks; figures are ratios of runs within one process."""
--- a/sesameroad/entry/view.py
+++ b/sesameroad/entry/view.py
@@ -56,8 +56,8 @@
         running = queued = 0
         for group in self.dispatcher.open_items.values():
             record = group[0].record
-            running += len(record.started) - len(record.answers)
-            queued += len(group) - len(record.started)
+            running += _started(record) - len(record.answers)
+            queued += len(group) - _started(record)
         state = "leaving" if self.leaving else "live"
         return {
             "entry": self.entry,
@@ -102,18 +102,20 @@
     def explain(self, key: str) -> list[answers.Row]:
         """Returns what this entry knows of a key."""
         rows = [self._remembered(item) for item in self.inventory.of_key(key)]
-        record = self.ledger.find(key)
-        if record is None:
-            return rows
         group = self.dispatcher.open_items.get(key)
         if group is not None:
-            rows.append(self._accepted(group))
-        rows.append(self._row("now", self._state(record, group)))
+            rows += [self._accepted(group), self._row("now", _progress(group))]
+            return rows
+        record = self.ledger.find(key)
+        if record is not None:
+            rows.append(self._row("now", _describe(record.done.result())))
         return rows
 
     def cancel(self, key: str) -> bool:
         """Withdraws the work of a key; returns whether it is known here."""
-        return self.dispatcher.cancel(key)
+        known = self.ledger.find(key) is not None
+        self.dispatcher.cancel(key)
+        return known
 
     def burn(self) -> list[burns.Part]:
         """Returns the counts of the burn report."""
@@ -126,7 +128,7 @@
         )
         for group in self.dispatcher.open_items.values():
             record = group[0].record
-            queued[record.work.kind] += len(group) - len(record.started)
+            queued[record.work.kind] += len(group) - _started(record)
         return metrics.Figures(
             queued=queued,
             slots_used=self._slots_used(),
@@ -141,8 +143,8 @@
 
     def _work_row(self, group: list[items.Item], now: float) -> answers.Row:
         record = group[0].record
-        running = len(record.started) - len(record.answers)
-        queued = len(group) - len(record.started)
+        running = _started(record) - len(record.answers)
+        queued = len(group) - _started(record)
         return {
             "entry": self.entry,
             "key": record.work.key,
@@ -166,25 +168,6 @@
             at_ms=self.clock.wall_ms() - round(age_s * 1_000),
         )
 
-    def _state(
-        self, record: ledgers.Record, group: list[items.Item] | None
-    ) -> str:
-        if record.finished:
-            outcome = record.done.result()
-            match outcome:
-                case outcomes.Complete(answers=whole):
-                    return f"complete with {len(whole)} answers"
-                case _:
-                    return (
-                        f"{outcomes.label(outcome)}, {outcome.cause.value}:"
-                        f" {outcome.detail}"
-                    )
-        started, answered = len(record.started), len(record.answers)
-        return (
-            f"{len(group or ()) - started} tasks queued,"
-            f" {started - answered} running, {answered} answered"
-        )
-
     def _remembered(
         self, item: inventories.Event | inventories.Send
     ) -> answers.Row:
@@ -211,3 +194,30 @@
             "step": step,
             "detail": detail,
         }
+
+
+def _started(record: ledgers.Record) -> int:
+    """Returns how many tasks are started, answered ones included."""
+    return len(record.started)
+
+
+def _progress(group: list[items.Item]) -> str:
+    """Describes open work."""
+    record = group[0].record
+    started, answered = _started(record), len(record.answers)
+    return (
+        f"{len(group) - started} tasks queued, {started - answered} running,"
+        f" {answered} answered"
+    )
+
+
+def _describe(outcome: outcomes.Outcome) -> str:
+    """Describes a decided outcome."""
+    match outcome:
+        case outcomes.Complete(answers=whole):
+            return f"complete with {len(whole)} answers"
+        case _:
+            return (
+                f"{outcomes.label(outcome)}, {outcome.cause.value}:"
+                f" {outcome.detail}"
+            )
