Take the start of a task at its first byte and classify sends by it

Cause: the start was taken before aiohttp opened the connection, which waits up to a second, so a pause or the end of the work in between still let the task out. Lost or not was guessed from exception classes: an unusable URL and a kept connection that closed before the write counted as lost. An answer without a length was read without bound, content encodings and invalid UTF-8 passed as JSON, "Not-Run: 0" counted as a refusal, and the connection of an answer with another attempt id was used again.

Change: the body takes the start when aiohttp writes it, with the headers still held back; a failure after that is lost, before it nothing left. Answers are read up to the bound and checked, leaving marks are reported.

A raw server that closes a kept connection after reading sees each POST once.

--- a/sesameroad/routing/result.py
+++ b/sesameroad/routing/result.py
@@ -8,6 +8,7 @@
     """The endpoint ran the task and answered."""
 
     body: bytes
+    leaving: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -16,6 +17,7 @@
 
     status: int
     detail: str
+    leaving: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sesameroad/routing/sender.py
+++ b/sesameroad/routing/sender.py
@@ -1,10 +1,15 @@
 """Sends one task to one endpoint over HTTP."""
 
+import asyncio
+import itertools
 import secrets
 from typing import Self
 
 import aiohttp
+from aiohttp import abc
+from aiohttp import payload as payloads
 import msgspec
+import yarl
 
 from sesameroad import errors
 from sesameroad.model import clock as clocks
@@ -12,6 +17,7 @@
 from sesameroad.ownership import ledger as ledgers
 from sesameroad.routing import result as results
 from sesameroad.scheduling import item as items
+from sesameroad.telemetry import log
 
 TASK_HEADER = "Sesameroad-Task"
 ATTEMPT_HEADER = "Sesameroad-Attempt"
@@ -21,11 +27,52 @@
 
 _OK = 200
 _UNAVAILABLE = 503
+_SET = "1"
 _CONNECT_TIMEOUT_S = 1.0
 # Shorter than the keep-alive of usual servers, so that a kept connection is not
 # closed by the endpoint at the moment of a send, which would look like a lost
 # answer.
 _KEEP_ALIVE_S = 5.0
+_DETAIL_BYTES = 200
+
+
+class _Body(payloads.BytesPayload):
+    """Takes the start of a task at the moment its first byte is written.
+
+    aiohttp holds the headers back until the first write of the body, so nothing
+    of the request has left before write_with_length is called. Connecting may
+    take up to a second and the process may be paused meanwhile, so a start that
+    is taken before the connection is open could be stale at the write.
+
+    Attributes:
+        left: Whether bytes may have left this process.
+        refusal: Why the start was not granted, empty if it was.
+        transport: The connection written to, None before the write.
+    """
+
+    def __init__(self, sender: "Sender", item: items.Item) -> None:
+        super().__init__(item.task.payload, content_type="application/json")
+        self._sender = sender
+        self._item = item
+        self.left = False
+        self.refusal = ""
+        self.transport: asyncio.Transport | None = None
+
+    async def write_with_length(
+        self, writer: abc.AbstractStreamWriter, content_length: int | None
+    ) -> None:
+        """Takes the start and writes, with no wait in between."""
+        transport = getattr(writer, "transport", None)
+        if transport is None or transport.is_closing():
+            raise aiohttp.ClientConnectionResetError("closed before the write")
+        try:
+            self._sender.start(self._item)
+        except errors.StartRefusedError as error:
+            self.refusal = str(error)
+            raise
+        self.left = True
+        self.transport = transport
+        await super().write_with_length(writer, content_length)
 
 
 class Sender:
@@ -33,7 +80,10 @@
 
     __slots__ = (
         "_answer_grace_s",
+        "_attempt_prefix",
+        "_attempts",
         "_clock",
+        "_crossed",
         "_ledger",
         "_max_answer_bytes",
         "_session",
@@ -53,6 +103,14 @@
         self._clock = clock
         self._answer_grace_s = answer_grace_s
         self._max_answer_bytes = max_answer_bytes
+        self._attempt_prefix = f"{secrets.token_hex(8)}-"
+        self._attempts = itertools.count()
+        self._crossed = 0
+
+    @property
+    def crossed(self) -> int:
+        """Answers dropped because they carried the id of another attempt."""
+        return self._crossed
 
     @classmethod
     def open(
@@ -68,7 +126,10 @@
             limit=0, keepalive_timeout=_KEEP_ALIVE_S
         )
         session = aiohttp.ClientSession(
-            connector=connector, auto_decompress=False
+            connector=connector,
+            auto_decompress=False,
+            skip_auto_headers=("Accept", "User-Agent"),
+            cookie_jar=aiohttp.DummyCookieJar(),
         )
         return cls(
             session=session,
@@ -82,29 +143,41 @@
         """Closes all connections."""
         await self._session.close()
 
+    def start(self, item: items.Item) -> None:
+        """Takes the start of a task whose first byte is about to be written.
+
+        Raises:
+            StartRefusedError: If the deadline has passed or the ledger refuses.
+        """
+        if self._clock.wall_ms() >= item.work.deadline_ms:
+            raise errors.StartRefusedError("deadline passed", step="start")
+        self._ledger.start(item.record, item.index)
+
     async def send(
         self, endpoint: endpoints.Endpoint, item: items.Item
     ) -> results.Result:
-        """Sends a task once and returns what became of it."""
+        """Sends a task once and returns what became of it.
+
+        Any exception after the first write means Lost, and any before it means
+        NeverSent, whichever class aiohttp raises.
+        """
         work = item.work
-        now_ms = self._clock.wall_ms()
-        if now_ms >= work.deadline_ms:
+        remaining_s = (work.deadline_ms - self._clock.wall_ms()) / 1_000
+        if remaining_s <= 0:
             return results.Withheld("deadline passed before the send")
-        try:
-            self._ledger.start(item.record, item.index)
-        except errors.StartRefusedError as error:
-            return results.Withheld(str(error))
-        attempt = secrets.token_hex(8)
-        remaining_s = (work.deadline_ms - now_ms) / 1_000
+        if item.record.finished:
+            return results.Withheld("the work is already finished")
+        attempt = f"{self._attempt_prefix}{next(self._attempts):x}"
+        body = _Body(self, item)
         try:
             async with self._session.post(
-                f"{endpoint.url}/v1/run",
-                data=item.task.payload,
+                yarl.URL(f"{endpoint.url}/v1/run"),
+                data=body,
                 headers={
                     TASK_HEADER: item.id,
                     ATTEMPT_HEADER: attempt,
                     DEADLINE_HEADER: str(work.deadline_ms),
-                    "Content-Type": "application/json",
+                    "Accept-Encoding": "identity",
                 },
                 timeout=aiohttp.ClientTimeout(
                     total=remaining_s + self._answer_grace_s,
@@ -112,33 +185,76 @@
                 ),
                 allow_redirects=False,
             ) as response:
-                return await self._read(response, attempt)
-        except aiohttp.ClientConnectorError as error:
-            return results.NeverSent(str(error))
-        except aiohttp.ConnectionTimeoutError as error:
-            return results.NeverSent(str(error))
+                return await self._read(response, attempt, body)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            return results.Lost(f"{type(error).__name__}: {error}")
+            return _interrupted(body, error)
+        except Exception as error:  # noqa: BLE001
+            # A task without a result would hold its slot and its caller forever.
+            log.problem(
+                "unexpected error in a send",
+                step="send",
+                peer=endpoint.id,
+                error=repr(error),
+            )
+            return _interrupted(body, error)
 
     async def _read(
-        self, response: aiohttp.ClientResponse, attempt: str
+        self, response: aiohttp.ClientResponse, attempt: str, sent: _Body
     ) -> results.Result:
-        if response.headers.get(ATTEMPT_HEADER) != attempt:
+        headers = response.headers
+        status = response.status
+        if headers.get(ATTEMPT_HEADER) != attempt:
+            self._crossed += 1
+            # aiohttp keeps the connection once the answer is complete, but it
+            # may be out of step by one answer.
+            if sent.transport is not None:
+                sent.transport.close()
             return results.Lost("answer of another attempt dropped")
-        if (
-            response.status == _UNAVAILABLE
-            and NOT_RUN_HEADER in response.headers
-        ):
-            return results.Refused(leaving=LEAVING_HEADER in response.headers)
-        if (response.content_length or 0) > self._max_answer_bytes:
-            return results.RanAndFailed(response.status, "answer is too large")
-        body = await response.read()
-        if response.status != _OK:
+        leaving = headers.get(LEAVING_HEADER) == _SET
+        if status == _UNAVAILABLE and headers.get(NOT_RUN_HEADER) == _SET:
+            return results.Refused(leaving)
+        if headers.get("Content-Encoding", "identity") != "identity":
+            response.close()
             return results.RanAndFailed(
-                response.status, body[:200].decode(errors="replace")
+                status, "answer has a content encoding", leaving
             )
+        body = await self._read_body(response)
+        if body is None:
+            response.close()
+            return results.RanAndFailed(status, "answer is too large", leaving)
+        if status != _OK:
+            text = body[:_DETAIL_BYTES].decode(errors="replace")
+            return results.RanAndFailed(status, text, leaving)
         try:
             msgspec.json.decode(body, type=msgspec.Raw)
-        except msgspec.DecodeError as error:
-            return results.RanAndFailed(response.status, str(error))
-        return results.Answered(body)
+            # msgspec does not check the encoding of strings that it skips.
+            if not body.isascii():
+                body.decode()
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return results.RanAndFailed(status, str(error), leaving)
+        return results.Answered(body, leaving)
+
+    async def _read_body(
+        self, response: aiohttp.ClientResponse
+    ) -> bytes | None:
+        """Returns the body, or None as soon as it exceeds the bound."""
+        length = response.content_length
+        if length is not None:
+            if length > self._max_answer_bytes:
+                return None
+            return await response.read()
+        received = bytearray()
+        async for chunk in response.content.iter_any():
+            received += chunk
+            if len(received) > self._max_answer_bytes:
+                return None
+        return bytes(received)
+
+
+def _interrupted(body: _Body, error: Exception) -> results.Result:
+    if body.refusal:
+        return results.Withheld(body.refusal)
+    detail = f"{type(error).__name__}: {error}"
+    if body.left:
+        return results.Lost(detail)
+    return results.NeverSent(detail)
