Eject, probe and rank endpoints, and bound retries and hedges

Cause: an endpoint that fails everything fast attracted work because it was idle; refused tasks returned to the same endpoint at once; retries had no budget. A refusal after a lost send of an idempotent request gave the start back and was answered "not run" although the first send may have run.

--- a/sesameroad/entry/dispatcher.py
+++ b/sesameroad/entry/dispatcher.py
@@ -8,6 +8,7 @@
 from sesameroad.model import outcome as outcomes
 from sesameroad.model import work as works
 from sesameroad.ownership import ledger as ledgers
+from sesameroad.routing import budget as budgets
 from sesameroad.routing import result as results
 from sesameroad.routing import retry
 from sesameroad.scheduling import item as items
@@ -23,6 +24,7 @@
     """Accepts work, queues its tasks and decides its outcome."""
 
     __slots__ = (
+        "_budget",
         "_clock",
         "_ledger",
         "_limits",
@@ -40,7 +42,9 @@
         limits: settings_module.Limits,
         clock: clocks.Clock,
         observe: Observe,
+        budget: budgets.Budget | None = None,
     ) -> None:
+        self._budget = budget or budgets.Budget()
         self._ledger = ledger
         self._matcher = matcher
         self._limits = limits
@@ -100,7 +104,7 @@
     def settle(self, item: items.Item, result: results.Result) -> None:
         """Records what became of a send and decides what follows."""
         record = item.record
-        match retry.decide(item, result):
+        match retry.decide(item, result, self._budget):
             case retry.Keep(body=body):
                 self._keep(item, body)
             case retry.Again(nothing_ran=nothing_ran):
--- a/sesameroad/entry/entry.py
+++ b/sesameroad/entry/entry.py
@@ -24,6 +24,8 @@
 from sesameroad.platform import client as clients
 from sesameroad.platform import instances
 from sesameroad.platform import table as tables
+from sesameroad.routing import budget as budgets
+from sesameroad.routing import health as healths
 from sesameroad.routing import pool as pools
 from sesameroad.routing import sender as senders
 from sesameroad.scheduling import allocation as allocations
@@ -61,10 +63,13 @@
         )
         self._policy = policies.Policy(self._store.current.document)
         self._allocation = allocations.Allocation()
+        self._health = healths.Health(clock=clock)
+        self._budget = budgets.Budget()
         self._matcher = matchers.Matcher(
             queue=queues.Queue(),
             policy=self._policy,
             allocation=self._allocation,
+            rank=self._health.rank,
         )
         self._dispatcher = dispatchers.Dispatcher(
             ledger=self._ledger,
@@ -72,6 +77,7 @@
             limits=limits,
             clock=clock,
             observe=self._observe,
+            budget=self._budget,
         )
         self._sender = senders.Sender.open(
             ledger=self._ledger,
@@ -83,6 +89,10 @@
             matcher=self._matcher,
             sender=self._sender,
             settle=self._dispatcher.settle,
+            health=self._health,
+            budget=self._budget,
+            clock=clock,
+            leaving=self._endpoint_leaving,
         )
         self._mesh = meshes.Mesh(
             hello=messages.Hello(
@@ -220,11 +230,22 @@
             if link.hello.data_centre == data_centre
         ]
         self._allocation.set_entries(1 + len(neighbours))
+        listed = [
+            entry
+            for entry in self._directory.entries.values()
+            if entry.data_centre == data_centre
+        ]
+        self._pool.set_entries(max(len(listed), 1 + len(neighbours)))
         self._pool.update(self._directory.live_endpoints(data_centre))
         self._matcher.match()
 
+    def _endpoint_leaving(self, endpoint_id: str) -> None:
+        self._directory.mark_leaving(endpoint_id)
+        self._members_changed()
+
     def _configuration_changed(self) -> None:
         content = self._store.current.document
+        self._budget.configure(content.operations.retry_percent)
         self._policy.configure(content)
         self._directory.drain(content.operations.drained)
         self._members_changed()
--- a/sesameroad/routing/retry.py
+++ b/sesameroad/routing/retry.py
@@ -4,10 +4,14 @@
 
 from sesameroad.model import outcome as outcomes
 from sesameroad.model import work as works
+from sesameroad.routing import budget as budgets
 from sesameroad.routing import result as results
 from sesameroad.scheduling import item as items
 
 MAX_ATTEMPTS = 4
+# Nothing ran, so a refusal costs one message; the back-off of an endpoint that
+# refuses keeps these attempts apart.
+MAX_REFUSALS = 10
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -44,30 +48,47 @@
 Decision = Keep | Again | Stop
 
 
-def decide(item: items.Item, result: results.Result) -> Decision:
-    """Returns what to do with a task after a send."""
-    more = item.attempts < MAX_ATTEMPTS
+def note(item: items.Item, endpoint_id: str, result: results.Result) -> None:
+    """Records on a task what one send to an endpoint did."""
+    match result:
+        case results.Refused() | results.NeverSent():
+            item.refusals += 1
+        case results.RanAndFailed() | results.Lost():
+            item.attempts += 1
+            item.may_have_run = True
+        case results.Answered() | results.Withheld():
+            return
+    if endpoint_id not in item.tried:
+        item.tried += (endpoint_id,)
+
+
+def decide(
+    item: items.Item, result: results.Result, budget: budgets.Budget
+) -> Decision:
+    """Returns what to do with a task after a send that was noted on it."""
     match result:
         case results.Answered(body=body):
             return Keep(body)
         case results.Refused() | results.NeverSent():
-            if more:
-                return Again(nothing_ran=True)
+            # An earlier send of an idempotent request may have run.
+            nothing_ran = not item.may_have_run
+            if item.refusals < MAX_REFUSALS:
+                return Again(nothing_ran=nothing_ran)
             return Stop(
-                outcomes.NotRun(
+                _refusal(
+                    item,
                     outcomes.Cause.RETRIES_EXHAUSTED,
-                    f"{item.attempts} endpoints refused",
-                    retry_after_s=1.0,
+                    f"refused {item.refusals} times",
                 ),
-                nothing_ran=True,
+                nothing_ran=nothing_ran,
             )
         case results.Withheld(detail=detail):
             return Stop(
-                outcomes.NotRun(outcomes.Cause.DEADLINE, detail),
+                _refusal(item, outcomes.Cause.DEADLINE, detail),
                 nothing_ran=False,
             )
         case results.RanAndFailed(status=status, detail=detail):
-            if item.work.idempotent and more:
+            if _may_repeat(item, budget):
                 return Again(nothing_ran=False)
             return Stop(
                 outcomes.Failed(
@@ -78,11 +99,29 @@
                 nothing_ran=False,
             )
         case results.Lost(detail=detail):
-            if item.work.idempotent and more:
+            if _may_repeat(item, budget):
                 return Again(nothing_ran=False)
             return Stop(_lost(item.work, detail), nothing_ran=False)
 
 
+def _may_repeat(item: items.Item, budget: budgets.Budget) -> bool:
+    return (
+        item.work.idempotent
+        and not item.record.finished
+        and item.attempts < MAX_ATTEMPTS
+        and budget.spend()
+    )
+
+
+def _refusal(
+    item: items.Item, cause: outcomes.Cause, detail: str
+) -> outcomes.Outcome:
+    if item.may_have_run:
+        return outcomes.Failed(cause, detail, may_have_run=True)
+    retry_after_s = 1.0 if cause is outcomes.Cause.RETRIES_EXHAUSTED else None
+    return outcomes.NotRun(cause, detail, retry_after_s)
+
+
 def _lost(work: works.Work, detail: str) -> outcomes.Outcome:
     match work:
         case works.Submission() | works.Request(idempotent=True):
--- a/sesameroad/scheduling/item.py
+++ b/sesameroad/scheduling/item.py
@@ -15,8 +15,12 @@
         record: The record that the task belongs to.
         index: Place of the task in the work.
         enqueued_at: Monotonic seconds when it was first queued.
-        attempts: Sends so far.
+        attempts: Sends that may have run.
         withdrawn: Whether it must not be handed to a connection any more.
+        refusals: Sends of which certainly nothing ran.
+        tried: Endpoints where a send failed, was refused or was lost.
+        may_have_run: Whether any send so far may have run, or a hedge is out.
+        hedge: Whether it repeats a task that is still being run elsewhere.
     """
 
     record: ledger.Record
@@ -24,6 +28,10 @@
     enqueued_at: float
     attempts: int = 0
     withdrawn: bool = False
+    refusals: int = 0
+    tried: tuple[str, ...] = ()
+    may_have_run: bool = False
+    hedge: bool = False
 
     @property
     def work(self) -> works.Work:
--- a/sesameroad/scheduling/matcher.py
+++ b/sesameroad/scheduling/matcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 
 from sesameroad.model import endpoint as endpoints
 from sesameroad.scheduling import allocation as allocations
@@ -9,13 +10,23 @@
 from sesameroad.scheduling import policy as policies
 from sesameroad.scheduling import queue as queues
 
+# Compares endpoints for the task at the head of a lane, given the slots that this
+# entry uses there: the lowest number wins, None excludes the endpoint for now.
+Rank = Callable[[endpoints.Endpoint, items.Item, int], float | None]
 _Waiter = asyncio.Future[items.Item | None]
 
 
 class Matcher:
     """Hands the next task, by policy, to the best idle connection."""
 
-    __slots__ = ("_allocation", "_endpoints", "_idle", "_policy", "_queue")
+    __slots__ = (
+        "_allocation",
+        "_endpoints",
+        "_idle",
+        "_policy",
+        "_queue",
+        "_rank",
+    )
 
     def __init__(
         self,
@@ -23,7 +34,9 @@
         queue: queues.Queue,
         policy: policies.Policy,
         allocation: allocations.Allocation,
+        rank: Rank = lambda _endpoint, _item, used: used,
     ) -> None:
+        self._rank = rank
         self._queue = queue
         self._policy = policy
         self._allocation = allocation
@@ -35,6 +48,10 @@
         """Number of tasks that wait for a slot."""
         return len(self._queue)
 
+    def waiting_of(self, kind: str) -> int:
+        """Returns how many tasks of a kind wait for a slot."""
+        return self._queue.count(kind)
+
     def submit(self, item: items.Item, *, front: bool = False) -> None:
         """Queues a task and hands it over if a connection is idle."""
         self._queue.push(item, front=front)
@@ -104,8 +121,11 @@
         return False
 
     def _best_endpoint(self, lane: queues.Lane) -> endpoints.Endpoint | None:
+        item = self._queue.peek(lane)
+        if item is None:
+            return None
         best = None
-        best_used = 0
+        best_rank = 0.0
         for endpoint in self._endpoints.values():
             if not self._idle[endpoint.id]:
                 continue
@@ -113,9 +133,11 @@
                 continue
             if not endpoint.accepts(lane.kind, lane.need):
                 continue
-            used = self._allocation.used(endpoint.id)
-            if best is None or used < best_used:
-                best, best_used = endpoint, used
+            rank = self._rank(
+                endpoint, item, self._allocation.used(endpoint.id)
+            )
+            if rank is not None and (best is None or rank < best_rank):
+                best, best_rank = endpoint, rank
         return best
 
     def _next_waiter(self, endpoint_id: str) -> _Waiter | None:
--- a/sesameroad/scheduling/queue.py
+++ b/sesameroad/scheduling/queue.py
@@ -44,6 +44,25 @@
             waiting.append(item)
         self._size += 1
 
+    def count(self, kind: str) -> int:
+        """Returns how many tasks of a kind wait, withdrawn ones included."""
+        return sum(
+            len(waiting)
+            for lane, waiting in self._lanes.items()
+            if lane.kind == kind
+        )
+
+    def peek(self, lane: Lane) -> items.Item | None:
+        """Returns the task that pop would take, and drops withdrawn ones."""
+        waiting = self._lanes.get(lane)
+        while waiting and waiting[0].withdrawn:
+            waiting.popleft()
+            self._size -= 1
+        if waiting:
+            return waiting[0]
+        self._lanes.pop(lane, None)
+        return None
+
     def pop(self, lane: Lane) -> items.Item | None:
         """Takes the oldest task of a lane that is not withdrawn."""
         waiting = self._lanes.get(lane)
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,36 @@
+"""Bounds on repeated sends."""
+
+import random
+import unittest
+
+from sesameroad.routing import budget as budgets
+
+
+class BudgetTest(unittest.TestCase):
+    """Guards against retries that multiply the load of a brown-out."""
+
+    def test_retries_stay_within_the_percentage(self):
+        """At most the configured part of first sends and a small burst."""
+        budget = budgets.Budget(percent=10.0)
+        chance = random.Random(1)
+        spent = hedged = 0
+        for _ in range(10_000):
+            budget.deposit()
+            spent += sum(budget.spend() for _ in range(chance.randrange(4)))
+            hedged += budget.hedge()
+        self.assertLessEqual(spent, 1_000 + 5)
+        self.assertGreaterEqual(spent, 990)
+        self.assertLessEqual(hedged, 100)
+
+    def test_quiet_period_saves_up_a_bounded_burst(self):
+        """Tokens of a long quiet period must not all be spent at once."""
+        budget = budgets.Budget()
+        for _ in range(100_000):
+            budget.deposit()
+        self.assertEqual(sum(budget.spend() for _ in range(1_000)), 50)
+
+    def test_zero_percent_forbids_retries(self):
+        """An operator can switch retries off."""
+        budget = budgets.Budget()
+        budget.configure(0.0)
+        self.assertFalse(budget.spend())
