Delegate work to another data centre that has capacity

Cause: work without a fitting endpoint in its own data centre was refused with 422 although another one could run it, or waited for its deadline.

Change: the home takes the starts of all tasks before it relays the work with Purpose.SPILL, and gives them back only after "not run" or an unsent message. The receiver refuses when it is busy and never passes the work on. Work that no known endpoint can run gets 422, work for missing endpoints 503.

Result: tests.test_spill passes (8 tests over fake links); the relay between processes is not tested with SPILL yet.

--- a/sesameroad/entry/dispatcher.py
+++ b/sesameroad/entry/dispatcher.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from sesameroad import errors
+from sesameroad.entry import spill as spills
 from sesameroad.model import clock as clocks
 from sesameroad.model import outcome as outcomes
 from sesameroad.model import work as works
@@ -31,6 +32,7 @@
         "_matcher",
         "_observe",
         "_queued",
+        "_spill",
         "_stopping",
     )
 
@@ -43,7 +45,9 @@
         clock: clocks.Clock,
         observe: Observe,
         budget: budgets.Budget | None = None,
+        spill: spills.Spill | None = None,
     ) -> None:
+        self._spill = spill
         self._budget = budget or budgets.Budget()
         self._ledger = ledger
         self._matcher = matcher
@@ -63,7 +67,13 @@
         self._stopping = True
 
     async def dispatch(
-        self, work: works.Work, *, digest: str, expiry_ms: int, remember: bool
+        self,
+        work: works.Work,
+        *,
+        digest: str,
+        expiry_ms: int,
+        remember: bool,
+        spilled: bool = False,
     ) -> outcomes.Outcome:
         """Runs work of which this incarnation is the home.
 
@@ -75,6 +85,8 @@
             expiry_ms: Expiry of its key in wall time.
             remember: Whether the caller holds the key, so that the outcome is
                 kept until the key expires.
+            spilled: Whether the home of the key, in another data centre, has
+                delegated the work to this entry.
         """
         record = self._ledger.find(work.key)
         if record is not None and record.digest != digest:
@@ -90,11 +102,18 @@
             return outcomes.NotRun(
                 outcomes.Cause.OVERLOAD, str(error), _OVERLOAD_RETRY_S
             )
-        refusal = self._refusal(work)
-        if refusal is None:
+        outcome = self._refusal(work)
+        if outcome is None and self._spill is not None:
+            if spilled:
+                outcome = self._spill.refusal(work)
+            else:
+                # A graceful stop waits for delegated work as well.
+                self._queued[work.key] = [items.Item(record, 0, began)]
+                outcome = await self._spill.place(record)
+        if outcome is None:
             self._enqueue(record, began)
         else:
-            self._finish(record, refusal)
+            self._finish(record, outcome)
         outcome = await self._await_outcome(record)
         self._observe(work, outcome, self._clock.monotonic() - began)
         if not remember and record.finished:
@@ -149,7 +168,9 @@
 
     def _enqueue(self, record: ledgers.Record, began: float) -> None:
         queued = [
-            items.Item(record, index, began)
+            items.Item(
+                record, index, began, may_have_run=index in record.started
+            )
             for index in range(len(record.work.tasks))
         ]
         self._queued[record.work.key] = queued
--- a/sesameroad/entry/entry.py
+++ b/sesameroad/entry/entry.py
@@ -9,6 +9,7 @@
 from sesameroad.configuration import watcher as configuration_watcher
 from sesameroad.entry import dispatcher as dispatchers
 from sesameroad.entry import intake as intakes
+from sesameroad.entry import spill as spills
 from sesameroad.entry import web as webs
 from sesameroad.membership import directory as directories
 from sesameroad.membership import watcher as membership_watcher
@@ -25,6 +26,7 @@
 from sesameroad.platform import instances
 from sesameroad.platform import table as tables
 from sesameroad.routing import budget as budgets
+from sesameroad.routing import feasibility as feasibilities
 from sesameroad.routing import health as healths
 from sesameroad.routing import pool as pools
 from sesameroad.routing import sender as senders
@@ -71,6 +73,27 @@
             allocation=self._allocation,
             rank=self._health.rank,
         )
+        self._mesh = meshes.Mesh(
+            hello=messages.Hello(
+                settings.instance_id, settings.data_centre, self._incarnation
+            ),
+            heartbeat=self._heartbeat,
+            receive=self._receive,
+            changed=self._members_changed,
+            heartbeat_s=timing.heartbeat_s,
+            timeout_s=timing.peer_timeout_s,
+        )
+        self._feasibility = feasibilities.Feasibility()
+        self._spill = spills.Spill(
+            data_centre=settings.data_centre,
+            ledger=self._ledger,
+            mesh=self._mesh,
+            feasibility=self._feasibility,
+            expected_wait_s=self._expected_wait_s,
+            clock=clock,
+            wait_limit_s=self._store.current.document.operations.spill_wait_ms
+            / 1_000,
+        )
         self._dispatcher = dispatchers.Dispatcher(
             ledger=self._ledger,
             matcher=self._matcher,
@@ -78,6 +101,7 @@
             clock=clock,
             observe=self._observe,
             budget=self._budget,
+            spill=self._spill,
         )
         self._sender = senders.Sender.open(
             ledger=self._ledger,
@@ -94,16 +118,6 @@
             clock=clock,
             leaving=self._endpoint_leaving,
         )
-        self._mesh = meshes.Mesh(
-            hello=messages.Hello(
-                settings.instance_id, settings.data_centre, self._incarnation
-            ),
-            heartbeat=self._heartbeat,
-            receive=self._receive,
-            changed=self._members_changed,
-            heartbeat_s=timing.heartbeat_s,
-            timeout_s=timing.peer_timeout_s,
-        )
         self._intake = intakes.Intake(
             incarnation=self._incarnation,
             issuer=keys.Issuer.from_secret(
@@ -130,7 +144,7 @@
             intake=self._intake,
             store=self._store,
             clock=clock,
-            accepts=self._pool.accepts,
+            infeasible=self._feasibility.refusal,
             ready=lambda: self.ready,
         )
 
@@ -235,10 +249,22 @@
             for entry in self._directory.entries.values()
             if entry.data_centre == data_centre
         ]
+        listed_endpoints = self._directory.listing.endpoints
+        self._feasibility.update(
+            listed_endpoints,
+            (
+                endpoint
+                for name in {e.data_centre for e in listed_endpoints}
+                for endpoint in self._directory.live_endpoints(name)
+            ),
+        )
         self._pool.set_entries(max(len(listed), 1 + len(neighbours)))
         self._pool.update(self._directory.live_endpoints(data_centre))
         self._matcher.match()
 
+    def _expected_wait_s(self, kind: str) -> float:
+        return self._pool.expected_wait_s(kind)
+
     def _endpoint_leaving(self, endpoint_id: str) -> None:
         self._directory.mark_leaving(endpoint_id)
         self._members_changed()
@@ -246,6 +272,7 @@
     def _configuration_changed(self) -> None:
         content = self._store.current.document
         self._budget.configure(content.operations.retry_percent)
+        self._spill.configure(content.operations.spill_wait_ms)
         self._policy.configure(content)
         self._directory.drain(content.operations.drained)
         self._members_changed()
--- a/sesameroad/entry/intake.py
+++ b/sesameroad/entry/intake.py
@@ -164,9 +164,19 @@
     async def _serve(
         self, link: links.Link, message: messages.RelayRequest
     ) -> None:
-        outcome = await self._run_at_home(
-            message.work, message.digest, message.expiry_ms
-        )
+        match message.purpose:
+            case messages.Purpose.SPILL:
+                outcome = await self._dispatcher.dispatch(
+                    message.work,
+                    digest=message.digest,
+                    expiry_ms=message.expiry_ms,
+                    remember=False,
+                    spilled=True,
+                )
+            case messages.Purpose.HOME:
+                outcome = await self._run_at_home(
+                    message.work, message.digest, message.expiry_ms
+                )
         self._reply(link, message.id, outcome)
 
     def _reply(
--- a/sesameroad/entry/web.py
+++ b/sesameroad/entry/web.py
@@ -63,7 +63,7 @@
 class Web:
     """Translates HTTP to work, and outcomes to HTTP."""
 
-    __slots__ = ("_accepts", "_clock", "_intake", "_ready", "_store")
+    __slots__ = ("_clock", "_infeasible", "_intake", "_ready", "_store")
 
     def __init__(
         self,
@@ -71,13 +71,13 @@
         intake: intakes.Intake,
         store: stores.Store,
         clock: clocks.Clock,
-        accepts: Callable[[str, needs.Need], bool],
+        infeasible: Callable[[str, needs.Need], outcomes.NotRun | None],
         ready: Callable[[], bool],
     ) -> None:
         self._intake = intake
         self._store = store
         self._clock = clock
-        self._accepts = accepts
+        self._infeasible = infeasible
         self._ready = ready
 
     def application(self, *, max_body_bytes: int) -> web.Application:
@@ -161,13 +161,9 @@
                 f"unknown team {work.team!r}", http_status=_UNPROCESSABLE
             )
         for need in {task.need for task in tasks}:
-            if not self._accepts(work.kind, need):
-                return problem.response(
-                    outcomes.NotRun(
-                        outcomes.Cause.NO_ENDPOINT,
-                        f"no endpoint can run kind {work.kind!r} with {need}",
-                    )
-                )
+            refusal = self._infeasible(work.kind, need)
+            if refusal is not None:
+                return problem.response(refusal)
         return None
 
     async def _keys(self, http: web.Request) -> web.Response:
--- a/sesameroad/model/outcome.py
+++ b/sesameroad/model/outcome.py
@@ -12,6 +12,7 @@
     KIND_CEILING = "kind-ceiling"
     DEADLINE = "deadline"
     NO_ENDPOINT = "no-endpoint"
+    ENDPOINT_MISSING = "endpoint-missing"
     PLATFORM_DOWN = "platform-down"
     KEY_EXPIRED = "key-expired"
     KEY_REUSED = "key-reused"
