Measure processor time and memory of a task at an entry

benchmarks/cost.py alternates rounds of a bare aiohttp client and of an entry against the same endpoint stand-ins.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, as ratios from the same run against baselines kept here."""
--- /dev/null
+++ b/benchmarks/cost.py
@@ -0,0 +1,161 @@
+"""Processor time and memory of an entry for each task, against a bare client.
+
+Run as `python -m benchmarks.cost`. Both sides post the same bytes to the same
+endpoint stand-ins with the same number of connections, in alternating rounds.
+"""
+
+import asyncio
+import os
+import pathlib
+import resource
+import statistics
+
+import aiohttp
+import msgspec
+import uvloop
+
+from sesameroad.routing import sender as senders
+from standins import fleet as fleets
+
+_ENDPOINTS = 4
+_CONNECTIONS = 8 * _ENDPOINTS
+_ROUNDS = 5
+_TASKS = 1_100
+_SUBMISSIONS = 3
+_HELD_SUBMISSIONS = 10
+_PAYLOAD = {"sleep_ms": 1, "value": "castle 6080"}
+_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def _processor_s(pid: int) -> float:
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
+    return sum(int(field) for field in fields.split()[11:13]) / _TICKS
+
+
+def _resident_kb(pid: int) -> int:
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    return int(status.partition("VmRSS:")[2].split()[0])
+
+
+async def _bare(urls: list[str], count: int) -> float:
+    """Returns microseconds of processor time a POST of a bare client."""
+    body = msgspec.json.encode(_PAYLOAD)
+    connector = aiohttp.TCPConnector(limit=0)
+    remaining = iter(range(count))
+
+    async def work(session: aiohttp.ClientSession, url: str) -> None:
+        for number in remaining:
+            headers = {
+                senders.TASK_HEADER: f"bare/{number}",
+                senders.ATTEMPT_HEADER: str(number),
+                senders.DEADLINE_HEADER: "0",
+                "Content-Type": "application/json",
+            }
+            async with session.post(url, data=body, headers=headers) as answer:
+                await answer.read()
+
+    async with aiohttp.ClientSession(connector=connector) as session:
+        before = resource.getrusage(resource.RUSAGE_SELF)
+        await asyncio.gather(
+            *(
+                work(session, f"{urls[n % len(urls)]}/v1/run")
+                for n in range(_CONNECTIONS)
+            )
+        )
+        after = resource.getrusage(resource.RUSAGE_SELF)
+    seconds = after.ru_utime + after.ru_stime
+    seconds -= before.ru_utime + before.ru_stime
+    return seconds / count * 1e6
+
+
+async def _submit(
+    session: aiohttp.ClientSession, url: str, *, sleep_ms: int
+) -> None:
+    body = {
+        "team": "estates",
+        "kind": "appraisal",
+        "tasks": [{"payload": {**_PAYLOAD, "sleep_ms": sleep_ms}}] * _TASKS,
+    }
+    async with session.post(f"{url}/v1/submissions", json=body) as answer:
+        assert answer.status == 200, await answer.text()
+        await answer.read()
+
+
+async def _submissions(
+    session: aiohttp.ClientSession, entry: fleets.Process
+) -> float:
+    before = _processor_s(entry.popen.pid)
+    for _ in range(_SUBMISSIONS):
+        await _submit(session, entry.url, sleep_ms=1)
+    spent = _processor_s(entry.popen.pid) - before
+    return spent / (_SUBMISSIONS * _TASKS) * 1e6
+
+
+async def _requests(
+    session: aiohttp.ClientSession, entry: fleets.Process
+) -> float:
+    body = {"team": "storefront", "kind": "lookup", "payload": _PAYLOAD}
+    remaining = iter(range(_TASKS))
+
+    async def work() -> None:
+        for _ in remaining:
+            async with session.post(
+                f"{entry.url}/v1/requests", json=body
+            ) as answer:
+                assert answer.status == 200, await answer.text()
+                await answer.read()
+
+    before = _processor_s(entry.popen.pid)
+    await asyncio.gather(*(work() for _ in range(_CONNECTIONS)))
+    return (_processor_s(entry.popen.pid) - before) / _TASKS * 1e6
+
+
+async def _held_bytes(
+    session: aiohttp.ClientSession, entry: fleets.Process
+) -> float:
+    """Returns resident bytes for each task that is queued or being run."""
+    before = _resident_kb(entry.popen.pid)
+    async with asyncio.TaskGroup() as group:
+        for _ in range(_HELD_SUBMISSIONS):
+            group.create_task(_submit(session, entry.url, sleep_ms=20))
+        await asyncio.sleep(2)
+        during = _resident_kb(entry.popen.pid)
+    return (during - before) * 1_024 / (_HELD_SUBMISSIONS * _TASKS)
+
+
+async def main() -> None:
+    """Measures and prints medians and ratios."""
+    async with (
+        fleets.Fleet.open(data_centres=1, endpoints_each=_ENDPOINTS) as fleet,
+        aiohttp.ClientSession() as session,
+    ):
+        entry = next(iter(fleet.entries.values()))
+        urls = [process.url for process in fleet.endpoints.values()]
+        # First, since memory freed by the rounds would be used again.
+        held = await _held_bytes(session, entry)
+        rows: dict[str, list[float]] = {"bare": [], "task": [], "request": []}
+        for round_number in range(_ROUNDS + 1):
+            bare = await _bare(urls, _SUBMISSIONS * _TASKS)
+            task = await _submissions(session, entry)
+            request = await _requests(session, entry)
+            if round_number == 0:
+                continue  # Warms up connections and code on both sides.
+            rows["bare"].append(bare)
+            rows["task"].append(task)
+            rows["request"].append(request)
+        median = {name: statistics.median(v) for name, v in rows.items()}
+        print(f"bare POST: {median['bare']:.0f} us (median of {_ROUNDS})")
+        for name in ("task", "request"):
+            ratios = [
+                a / b for a, b in zip(rows[name], rows["bare"], strict=True)
+            ]
+            print(
+                f"{name}: {median[name]:.0f} us,"
+                f" {statistics.median(ratios):.2f} times the bare POST"
+                f" ({min(ratios):.2f} to {max(ratios):.2f})"
+            )
+        print(f"memory of a task queued or in flight: {held:.0f} bytes")
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
