--- /dev/null
+++ b/benchmarks/faults.py
@@ -0,0 +1,198 @@
+"""What failing, slow and overloaded endpoints cost, with mechanisms off and on.
+
+Run as `python -m benchmarks.faults`. The scheduler, the ledger, the dispatcher
+and the pool are the real ones; endpoints are simulated by sleeps in the process.
+Arrivals, run times and failures are drawn with a fixed seed, the same for both
+sides. "Off" replaces the rank by tasks in flight alone, sends no hedges and puts
+no bound on retries other than the attempts of a task.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import time
+
+import uvloop
+
+from sesameroad import errors
+from sesameroad.configuration import document
+from sesameroad.entry import dispatcher as dispatchers
+from sesameroad.model import clock as clocks
+from sesameroad.model import endpoint as endpoints
+from sesameroad.model import outcome as outcomes
+from sesameroad.model import work as works
+from sesameroad.ownership import ledger as ledgers
+from sesameroad.routing import budget as budgets
+from sesameroad.routing import health as healths
+from sesameroad.routing import pool as pools
+from sesameroad.routing import result as results
+from sesameroad.scheduling import allocation as allocations
+from sesameroad.scheduling import item as items
+from sesameroad.scheduling import matcher as matchers
+from sesameroad.scheduling import policy as policies
+from sesameroad.scheduling import queue as queues
+from sesameroad.settings import settings as settings_module
+
+_SEED = 20_260_101
+_ENDPOINTS = 16
+_SLOTS = 8
+_RUN_S = 0.1
+_LOAD = 0.7
+_SECONDS = 8.0
+_TIMEOUT_MS = 10_000
+_UNBOUNDED_PERCENT = 1e6
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Fault:
+    """How some endpoints misbehave.
+
+    Attributes:
+        affected: Number of endpoints that do.
+        failing: Part of their tasks that fail.
+        fail_s: Time to a failure.
+        factor: Factor on the run time of their tasks.
+    """
+
+    affected: int
+    failing: float = 0.0
+    fail_s: float = 0.002
+    factor: float = 1.0
+
+
+class _Simulation:
+    """Takes the place of the sender and of the endpoints."""
+
+    def __init__(self, ledger: ledgers.Ledger, fault: Fault) -> None:
+        self.sends = 0
+        self._ledger = ledger
+        self._fault = fault
+        self._random = random.Random(_SEED)
+
+    async def send(
+        self, endpoint: endpoints.Endpoint, item: items.Item
+    ) -> results.Result:
+        try:
+            self._ledger.start(item.record, item.index)
+        except errors.StartRefusedError as error:
+            return results.Withheld(str(error))
+        self.sends += 1
+        fault = self._fault
+        seconds = _RUN_S * self._random.uniform(0.5, 1.5)
+        if int(endpoint.id) < fault.affected:
+            if self._random.random() < fault.failing:
+                await asyncio.sleep(fault.fail_s)
+                return results.RanAndFailed(500, "failed")
+            seconds *= fault.factor
+        await asyncio.sleep(seconds)
+        return results.Answered(b"{}")
+
+
+async def _run(fault: Fault, *, enabled: bool) -> str:
+    clock = clocks.Clock()
+    ledger = ledgers.Ledger(clock=clock, max_records=100_000)
+    simulation = _Simulation(ledger, fault)
+    health = healths.Health(clock=clock)
+    budget = budgets.Budget()
+    if not enabled:
+        budget = budgets.Budget(percent=_UNBOUNDED_PERCENT, hedge_percent=0.0)
+    content = document.Document(
+        product=document.Product(kinds={"lookup": document.Kind()}),
+        operations=document.Operations(team_quotas={"team": 1_000}),
+    )
+    rank = health.rank if enabled else lambda _endpoint, _item, used: used
+    matcher = matchers.Matcher(
+        queue=queues.Queue(),
+        policy=policies.Policy(content),
+        allocation=allocations.Allocation(),
+        rank=rank,
+    )
+    dispatcher = dispatchers.Dispatcher(
+        ledger=ledger,
+        matcher=matcher,
+        limits=settings_module.Limits(),
+        clock=clock,
+        observe=lambda *_: None,
+        budget=budget,
+    )
+    pool = pools.Pool(
+        matcher=matcher,
+        sender=simulation,
+        settle=dispatcher.settle,
+        health=health,
+        budget=budget,
+        clock=clock,
+    )
+    pool.update(
+        endpoints.Endpoint(str(number), "http://simulated", "dc", slots=_SLOTS)
+        for number in range(_ENDPOINTS)
+    )
+    await asyncio.sleep(0.05)
+    chance = random.Random(_SEED)
+    times: list[float] = []
+    counts: collections.Counter[tuple[bool, bool]] = collections.Counter()
+
+    async def one(number: int, idempotent: bool) -> None:
+        began = time.monotonic()
+        outcome = await dispatcher.dispatch(
+            works.Request(
+                str(number),
+                "team",
+                "lookup",
+                clock.wall_ms() + _TIMEOUT_MS,
+                works.Task(b"{}"),
+                idempotent,
+            ),
+            digest="",
+            expiry_ms=2**50,
+            remember=False,
+        )
+        complete = isinstance(outcome, outcomes.Complete)
+        counts[idempotent, complete] += 1
+        if complete:
+            times.append(time.monotonic() - began)
+
+    rate = _ENDPOINTS * _SLOTS / _RUN_S * _LOAD
+    due = began = time.monotonic()
+    async with asyncio.TaskGroup() as group:
+        number = 0
+        while due < began + _SECONDS:
+            due += chance.expovariate(rate)
+            idempotent = chance.random() < 0.5
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            group.create_task(one(number, idempotent))
+            number += 1
+    await pool.close()
+    times.sort()
+    parts = [
+        f"{name} complete "
+        f"{100 * counts[flag, True] / (counts[flag, True] + counts[flag, False]):.1f}%"
+        for name, flag in (("idempotent", True), ("other", False))
+    ]
+    return (
+        f"{', '.join(parts)}, p50 {times[len(times) // 2] * 1e3:.0f} ms,"
+        f" p99 {times[len(times) * 99 // 100] * 1e3:.0f} ms,"
+        f" sends per request {simulation.sends / number:.3f}"
+    )
+
+
+async def main() -> None:
+    """Runs each fault with the mechanisms off and on."""
+    faults = {
+        "no fault": Fault(0),
+        "2 of 16 fail everything within 2 ms": Fault(2, failing=1.0),
+        "2 of 16 take 10 times as long": Fault(2, factor=10.0),
+        "brown-out, all fail 60% after 100 ms": Fault(
+            _ENDPOINTS, failing=0.6, fail_s=_RUN_S
+        ),
+    }
+    for name, fault in faults.items():
+        print(name)
+        for enabled in (False, True):
+            line = await _run(fault, enabled=enabled)
+            print(f"  {'on ' if enabled else 'off'}: {line}", flush=True)
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
--- a/sesameroad/routing/budget.py
+++ b/sesameroad/routing/budget.py
@@ -1,7 +1,7 @@
 """Bounds on repeated sends, as a part of first sends."""
 
 DEFAULT_RETRY_PERCENT = 10.0
-_HEDGE_PERCENT = 1.0
+DEFAULT_HEDGE_PERCENT = 1.0
 # Lets an entry with little traffic repeat a few lost sends, and bounds what a
 # long quiet period saves up for a brown-out.
 _INITIAL_RETRIES = 5.0
@@ -12,9 +12,15 @@
 class Budget:
     """Token buckets that first sends fill and repeated sends empty."""
 
-    __slots__ = ("_hedges", "_percent", "_retries")
+    __slots__ = ("_hedge_percent", "_hedges", "_percent", "_retries")
 
-    def __init__(self, *, percent: float = DEFAULT_RETRY_PERCENT) -> None:
+    def __init__(
+        self,
+        *,
+        percent: float = DEFAULT_RETRY_PERCENT,
+        hedge_percent: float = DEFAULT_HEDGE_PERCENT,
+    ) -> None:
+        self._hedge_percent = hedge_percent
         self._percent = percent
         self._retries = _INITIAL_RETRIES
         self._hedges = 0.0
@@ -26,7 +32,9 @@
     def deposit(self) -> None:
         """Counts the first send of a task."""
         self._retries = min(_MAX_RETRIES, self._retries + self._percent / 100)
-        self._hedges = min(_MAX_HEDGES, self._hedges + _HEDGE_PERCENT / 100)
+        self._hedges = min(
+            _MAX_HEDGES, self._hedges + self._hedge_percent / 100
+        )
 
     def spend(self) -> bool:
         """Takes one retry; returns whether it is allowed."""
