Test spill through separate processes

A data centre whose endpoint takes other kinds delegates a request, which the endpoint stand-ins ran once; a need that no endpoint has gets 422.

--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -1,9 +1,13 @@
 """Delegation of work to another data centre."""
 
 import asyncio
+import dataclasses
 import types
 import unittest
 
+import aiohttp
+import msgspec
+
 from sesameroad import errors
 from sesameroad.entry import spill as spills
 from sesameroad.model import clock as clocks
@@ -11,6 +15,7 @@
 from sesameroad.model import outcome as outcomes
 from sesameroad.peering import message as messages
 from sesameroad.routing import feasibility as feasibilities
+from standins import fleet as fleets
 from tests import fixtures
 
 _NOT_RUN = outcomes.NotRun(outcomes.Cause.OVERLOAD, "")
@@ -117,10 +122,12 @@
         """It may repeat, but must not be called "not run" any more."""
         self._endpoints("dc1", "dc2")
         self.wait_s = 1.0
-        work = fixtures.request("i", idempotent=True)
-        outcome, record, _ = await self._place(work, _SILENT, _NOT_RUN)
-        self.assertIsNone(outcome)
-        self.assertFalse(record.untouched)
+        # Targets are drawn at random; eight draws have both orders.
+        for number in range(8):
+            work = fixtures.request(str(number), idempotent=True)
+            outcome, record, _ = await self._place(work, _SILENT, _NOT_RUN)
+            self.assertIsNone(outcome)
+            self.assertFalse(record.untouched)
 
     async def test_no_target_is_a_truthful_refusal(self):
         """Work that fits nowhere now must not wait for its deadline."""
@@ -152,3 +159,38 @@
         self.feasibility.update((), ())
         refusal = self.feasibility.refusal("kind", small)
         self.assertEqual(refusal.cause, outcomes.Cause.ENDPOINT_MISSING)
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Guards the spill through separate processes."""
+
+    async def test_work_without_an_endpoint_here_runs_once_elsewhere(self):
+        """A data centre whose endpoints take other kinds must delegate."""
+        async with (
+            fleets.Fleet.open(data_centres=2, endpoints_each=1) as fleet,
+            aiohttp.ClientSession() as session,
+        ):
+            first, second = fleet.listing.endpoints
+            listing = dataclasses.replace(
+                fleet.listing,
+                version=2,
+                endpoints=(
+                    dataclasses.replace(first, kinds=("checkout",)),
+                    second,
+                ),
+            )
+            await fleet.control(
+                fleet.platform, "listing", msgspec.json.encode(listing)
+            )
+            # Two periods of the poll of the list, and the second dial.
+            await asyncio.sleep(2.5)
+            url = next(iter(fleet.entries.values())).url
+            body = {"team": "storefront", "kind": "lookup", "payload": {}}
+            async with session.post(f"{url}/v1/requests", json=body) as answer:
+                self.assertEqual(answer.status, 200, await answer.text())
+                key = (await answer.json())["key"]
+            async with session.post(
+                f"{url}/v1/requests", json={**body, "need": {"cores": 64}}
+            ) as answer:
+                self.assertEqual(answer.status, 422)
+            self.assertEqual(await fleet.starts(), {f"{key}/0": 1})
