--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -19,7 +19,8 @@
 
 _ENDPOINTS = 4
 _CONNECTIONS = 8 * _ENDPOINTS
-_ROUNDS = 5
+# The minima are least disturbed by other load on the machine.
+_ROUNDS = 8
 _TASKS = 1_100
 _SUBMISSIONS = 3
 _HELD_SUBMISSIONS = 10
@@ -152,7 +153,8 @@
             print(
                 f"{name}: {median[name]:.0f} us,"
                 f" {statistics.median(ratios):.2f} times the bare POST"
-                f" ({min(ratios):.2f} to {max(ratios):.2f})"
+                f" ({min(ratios):.2f} to {max(ratios):.2f}),"
+                f" {min(rows[name]) / min(rows['bare']):.2f} of the minima"
             )
         print(f"memory of a task queued or in flight: {held:.0f} bytes")
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -228,6 +228,12 @@
         for number in range(200):
             self.entry.submit(str(number), idempotent=True)
         await self.entry.settle(200)
+        # On a busy machine some of these were hedged: let them end, and fill
+        # the budget again.
+        await asyncio.sleep(0.1)
+        self.entry.settled.clear()
+        for _ in range(200):
+            self.entry.budget.deposit()
         self.pool.update([fixtures.endpoint("e2", url="http://slow")])
         first = self.entry.submit("late", idempotent=True)
         self.entry.submit("plain")
@@ -238,9 +244,9 @@
                 fixtures.endpoint("e2", url="http://slow"),
             ]
         )
-        await self.entry.settle(201)
+        await self.entry.settle(1)
         self.assertTrue(first.may_have_run)
-        self.assertIs(self.entry.settled[-1][0].record, first.record)
+        self.assertIs(self.entry.settled[0][0].record, first.record)
         self.assertEqual(
             [url for url, key in self.sender.sent if key == "plain/0"],
             ["http://slow"],
