--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks; figures are ratios of runs within one process."""
+"""Measurements, as ratios from the same run against baselines kept here."""
--- a/sesameroad/caller/client.py
+++ b/sesameroad/caller/client.py
@@ -36,12 +36,14 @@
     outcomes.Cause.KEY_REUSED,
     outcomes.Cause.CANCELLED,
     outcomes.Cause.NO_ENDPOINT,
+    outcomes.Cause.ENDPOINT_MISSING,
 }
 # Given by the entry that was asked, before it knows the home of the key. Such a
 # refusal speaks for one attempt and says nothing of earlier ones.
 _ATTEMPT_CAUSES = {
     outcomes.Cause.INVALID,
     outcomes.Cause.NO_ENDPOINT,
+    outcomes.Cause.ENDPOINT_MISSING,
     outcomes.Cause.PLATFORM_DOWN,
 }
 
--- a/sesameroad/entry/dispatcher.py
+++ b/sesameroad/entry/dispatcher.py
@@ -5,10 +5,12 @@
 from collections.abc import Mapping
 
 from sesameroad import errors
+from sesameroad.entry import spill as spills
 from sesameroad.model import clock as clocks
 from sesameroad.model import outcome as outcomes
 from sesameroad.model import work as works
 from sesameroad.ownership import ledger as ledgers
+from sesameroad.routing import budget as budgets
 from sesameroad.routing import result as results
 from sesameroad.routing import retry
 from sesameroad.scheduling import item as items
@@ -24,12 +26,14 @@
     """Accepts work, queues its tasks and decides its outcome."""
 
     __slots__ = (
+        "_budget",
         "_clock",
         "_ledger",
         "_limits",
         "_matcher",
         "_observe",
         "_queued",
+        "_spill",
         "_stopping",
     )
 
@@ -41,7 +45,11 @@
         limits: settings_module.Limits,
         clock: clocks.Clock,
         observe: Observe,
+        budget: budgets.Budget | None = None,
+        spill: spills.Spill | None = None,
     ) -> None:
+        self._spill = spill
+        self._budget = budget or budgets.Budget()
         self._ledger = ledger
         self._matcher = matcher
         self._limits = limits
@@ -65,7 +73,13 @@
         self._stopping = True
 
     async def dispatch(
-        self, work: works.Work, *, digest: str, expiry_ms: int, remember: bool
+        self,
+        work: works.Work,
+        *,
+        digest: str,
+        expiry_ms: int,
+        remember: bool,
+        spilled: bool = False,
     ) -> outcomes.Outcome:
         """Runs work of which this incarnation is the home.
 
@@ -77,6 +91,8 @@
             expiry_ms: Expiry of its key in wall time.
             remember: Whether the caller holds the key, so that the outcome is
                 kept until the key expires.
+            spilled: Whether the home of the key, in another data centre, has
+                delegated the work to this entry.
         """
         record = self._ledger.find(work.key)
         if record is not None and record.digest != digest:
@@ -92,11 +108,18 @@
             return outcomes.NotRun(
                 outcomes.Cause.OVERLOAD, str(error), _OVERLOAD_RETRY_S
             )
-        refusal = self._refusal(work)
-        if refusal is None:
+        outcome = self._refusal(work)
+        if outcome is None and self._spill is not None:
+            if spilled:
+                outcome = self._spill.refusal(work)
+            else:
+                # A graceful stop waits for delegated work as well.
+                self._queued[work.key] = [items.Item(record, 0, began)]
+                outcome = await self._spill.place(record)
+        if outcome is None:
             self._enqueue(record, began)
         else:
-            self._finish(record, refusal)
+            self._finish(record, outcome)
         outcome = await self._await_outcome(record)
         self._observe(work, outcome, self._clock.monotonic() - began)
         if not remember and record.finished:
@@ -106,7 +129,7 @@
     def settle(self, item: items.Item, result: results.Result) -> None:
         """Records what became of a send and decides what follows."""
         record = item.record
-        match retry.decide(item, result):
+        match retry.decide(item, result, self._budget):
             case retry.Keep(body=body):
                 self._keep(item, body)
             case retry.Again(nothing_ran=nothing_ran):
@@ -151,7 +174,9 @@
 
     def _enqueue(self, record: ledgers.Record, began: float) -> None:
         queued = [
-            items.Item(record, index, began)
+            items.Item(
+                record, index, began, may_have_run=index in record.started
+            )
             for index in range(len(record.work.tasks))
         ]
         self._queued[record.work.key] = queued
--- a/sesameroad/entry/entry.py
+++ b/sesameroad/entry/entry.py
@@ -12,6 +12,7 @@
 from sesameroad.entry import fleet as fleets
 from sesameroad.entry import intake as intakes
 from sesameroad.entry import observer as observers
+from sesameroad.entry import spill as spills
 from sesameroad.entry import view as views
 from sesameroad.entry import web as webs
 from sesameroad.membership import directory as directories
@@ -32,6 +33,9 @@
 from sesameroad.platform import client as clients
 from sesameroad.platform import instances
 from sesameroad.platform import table as tables
+from sesameroad.routing import budget as budgets
+from sesameroad.routing import feasibility as feasibilities
+from sesameroad.routing import health as healths
 from sesameroad.routing import pool as pools
 from sesameroad.routing import result as results
 from sesameroad.routing import sender as senders
@@ -73,10 +77,34 @@
         )
         self._policy = policies.Policy(self._store.current.document)
         self._allocation = allocations.Allocation()
+        self._health = healths.Health(clock=clock)
+        self._budget = budgets.Budget()
         self._matcher = matchers.Matcher(
             queue=queues.Queue(),
             policy=self._policy,
             allocation=self._allocation,
+            rank=self._health.rank,
+        )
+        self._mesh = meshes.Mesh(
+            hello=messages.Hello(
+                settings.instance_id, settings.data_centre, self._incarnation
+            ),
+            heartbeat=self._heartbeat,
+            receive=self._receive,
+            changed=self._members_changed,
+            heartbeat_s=timing.heartbeat_s,
+            timeout_s=timing.peer_timeout_s,
+        )
+        self._feasibility = feasibilities.Feasibility()
+        self._spill = spills.Spill(
+            data_centre=settings.data_centre,
+            ledger=self._ledger,
+            mesh=self._mesh,
+            feasibility=self._feasibility,
+            expected_wait_s=self._expected_wait_s,
+            clock=clock,
+            wait_limit_s=self._store.current.document.operations.spill_wait_ms
+            / 1_000,
         )
         self._dispatcher = dispatchers.Dispatcher(
             ledger=self._ledger,
@@ -84,6 +112,8 @@
             limits=limits,
             clock=clock,
             observe=self._observe,
+            budget=self._budget,
+            spill=self._spill,
         )
         self._sender = senders.Sender.open(
             ledger=self._ledger,
@@ -95,16 +125,10 @@
             matcher=self._matcher,
             sender=self._sender,
             settle=self._settle,
-        )
-        self._mesh = meshes.Mesh(
-            hello=messages.Hello(
-                settings.instance_id, settings.data_centre, self._incarnation
-            ),
-            heartbeat=self._heartbeat,
-            receive=self._receive,
-            changed=self._members_changed,
-            heartbeat_s=timing.heartbeat_s,
-            timeout_s=timing.peer_timeout_s,
+            health=self._health,
+            budget=self._budget,
+            clock=clock,
+            leaving=self._endpoint_leaving,
         )
         self._intake = intakes.Intake(
             incarnation=self._incarnation,
@@ -166,7 +190,7 @@
             intake=self._intake,
             store=self._store,
             clock=clock,
-            accepts=self._pool.accepts,
+            infeasible=self._feasibility.refusal,
             ready=lambda: self.ready,
             observer=self._observer,
             console=consoles.Console(
@@ -277,9 +301,31 @@
             if link.hello.data_centre == data_centre
         ]
         self._allocation.set_entries(1 + len(neighbours))
+        listed = [
+            entry
+            for entry in self._directory.entries.values()
+            if entry.data_centre == data_centre
+        ]
+        listed_endpoints = self._directory.listing.endpoints
+        self._feasibility.update(
+            listed_endpoints,
+            (
+                endpoint
+                for name in {e.data_centre for e in listed_endpoints}
+                for endpoint in self._directory.live_endpoints(name)
+            ),
+        )
+        self._pool.set_entries(max(len(listed), 1 + len(neighbours)))
         self._pool.update(self._directory.live_endpoints(data_centre))
         self._matcher.match()
 
+    def _expected_wait_s(self, kind: str) -> float:
+        return self._pool.expected_wait_s(kind)
+
+    def _endpoint_leaving(self, endpoint_id: str) -> None:
+        self._directory.mark_leaving(endpoint_id)
+        self._members_changed()
+
     def _configuration_changed(self) -> None:
         version = self._store.current
         self._inventory.changed(
@@ -291,6 +337,8 @@
             }
         )
         content = version.document
+        self._budget.configure(content.operations.retry_percent)
+        self._spill.configure(content.operations.spill_wait_ms)
         self._policy.configure(content)
         self._directory.drain(content.operations.drained)
         self._members_changed()
--- a/sesameroad/entry/web.py
+++ b/sesameroad/entry/web.py
@@ -76,9 +76,9 @@
     """Translates HTTP to work, and outcomes to HTTP."""
 
     __slots__ = (
-        "_accepts",
         "_clock",
         "_console",
+        "_infeasible",
         "_intake",
         "_observer",
         "_ready",
@@ -91,7 +91,7 @@
         intake: intakes.Intake,
         store: stores.Store,
         clock: clocks.Clock,
-        accepts: Callable[[str, needs.Need], bool],
+        infeasible: Callable[[str, needs.Need], outcomes.NotRun | None],
         ready: Callable[[], bool],
         observer: observers.Observer,
         console: consoles.Console,
@@ -99,7 +99,7 @@
         self._intake = intake
         self._store = store
         self._clock = clock
-        self._accepts = accepts
+        self._infeasible = infeasible
         self._ready = ready
         self._observer = observer
         self._console = console
@@ -210,11 +210,10 @@
         for need in {task.need for task in tasks}:
             if min(need.cores, need.memory_mb, need.accelerators) < 0:
                 return _Refusal(f"negative need {need}", _UNPROCESSABLE)
-            if not self._accepts(work.kind, need):
+            refusal = self._infeasible(work.kind, need)
+            if refusal is not None:
                 return _Refusal(
-                    f"no endpoint can run kind {work.kind!r} with {need}",
-                    _UNPROCESSABLE,
-                    outcomes.Cause.NO_ENDPOINT,
+                    refusal.detail, problem.status(refusal), refusal.cause
                 )
         return None
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -15,6 +15,7 @@
 from sesameroad.entry import observer as observers
 from sesameroad.entry import web as webs
 from sesameroad.model import clock as clocks
+from sesameroad.model import need as needs
 from sesameroad.model import outcome as outcomes
 from sesameroad.operators import access as accesses
 from sesameroad.operators import inventory as inventories
@@ -83,6 +84,14 @@
     current = document.fallback_version(fleets.default_document())
 
 
+def _infeasible(_: str, need: needs.Need) -> outcomes.NotRun | None:
+    if need.cores <= 1:
+        return None
+    return outcomes.NotRun(
+        outcomes.Cause.NO_ENDPOINT, "no endpoint is as large"
+    )
+
+
 def _server(intake):
     clock = clocks.Clock()
     metrics = metric_module.Metrics(
@@ -95,7 +104,7 @@
         intake=intake,
         store=_Store(),
         clock=clock,
-        accepts=lambda kind, need: need.cores <= 1,
+        infeasible=_infeasible,
         ready=lambda: True,
         observer=observers.Observer(
             metrics=metrics,
