Close holes in the at-most-once path at the home of a key

The ledger remembers the latest expiry that it dropped. - A refused key could run when a delayed copy arrived. Refusals are kept as marks (a hash of the key and a shared outcome), bounded by the new limit max_key_marks; without room the answer is "unknown". - Work whose caller had gone, and work whose send never returned, had no end. They now count against max_held_bytes; payloads are dropped on finish, the oldest answers give way to new work, and their keys stay barred. - The key of a request without one appears in its answer, and a submission under it ran again. Such keys are now marked as not held by a caller. - Two teams that chose the same key shared one record. Names of chosen keys now include the team.

--- a/sesameroad/entry/dispatcher.py
+++ b/sesameroad/entry/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 
 from sesameroad import errors
 from sesameroad.model import clock as clocks
@@ -15,6 +16,13 @@
 from sesameroad.settings import settings as settings_module
 
 _OVERLOAD_RETRY_S = 1.0
+_ASK_AGAIN_MS = 1_000
+_KEY_REUSED = outcomes.NotRun(
+    outcomes.Cause.KEY_REUSED, "the key names other work"
+)
+_EXPIRED = outcomes.Unknown(
+    outcomes.Cause.KEY_EXPIRED, "the key expired before the answer came"
+)
 
 Observe = Callable[[works.Work, outcomes.Outcome, float], None]
 
@@ -54,6 +62,11 @@
         """Number of records whose outcome is not decided."""
         return len(self._queued)
 
+    @property
+    def stopping(self) -> bool:
+        """Whether new work is refused because the entry stops."""
+        return self._stopping
+
     def stop_accepting(self) -> None:
         """Refuses new work from now on."""
         self._stopping = True
@@ -63,7 +76,8 @@
     ) -> outcomes.Outcome:
         """Runs work of which this incarnation is the home.
 
-        Work that is already known under its key is joined, not run again.
+        Work that is already known under its key is joined, not run again. A
+        caller that goes away does not end the work.
 
         Args:
             work: The request or submission.
@@ -72,29 +86,73 @@
             remember: Whether the caller holds the key, so that the outcome is
                 kept until the key expires.
         """
-        record = self._ledger.find(work.key)
-        if record is not None and record.digest != digest:
-            return outcomes.NotRun(
-                outcomes.Cause.KEY_REUSED, "the key names other work"
-            )
-        if record is not None:
-            return await self._await_outcome(record)
-        began = self._clock.monotonic()
+        match self._ledger.find(work.key):
+            case ledgers.Record() as record:
+                if record.digest != digest:
+                    return _KEY_REUSED
+                return await self._await_outcome(record, work.deadline_ms)
+            case ledgers.Closed() as closed:
+                return closed.outcome if closed.fits(digest) else _KEY_REUSED
+            case None:
+                return await self._accept(work, digest, expiry_ms, remember)
+
+    def outcome(self, key: str) -> outcomes.Outcome | None:
+        """Returns the outcome of a key so far, None while it is being run."""
+        match self._ledger.find(key):
+            case ledgers.Record():
+                return None
+            case ledgers.Closed(outcome=outcome):
+                return outcome
+            case None:
+                return outcomes.Unknown(
+                    outcomes.Cause.NOT_FOUND, "no work is known under this key"
+                )
+
+    async def _accept(
+        self, work: works.Work, digest: str, expiry_ms: int, remember: bool
+    ) -> outcomes.Outcome:
+        # Nothing is answered "complete" after expiry, so waiting ends then.
+        if work.deadline_ms > expiry_ms:
+            work = dataclasses.replace(work, deadline_ms=expiry_ms)
         try:
-            record = self._ledger.open(work, digest=digest, expiry_ms=expiry_ms)
+            self._ledger.check(expiry_ms=expiry_ms, remember=remember)
+            refusal = self._refusal(work)
+            if refusal is not None:
+                return self._refuse(work, refusal, expiry_ms, remember)
+            record = self._ledger.open(
+                work, digest=digest, expiry_ms=expiry_ms, remember=remember
+            )
+        except errors.KeyExpiredError as error:
+            return outcomes.Unknown(outcomes.Cause.KEY_EXPIRED, str(error))
+        except errors.LedgerStoppedError as error:
+            refusal = outcomes.NotRun(outcomes.Cause.STOPPING, str(error), 0.0)
+            return self._refuse(work, refusal, expiry_ms, remember)
         except errors.LedgerFullError as error:
-            return outcomes.NotRun(
+            refusal = outcomes.NotRun(
                 outcomes.Cause.OVERLOAD, str(error), _OVERLOAD_RETRY_S
             )
-        refusal = self._refusal(work)
-        if refusal is None:
-            self._enqueue(record, began)
-        else:
-            self._finish(record, refusal)
-        outcome = await self._await_outcome(record)
-        self._observe(work, outcome, self._clock.monotonic() - began)
-        if not remember and record.finished:
-            self._ledger.drop(record)
+            return self._refuse(work, refusal, expiry_ms, remember)
+        self._enqueue(record)
+        return await self._await_outcome(record, work.deadline_ms)
+
+    def _refuse(
+        self,
+        work: works.Work,
+        refusal: outcomes.NotRun,
+        expiry_ms: int,
+        remember: bool,
+    ) -> outcomes.Outcome:
+        """Refuses work; a key that a caller holds then stays refused."""
+        outcome: outcomes.Outcome = refusal
+        if remember and not self._ledger.refuse(
+            work.key, expiry_ms=expiry_ms, cause=refusal.cause
+        ):
+            outcome = outcomes.Unknown(
+                refusal.cause,
+                "not run so far; the refusal cannot be kept",
+                ask_again_at_ms=self._clock.wall_ms() + _ASK_AGAIN_MS,
+            )
+        self._observe(work, outcome, 0.0)
         return outcome
 
     def settle(self, item: items.Item, result: results.Result) -> None:
@@ -113,15 +171,50 @@
                     self._ledger.give_back(record, item.index)
                 self._finish(record, self._as_whole(record, outcome))
 
-    def cancel(self, key: str) -> bool:
-        """Withdraws the waiting tasks of a key; returns whether it is known."""
-        record = self._ledger.find(key)
-        if record is None:
-            return False
-        if not record.finished:
-            cancelled = outcomes.NotRun(outcomes.Cause.CANCELLED, "cancelled")
-            self._finish(record, self._as_whole(record, cancelled))
-        return True
+    def cancel(self, key: str, *, expiry_ms: int | None = None) -> None:
+        """Withdraws the waiting tasks of a key.
+
+        Args:
+            key: Name of the work.
+            expiry_ms: Expiry of a key whose home this is and that a caller
+                holds; work that comes under it later is then refused.
+        """
+        match self._ledger.find(key):
+            case ledgers.Record() as record:
+                cancelled = outcomes.NotRun(
+                    outcomes.Cause.CANCELLED, "cancelled"
+                )
+                self._finish(record, self._as_whole(record, cancelled))
+            case None if expiry_ms is not None:
+                try:
+                    self._ledger.check(expiry_ms=expiry_ms, remember=True)
+                except (errors.KeyExpiredError, errors.LedgerStoppedError):
+                    return
+                self._ledger.refuse(
+                    key, expiry_ms=expiry_ms, cause=outcomes.Cause.CANCELLED
+                )
+
+    def sweep(self) -> None:
+        """Ends work past its deadline and drops outcomes of expired keys.
+
+        Callers that wait do the first for their own work; this covers work
+        whose callers are gone and sends that never return.
+        """
+        now_ms = self._clock.wall_ms()
+        for record in tuple(self._ledger.records.values()):
+            if now_ms >= record.work.deadline_ms:
+                self._expire(record)
+        self._ledger.sweep()
+
+    def end(self) -> None:
+        """Ends all starts for good, then decides the outcome of all work."""
+        self._stopping = True
+        self._ledger.stop()
+        for record in tuple(self._ledger.records.values()):
+            stopped = outcomes.NotRun(
+                outcomes.Cause.STOPPING, "this entry is stopping", 0.0
+            )
+            self._finish(record, self._as_ended(record, stopped))
 
     async def drain(self) -> None:
         """Waits until the outcome of all accepted work is decided."""
@@ -143,50 +236,93 @@
             )
         return None
 
-    def _enqueue(self, record: ledgers.Record, began: float) -> None:
+    def _enqueue(self, record: ledgers.Record) -> None:
         queued = [
-            items.Item(record, index, began)
+            items.Item(record, index, record.accepted_at)
             for index in range(len(record.work.tasks))
         ]
         self._queued[record.work.key] = queued
         for item in queued:
             self._matcher.submit(item)
 
-    async def _await_outcome(self, record: ledgers.Record) -> outcomes.Outcome:
-        """Waits for the outcome, at most until the deadline of the work."""
-        remaining_ms = record.work.deadline_ms - self._clock.wall_ms()
-        await asyncio.wait([record.done], timeout=max(0, remaining_ms) / 1_000)
+    async def _await_outcome(
+        self, record: ledgers.Record, deadline_ms: int
+    ) -> outcomes.Outcome:
+        """Waits for the outcome, at most until a caller's deadline.
+
+        A caller that resubmits may wait longer than the work's own deadline
+        for a task that is being run.
+        """
+        await self._wait(record, record.work.deadline_ms)
         if not record.finished:
             self._expire(record)
+        if not record.finished:
+            await self._wait(record, min(deadline_ms, record.expiry_ms))
+        now_ms = self._clock.wall_ms()
+        if not record.finished and now_ms >= record.expiry_ms:
+            self._expire(record)
         if record.finished:
             return record.done.result()
+        # The caller is told the key and may ask for the outcome later.
+        record.remember = True
         return outcomes.Unknown(
             outcomes.Cause.DEADLINE,
             "the endpoint has not answered yet",
-            ask_again_at_ms=record.expiry_ms,
+            ask_again_at_ms=min(now_ms + _ASK_AGAIN_MS, record.expiry_ms),
         )
 
+    async def _wait(self, record: ledgers.Record, until_ms: int) -> None:
+        remaining_ms = until_ms - self._clock.wall_ms()
+        if not record.finished and remaining_ms > 0:
+            await asyncio.wait([record.done], timeout=remaining_ms / 1_000)
+
     def _expire(self, record: ledgers.Record) -> None:
         """Withdraws work at its deadline unless its one task is being run."""
+        late = outcomes.NotRun(
+            outcomes.Cause.DEADLINE, "no slot before the deadline"
+        )
+        if self._clock.wall_ms() >= record.expiry_ms:
+            self._finish(record, self._as_ended(record, late))
+            return
         match record.work:
             case works.Request(idempotent=False) if record.started:
                 return
             case _:
-                late = outcomes.NotRun(
-                    outcomes.Cause.DEADLINE, "no slot before the deadline"
-                )
                 self._finish(record, self._as_whole(record, late))
 
     def _keep(self, item: items.Item, body: bytes) -> None:
         record = item.record
         if record.finished:
             return
-        record.answers[item.index] = body
-        if len(record.answers) == len(record.work.tasks):
-            answers = tuple(
-                record.answers[index] for index in range(len(record.answers))
+        try:
+            self._ledger.keep(record, item.index, body)
+        except errors.LedgerFullError as error:
+            full = outcomes.Failed(
+                outcomes.Cause.OVERLOAD, str(error), may_have_run=True
             )
-            self._finish(record, outcomes.Complete(answers))
+            self._finish(record, full)
+            return
+        if len(record.answers) < len(record.work.tasks):
+            return
+        if self._clock.wall_ms() >= record.expiry_ms:
+            self._finish(record, _EXPIRED)
+            return
+        answers = tuple(
+            record.answers[index] for index in range(len(record.answers))
+        )
+        self._finish(record, outcomes.Complete(answers))
+
+    def _as_ended(
+        self, record: ledgers.Record, refusal: outcomes.NotRun
+    ) -> outcomes.Outcome:
+        """Returns the outcome of work whose task in flight is given up."""
+        match record.work:
+            case works.Request(idempotent=False) if record.started:
+                return outcomes.Unknown(
+                    refusal.cause, "no answer of the endpoint so far"
+                )
+            case _:
+                return self._as_whole(record, refusal)
 
     def _as_whole(
         self, record: ledgers.Record, outcome: outcomes.Outcome
@@ -203,6 +339,10 @@
     def _finish(
         self, record: ledgers.Record, outcome: outcomes.Outcome
     ) -> None:
-        for item in self._queued.pop(record.work.key, ()):
+        work = record.work
+        if not self._ledger.finish(record, outcome):
+            return
+        for item in self._queued.pop(work.key, ()):
             item.withdrawn = True
-        self._ledger.finish(record, outcome)
+        seconds = self._clock.monotonic() - record.accepted_at
+        self._observe(work, outcome, seconds)
--- a/sesameroad/entry/entry.py
+++ b/sesameroad/entry/entry.py
@@ -1,6 +1,7 @@
 """Wires the parts of an entry instance together."""
 
 import asyncio
+import contextlib
 from typing import Self
 
 from aiohttp import web
@@ -16,6 +17,7 @@
 from sesameroad.model import outcome as outcomes
 from sesameroad.model import work as works
 from sesameroad.ownership import claim as claims
+from sesameroad.ownership import handoff as handoffs
 from sesameroad.ownership import key as keys
 from sesameroad.ownership import ledger as ledgers
 from sesameroad.peering import link as links
@@ -23,6 +25,7 @@
 from sesameroad.peering import message as messages
 from sesameroad.platform import client as clients
 from sesameroad.platform import instances
+from sesameroad.platform import objects as object_store
 from sesameroad.platform import table as tables
 from sesameroad.routing import pool as pools
 from sesameroad.routing import sender as senders
@@ -34,6 +37,8 @@
 from sesameroad.telemetry import log
 
 _SWEEP_PERIOD_S = 1.0
+# Sends that are still open then have been given up; nobody waits for them.
+_CLOSE_S = 5.0
 
 
 class Entry:
@@ -57,7 +62,14 @@
         self._store = stores.Store(table=table, fallback=settings.fallback)
         self._directory = directories.Directory(seeds=settings.peers)
         self._ledger = ledgers.Ledger(
-            clock=clock, max_records=limits.max_records
+            clock=clock,
+            max_records=limits.max_records,
+            max_marks=limits.max_key_marks,
+            max_held_bytes=limits.max_held_bytes,
+            incarnation=self._incarnation,
+        )
+        self._handoffs = handoffs.Handoffs(
+            objects=object_store.Objects(self._platform), clock=clock
         )
         self._policy = policies.Policy(self._store.current.document)
         self._allocation = allocations.Allocation()
@@ -110,6 +122,7 @@
                 data_centre=settings.data_centre,
                 lifetime_ms=int(timing.key_lifetime_s * 1_000),
             ),
+            handoffs=self._handoffs,
             dispatcher=self._dispatcher,
             ledger=self._ledger,
             mesh=self._mesh,
@@ -187,11 +200,16 @@
                 step="stop",
                 in_flight=self._dispatcher.in_flight,
             )
+        self._dispatcher.end()
+        await self._intake.drain()
+        await self._handoffs.write(self._incarnation, self._ledger)
         if self._runner is not None:
             await self._runner.cleanup()
         for task in self._tasks:
             task.cancel()
-        await self._pool.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_CLOSE_S):
+                await self._pool.close()
         await self._mesh.stop()
         await self._sender.close()
         await self._platform.close()
@@ -245,4 +263,4 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_PERIOD_S)
-            self._ledger.sweep()
+            self._dispatcher.sweep()
--- a/sesameroad/entry/intake.py
+++ b/sesameroad/entry/intake.py
@@ -10,6 +10,7 @@
 from sesameroad.model import outcome as outcomes
 from sesameroad.model import work as works
 from sesameroad.ownership import claim as claims
+from sesameroad.ownership import handoff as handoffs_module
 from sesameroad.ownership import key as keys
 from sesameroad.ownership import ledger as ledgers
 from sesameroad.peering import link as links
@@ -22,12 +23,33 @@
 _PLATFORM_RETRY_S = 2.0
 
 
+# A key expires at least this much after the deadline of its work, so that an
+# answer that comes late can still be asked for.
+_LATE_ANSWER_MS = 30_000
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Home:
-    """Where a key may be started, and until when."""
+    """Where a key may be started, and until when.
 
+    Attributes:
+        name: Name of the key's work in the whole fleet.
+        incarnation: The one incarnation that may start it.
+        expiry_ms: Expiry of the key in wall time.
+        held: Whether callers may submit work under the key.
+    """
+
+    name: str
     incarnation: str
     expiry_ms: int
+    held: bool = True
+
+    @classmethod
+    def from_issued(cls, issued: keys.IssuedKey) -> "Home":
+        """Returns the home that an issued key names."""
+        return cls(
+            issued.text, issued.incarnation, issued.expiry_ms, issued.held
+        )
 
 
 class Intake:
@@ -38,6 +60,7 @@
         "_clock",
         "_clock_skew_ms",
         "_dispatcher",
+        "_handoffs",
         "_incarnation",
         "_issuer",
         "_ledger",
@@ -51,6 +74,7 @@
         incarnation: str,
         issuer: keys.Issuer,
         claimer: claims.Claims,
+        handoffs: handoffs_module.Handoffs,
         dispatcher: dispatchers.Dispatcher,
         ledger: ledgers.Ledger,
         mesh: meshes.Mesh,
@@ -60,6 +84,7 @@
         self._incarnation = incarnation
         self._issuer = issuer
         self._claims = claimer
+        self._handoffs = handoffs
         self._dispatcher = dispatcher
         self._ledger = ledger
         self._mesh = mesh
@@ -69,7 +94,16 @@
 
     def issue_keys(self, count: int) -> list[str]:
         """Returns keys whose home is this entry."""
-        return [self._issuer.issue().text for _ in range(count)]
+        floor_ms = self._ledger.forgotten_ms + 1
+        return [
+            self._issuer.issue(not_before_ms=floor_ms).text
+            for _ in range(count)
+        ]
+
+    async def drain(self) -> None:
+        """Waits until the outcomes of relayed work are handed to the peers."""
+        while self._relays:
+            await asyncio.wait(tuple(self._relays))
 
     async def submit(
         self,
@@ -89,57 +123,96 @@
             The key and the outcome.
 
         Raises:
-            KeyInvalidError: If the key looks issued but is not genuine.
+            KeyInvalidError: If the key looks issued but is not genuine, or is
+                not one that callers may choose.
         """
         if key is None:
-            issued = self._issuer.issue()
-            work = build(issued.text)
-            remember = isinstance(work, works.Submission)
-            outcome = await self._dispatcher.dispatch(
-                work,
-                digest=digest,
-                expiry_ms=issued.expiry_ms,
-                remember=remember,
+            return await self._run_unheld(build, digest)
+        if keys.is_issued(key):
+            home = Home.from_issued(self._issuer.verify(key))
+            return key, await self._bring_home(build(key), digest, home)
+        work = build("")
+        name = keys.chosen_name(work.team, key)
+        if work.idempotent:
+            # It needs no claim: a second run does no harm.
+            _, outcome = await self._run_unheld(build, digest)
+            return key, outcome
+        if self._dispatcher.stopping:
+            return key, outcomes.NotRun(
+                outcomes.Cause.STOPPING, "this entry is stopping", 0.0
             )
-            return issued.text, outcome
-        work = build(key)
         try:
-            home = await self._find_home(work.team, key)
+            claim = await self._claims.claim(
+                name,
+                not_before_ms=max(
+                    work.deadline_ms + _LATE_ANSWER_MS,
+                    self._ledger.forgotten_ms + 1,
+                ),
+            )
         except errors.PlatformError as error:
             return key, outcomes.NotRun(
                 outcomes.Cause.PLATFORM_DOWN, str(error), _PLATFORM_RETRY_S
             )
-        if home.incarnation == self._incarnation:
-            return key, await self._run_at_home(work, digest, home.expiry_ms)
-        return key, await self._relay(work, digest, home)
+        home = Home(name, claim.incarnation, claim.expiry_ms)
+        return key, await self._bring_home(build(name), digest, home)
+
+    async def _run_unheld(
+        self, build: Callable[[str], works.Work], digest: str
+    ) -> tuple[str, outcomes.Outcome]:
+        """Runs work here under a new key that no caller holds."""
+        issued = self._issuer.issue(
+            not_before_ms=build("").deadline_ms + _LATE_ANSWER_MS, held=False
+        )
+        outcome = await self._dispatcher.dispatch(
+            build(issued.text),
+            digest=digest,
+            expiry_ms=issued.expiry_ms,
+            remember=False,
+        )
+        return issued.text, outcome
 
     async def status(
-        self, key: str, *, cancel: bool = False
+        self, key: str, *, team: str | None = None, cancel: bool = False
     ) -> outcomes.Outcome | None:
         """Returns the outcome of a key so far, None while it is being run.
 
+        Args:
+            key: The key as callers hold it.
+            team: Team that chose the key; issued keys need none.
+            cancel: Whether to cancel the work.
+
         Raises:
-            KeyInvalidError: If the key is not an issued one.
+            KeyInvalidError: If the key is neither a genuine issued one nor one
+                that a team may choose.
         """
-        issued = self._issuer.verify(key)
-        if issued.incarnation == self._incarnation:
-            return self._local_status(key, cancel=cancel)
-        home = Home(issued.incarnation, issued.expiry_ms)
-        link = self._mesh.find(issued.incarnation)
-        if link is None:
-            return self._unreachable(home)
-        try:
-            reply = await link.ask(
-                lambda number: messages.StatusQuery(number, key, cancel),
-                timeout_s=_RELAY_GRACE_S,
+        if keys.is_issued(key):
+            home = Home.from_issued(self._issuer.verify(key))
+        elif team is None:
+            raise errors.KeyInvalidError(
+                "a key that was not issued needs its team", step="find key"
             )
-        except errors.PeerError:
-            return self._unreachable(home)
-        match reply:
-            case messages.RelayReply(outcome=outcome):
-                return outcome
-            case _:
-                return self._unreachable(home)
+        else:
+            name = keys.chosen_name(team, key)
+            try:
+                claim = await self._claims.find(name)
+            except errors.PlatformError as error:
+                again_ms = self._clock.wall_ms() + int(_PLATFORM_RETRY_S * 1000)
+                return outcomes.Unknown(
+                    outcomes.Cause.PLATFORM_DOWN, str(error), again_ms
+                )
+            if claim is None:
+                return outcomes.Unknown(
+                    outcomes.Cause.NOT_FOUND, "no work is known under this key"
+                )
+            home = Home(name, claim.incarnation, claim.expiry_ms)
+        if home.incarnation == self._incarnation:
+            return self._local_status(home, cancel=cancel)
+        return await self._ask_home(
+            home,
+            lambda number: messages.StatusQuery(number, home.name, cancel),
+            digest=None,
+            timeout_s=_RELAY_GRACE_S,
+        )
 
     def receive(self, link: links.Link, message: messages.Message) -> None:
         """Answers questions of peers about work that has its home here."""
@@ -150,8 +223,8 @@
                 )
                 self._relays.add(task)
                 task.add_done_callback(self._relays.discard)
-            case messages.StatusQuery(id=number, key=key, cancel=cancel):
-                outcome = self._local_status(key, cancel=cancel)
+            case messages.StatusQuery(id=number, key=name, cancel=cancel):
+                outcome = self._local_status(self._own(name, 0), cancel=cancel)
                 pending = outcomes.Unknown(
                     outcomes.Cause.DEADLINE,
                     "still being run",
@@ -164,9 +237,18 @@
     async def _serve(
         self, link: links.Link, message: messages.RelayRequest
     ) -> None:
-        outcome = await self._run_at_home(
-            message.work, message.digest, message.expiry_ms
-        )
+        work = message.work
+        match message.purpose:
+            case messages.Purpose.HOME:
+                home = self._own(work.key, message.expiry_ms)
+                outcome = await self._run_at_home(work, message.digest, home)
+            case messages.Purpose.SPILL:
+                outcome = await self._dispatcher.dispatch(
+                    work,
+                    digest=message.digest,
+                    expiry_ms=message.expiry_ms,
+                    remember=False,
+                )
         self._reply(link, message.id, outcome)
 
     def _reply(
@@ -182,67 +264,112 @@
                 error=str(error),
             )
 
-    async def _find_home(self, team: str, key: str) -> Home:
-        if keys.is_issued(key):
-            issued = self._issuer.verify(key)
-            return Home(issued.incarnation, issued.expiry_ms)
-        claim = await self._claims.claim(team, key)
-        return Home(claim.incarnation, claim.expiry_ms)
+    def _own(self, name: str, expiry_ms: int) -> Home:
+        """Returns the home of a key that a peer asked this entry about.
+
+        An issued key speaks for itself. A peer that sent one of another home
+        is told nothing about it.
+        """
+        if not keys.is_issued(name):
+            return Home(name, self._incarnation, expiry_ms)
+        try:
+            return Home.from_issued(self._issuer.verify(name))
+        except errors.KeyInvalidError:
+            return Home(name, "", expiry_ms)
+
+    async def _bring_home(
+        self, work: works.Work, digest: str, home: Home
+    ) -> outcomes.Outcome:
+        if home.incarnation == self._incarnation:
+            return await self._run_at_home(work, digest, home)
+        remaining_s = (work.deadline_ms - self._clock.wall_ms()) / 1_000
+        return await self._ask_home(
+            home,
+            lambda number: messages.RelayRequest(
+                number, messages.Purpose.HOME, work, digest, home.expiry_ms
+            ),
+            digest=digest,
+            timeout_s=max(0.0, remaining_s) + _RELAY_GRACE_S,
+        )
 
     async def _run_at_home(
-        self, work: works.Work, digest: str, expiry_ms: int
+        self, work: works.Work, digest: str, home: Home
     ) -> outcomes.Outcome:
-        if self._clock.wall_ms() >= expiry_ms:
+        if home.incarnation != self._incarnation:
+            return outcomes.Unknown(
+                outcomes.Cause.NOT_FOUND, "this entry is not the key's home"
+            )
+        if self._clock.wall_ms() >= home.expiry_ms:
             return outcomes.Unknown(
                 outcomes.Cause.KEY_EXPIRED, "the key has expired"
             )
+        if not home.held and self._ledger.find(home.name) is None:
+            # The work of such a key leaves no record once it is answered.
+            return outcomes.Unknown(
+                outcomes.Cause.NOT_FOUND, "the key is not kept any more"
+            )
         return await self._dispatcher.dispatch(
-            work, digest=digest, expiry_ms=expiry_ms, remember=True
+            work, digest=digest, expiry_ms=home.expiry_ms, remember=True
         )
 
-    async def _relay(
-        self, work: works.Work, digest: str, home: Home
+    async def _ask_home(
+        self,
+        home: Home,
+        question: Callable[[int], messages.Question],
+        *,
+        digest: str | None,
+        timeout_s: float,
     ) -> outcomes.Outcome:
+        """Asks the home on the peer stream, then what it left behind."""
         link = self._mesh.find(home.incarnation)
-        if link is None:
-            return self._unreachable(home)
-        remaining_s = (work.deadline_ms - self._clock.wall_ms()) / 1_000
-        try:
-            reply = await link.ask(
-                lambda number: messages.RelayRequest(
-                    number, messages.Purpose.HOME, work, digest, home.expiry_ms
-                ),
-                timeout_s=max(0.0, remaining_s) + _RELAY_GRACE_S,
-            )
-        except errors.PeerError:
-            return self._unreachable(home)
-        match reply:
-            case messages.RelayReply(outcome=outcome):
-                return outcome
-            case _:
-                return self._unreachable(home)
+        cause = outcomes.Cause.HOME_UNREACHABLE
+        if link is not None:
+            try:
+                reply = await link.ask(question, timeout_s=timeout_s)
+            except errors.PeerNotSentError:
+                pass
+            except errors.PeerError:
+                cause = outcomes.Cause.HOME_LOST
+            else:
+                match reply:
+                    case messages.RelayReply(outcome=outcome):
+                        return outcome
+                    case _:
+                        cause = outcomes.Cause.HOME_LOST
+        return await self._without_home(home, cause, digest)
 
     def _local_status(
-        self, key: str, *, cancel: bool
+        self, home: Home, *, cancel: bool
     ) -> outcomes.Outcome | None:
-        if cancel:
-            self._dispatcher.cancel(key)
-        record = self._ledger.find(key)
-        if record is None:
+        expires = bool(home.expiry_ms)
+        if expires and self._clock.wall_ms() >= home.expiry_ms:
             return outcomes.Unknown(
-                outcomes.Cause.NOT_FOUND, "no work is known under this key"
+                outcomes.Cause.KEY_EXPIRED, "the key has expired"
+            )
+        if cancel:
+            bars = expires and home.held
+            self._dispatcher.cancel(
+                home.name, expiry_ms=home.expiry_ms if bars else None
             )
-        return record.done.result() if record.finished else None
+        return self._dispatcher.outcome(home.name)
 
-    def _unreachable(self, home: Home) -> outcomes.Unknown:
+    async def _without_home(
+        self, home: Home, cause: outcomes.Cause, digest: str | None
+    ) -> outcomes.Outcome:
         """Says no more than is certain when the home cannot be asked."""
         settled_at_ms = home.expiry_ms + self._clock_skew_ms
+        if home.held and self._clock.wall_ms() < home.expiry_ms:
+            handoff = await self._handoffs.find(home.incarnation)
+            if handoff is not None:
+                return handoff.answer(
+                    home.name, digest=digest, expiry_ms=home.expiry_ms
+                )
         if self._clock.wall_ms() >= settled_at_ms:
             return outcomes.Unknown(
                 outcomes.Cause.KEY_EXPIRED, "the home of the key is gone"
             )
         return outcomes.Unknown(
-            outcomes.Cause.HOME_UNREACHABLE,
+            cause,
             "the home of the key cannot be reached",
             ask_again_at_ms=settled_at_ms,
         )
--- a/sesameroad/entry/web.py
+++ b/sesameroad/entry/web.py
@@ -19,6 +19,7 @@
 from sesameroad.model import work as works
 
 KEY_HEADER = "Idempotency-Key"
+_TEAM_PARAMETER = "team"
 _JSON = "application/json"
 _MAX_TIMEOUT_MS = 600_000
 _MAX_KEYS = 1_000
@@ -188,7 +189,9 @@
     async def _ask(self, http: web.Request, *, cancel: bool) -> web.Response:
         key = http.match_info["key"]
         try:
-            outcome = await self._intake.status(key, cancel=cancel)
+            outcome = await self._intake.status(
+                key, team=http.query.get(_TEAM_PARAMETER), cancel=cancel
+            )
         except errors.KeyInvalidError as error:
             return problem.invalid(str(error))
         if outcome is None:
--- a/sesameroad/errors.py
+++ b/sesameroad/errors.py
@@ -39,6 +39,14 @@
     """The ledger holds as many records as its settings allow."""
 
 
+class LedgerStoppedError(SesameroadError):
+    """The incarnation is stopping and starts nothing any more."""
+
+
+class KeyExpiredError(SesameroadError):
+    """The home of a key does not run it any more."""
+
+
 class KeyReusedError(SesameroadError):
     """A key was used again with a different body."""
 
@@ -51,6 +59,10 @@
     """A peer did not answer, or the stream to it broke."""
 
 
+class PeerNotSentError(PeerError):
+    """A message was not sent to a peer."""
+
+
 class CommandError(SesameroadError):
     """An operator's command cannot be parsed or carried out."""
 
--- a/sesameroad/ownership/key.py
+++ b/sesameroad/ownership/key.py
@@ -3,6 +3,7 @@
 import dataclasses
 import hashlib
 import hmac
+import re
 import secrets
 from typing import Self
 
@@ -10,6 +11,9 @@
 from sesameroad.model import clock as clocks
 
 PREFIX = "sr1"
+# Marks the nonce of keys that no caller holds.
+_UNHELD = "u"
+_CHOSEN = re.compile(r"[!-.0-~]{1,200}")
 _FIELDS = 6
 _MAC_HEX_DIGITS = 32
 
@@ -23,12 +27,16 @@
         data_centre: Data centre of the home.
         incarnation: The one incarnation that may start the key's tasks.
         expiry_ms: Wall time after which the home starts nothing for the key.
+        held: Whether a caller may submit work under the key. The key of work
+            that came without one is not kept once the work is answered, so a
+            second submission under it could not be told from a first one.
     """
 
     text: str
     data_centre: str
     incarnation: str
     expiry_ms: int
+    held: bool = True
 
 
 def is_issued(text: str) -> bool:
@@ -36,6 +44,23 @@
     return text.startswith(PREFIX + ".")
 
 
+def chosen_name(team: str, key: str) -> str:
+    """Returns the name of a caller-chosen key in the whole fleet.
+
+    Teams choose keys independently of each other, so the name includes both.
+
+    Raises:
+        KeyInvalidError: If the key is not 1 to 200 visible ASCII characters
+            other than a slash, which separates the parts of names.
+    """
+    if not _CHOSEN.fullmatch(key):
+        raise errors.KeyInvalidError(
+            "a key is 1 to 200 visible ASCII characters without a slash",
+            step="check key",
+        )
+    return f"{team}/{key}"
+
+
 class Issuer:
     """Issues keys of this incarnation and verifies keys of any."""
 
@@ -81,10 +106,17 @@
             clock=clock,
         )
 
-    def issue(self) -> IssuedKey:
-        """Returns a new key whose home is this incarnation."""
-        expiry_ms = self._clock.wall_ms() + self._lifetime_ms
-        nonce = secrets.token_hex(8)
+    def issue(self, *, not_before_ms: int = 0, held: bool = True) -> IssuedKey:
+        """Returns a new key whose home is this incarnation.
+
+        Args:
+            not_before_ms: Wall time before which the key does not expire.
+            held: Whether a caller may submit work under the key.
+        """
+        expiry_ms = max(
+            self._clock.wall_ms() + self._lifetime_ms, not_before_ms
+        )
+        nonce = ("" if held else _UNHELD) + secrets.token_hex(8)
         body = (
             f"{PREFIX}.{self._data_centre}.{self._incarnation}"
             f".{expiry_ms}.{nonce}"
@@ -94,6 +126,7 @@
             data_centre=self._data_centre,
             incarnation=self._incarnation,
             expiry_ms=expiry_ms,
+            held=held,
         )
 
     def verify(self, text: str) -> IssuedKey:
@@ -113,6 +146,7 @@
             data_centre=parts[1],
             incarnation=parts[2],
             expiry_ms=int(parts[3]),
+            held=not parts[4].startswith(_UNHELD),
         )
 
     def _sign(self, body: str) -> str:
--- a/sesameroad/peering/link.py
+++ b/sesameroad/peering/link.py
@@ -75,10 +75,11 @@
         """Queues a message; messages of one loop turn leave together.
 
         Raises:
-            PeerError: If the stream is closed or the peer does not keep up.
+            PeerNotSentError: If the stream is closed or the peer does not keep
+                up.
         """
         if self._closed or len(self._outbox) >= _MAX_OUTBOX:
-            raise errors.PeerError(
+            raise errors.PeerNotSentError(
                 "stream closed" if self._closed else "peer does not keep up",
                 step="send to peer",
                 peer=self._hello.instance_id,
@@ -99,6 +100,7 @@
             timeout_s: Seconds to wait.
 
         Raises:
+            PeerNotSentError: If the question was not sent.
             PeerError: If the stream breaks or no reply comes in time. The peer
                 may have received the question.
         """
--- a/sesameroad/settings/settings.py
+++ b/sesameroad/settings/settings.py
@@ -33,6 +33,8 @@
 
     Attributes:
         max_records: Keys in the ledger, finished ones included.
+        max_key_marks: Keys that are barred without a record of their own,
+            for example because they were refused; about 100 bytes each.
         max_queued_tasks: Tasks that wait for a slot.
         max_body_bytes: Size of one HTTP request body.
         max_answer_bytes: Size of one endpoint answer.
@@ -40,6 +42,7 @@
     """
 
     max_records: _Positive = 50_000
+    max_key_marks: _Positive = 200_000
     max_queued_tasks: _Positive = 20_000
     max_body_bytes: _Positive = 4 * 1024 * 1024
     max_answer_bytes: _Positive = 1024 * 1024
--- /dev/null
+++ b/tests/_harness.py
@@ -0,0 +1,173 @@
+"""The real ledger, dispatcher and matcher over a fake sender and clock."""
+
+import asyncio
+import collections
+import dataclasses
+import selectors
+
+from sesameroad import errors
+from sesameroad.entry import dispatcher as dispatchers
+from sesameroad.model import endpoint as endpoints
+from sesameroad.model import work as works
+from sesameroad.ownership import ledger as ledgers
+from sesameroad.routing import result as results
+from sesameroad.scheduling import allocation as allocations
+from sesameroad.scheduling import matcher as matchers
+from sesameroad.scheduling import policy as policies
+from sesameroad.scheduling import queue as queues
+from sesameroad.settings import settings as settings_module
+from standins import fleet as fleets
+
+BASE_MS = 1_000_000
+INCARNATION = "00000000000000ff"
+ANSWERED = results.Answered(b"{}")
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Jumps to the time of the next timer instead of waiting for it."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        super().__init__(selectors.SelectSelector())
+        self._selector.select = self._skip
+
+    def time(self) -> float:
+        return self.now
+
+    def _skip(self, timeout: float | None = None) -> list:
+        if timeout is None:
+            raise RuntimeError("nothing is scheduled")
+        self.now += timeout
+        return []
+
+
+class FakeClock:
+    """Wall time that tests step."""
+
+    def __init__(self) -> None:
+        self.offset_ms = 0
+
+    def wall_ms(self) -> int:
+        now_ms = asyncio.get_running_loop().time() * 1_000
+        return BASE_MS + round(now_ms) + self.offset_ms
+
+    def monotonic(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def run(coroutine):
+    """Runs a coroutine in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(coroutine)
+
+
+def ledger(clock, *, records=100, marks=100, held_bytes=10_000):
+    return ledgers.Ledger(
+        clock=clock,
+        max_records=records,
+        max_marks=marks,
+        max_held_bytes=held_bytes,
+        incarnation=INCARNATION,
+    )
+
+
+def request(key, *, timeout_ms=1_000, idempotent=False, payload=b"{}"):
+    return works.Request(
+        key,
+        "storefront",
+        "checkout",
+        BASE_MS + timeout_ms,
+        works.Task(payload),
+        idempotent,
+    )
+
+
+def submission(key, tasks, *, timeout_ms=1_000):
+    return works.Submission(
+        key,
+        "storefront",
+        "checkout",
+        BASE_MS + timeout_ms,
+        tuple(works.Task(b"{}") for _ in range(tasks)),
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Sent:
+    """What becomes of one send: its result after a delay, None for never."""
+
+    result: results.Result | None
+    delay_s: float = 0.01
+
+
+class Home:
+    """A dispatcher whose sends meet a scripted endpoint that records runs."""
+
+    def __init__(self, script=(), *, slots=2, **bounds) -> None:
+        self.clock = FakeClock()
+        self.ledger = ledger(self.clock, **bounds)
+        self.ran = collections.Counter()
+        self.observed = []
+        self._script = iter(script)
+        self._matcher = matchers.Matcher(
+            queue=queues.Queue(),
+            policy=policies.Policy(fleets.default_document()),
+            allocation=allocations.Allocation(),
+        )
+        self.dispatcher = dispatchers.Dispatcher(
+            ledger=self.ledger,
+            matcher=self._matcher,
+            limits=settings_module.Limits(),
+            clock=self.clock,
+            observe=lambda *seen: self.observed.append(seen),
+        )
+        endpoint = endpoints.Endpoint("e", "", "dc1", slots=max(1, slots))
+        self._matcher.open(endpoint)
+        self._tasks = [asyncio.create_task(self._serve()) for _ in range(slots)]
+        self._tasks.append(asyncio.create_task(self._sweep()))
+
+    async def dispatch(self, work, *, expiry_ms=5_000, remember=True):
+        return await self.dispatcher.dispatch(
+            work,
+            digest="d",
+            expiry_ms=BASE_MS + expiry_ms,
+            remember=remember,
+        )
+
+    async def close(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _sweep(self):
+        while True:
+            await asyncio.sleep(1.0)
+            self.dispatcher.sweep()
+
+    async def _serve(self):
+        while True:
+            item = await self._matcher.take("e")
+            item.attempts += 1
+            result = await self._send(item)
+            self._matcher.release("e", item)
+            self.dispatcher.settle(item, result)
+
+    async def _send(self, item):
+        if self.clock.wall_ms() >= item.work.deadline_ms:
+            return results.Withheld("deadline passed before the send")
+        try:
+            self.ledger.start(item.record, item.index)
+        except errors.StartRefusedError as error:
+            return results.Withheld(str(error))
+        task_id = item.id
+        sent = next(self._script, Sent(ANSWERED))
+        await asyncio.sleep(sent.delay_s / 2)
+        match sent.result:
+            case results.Refused() | results.NeverSent():
+                pass
+            case _:
+                self.ran[task_id] += 1
+        if sent.result is None:
+            await asyncio.sleep(1_000)
+        await asyncio.sleep(sent.delay_s / 2)
+        return sent.result
