Test group commit of claims and measure it

Cause: one write call for each claim is bounded by the platform's several hundred writes a second, and a flood of keyed requests piled up on a platform that was down or slow, each waiting for two timeouts.

Change: tests of group commit, read-back, breaker, patience and given-up claims, and benchmarks/claims.py.

--- /dev/null
+++ b/benchmarks/claims.py
@@ -0,0 +1,117 @@
+"""Claims a second and their latency, in groups and one write for each claim.
+
+Both run against the platform stand-in, whose write takes 4 ms. The baseline
+sends every claim as a call of its own, with at most 32 calls in flight.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import itertools
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+import msgspec
+
+from sesameroad.model import clock as clocks
+from sesameroad.ownership import claim as claims
+from sesameroad.ownership import key as keys
+from sesameroad.platform import client as clients
+from sesameroad.platform import instances
+from sesameroad.platform import table as tables
+from standins import fleet as fleets
+
+_RUN_S = 3.0
+_BASELINE_CALLS = 32
+_CONCURRENCY = (1, 10, 100, 1_000)
+
+
+def _claims(table: tables.Table) -> claims.Claims:
+    return claims.Claims(
+        table=table,
+        clock=clocks.Clock(),
+        incarnation=keys.new_incarnation(),
+        data_centre="dc1",
+        lifetime_ms=120_000,
+    )
+
+
+def _one_call_each(table: tables.Table) -> Callable[[str], Awaitable[object]]:
+    slots = asyncio.Semaphore(_BASELINE_CALLS)
+
+    async def claim(name: str) -> object:
+        async with slots:
+            write = tables.Write(f"claims/{name}", tables.ABSENT, "x" * 160)
+            return await table.write([write], step="claim")
+
+    return claim
+
+
+async def _measure(
+    claim: Callable[[str], Awaitable[object]], concurrency: int, label: str
+) -> None:
+    seconds: list[float] = []
+    numbers = itertools.count()
+    end = time.monotonic() + _RUN_S
+
+    async def caller() -> None:
+        while time.monotonic() < end:
+            began = time.monotonic()
+            await claim(f"{label}-{concurrency}/{next(numbers)}")
+            seconds.append(time.monotonic() - began)
+
+    used = time.process_time()
+    await asyncio.gather(*(caller() for _ in range(concurrency)))
+    used = time.process_time() - used
+    seconds.sort()
+    print(
+        f"{label:8} {concurrency:5} callers: {len(seconds) / _RUN_S:7.0f}/s, "
+        f"median {seconds[len(seconds) // 2] * 1e3:6.1f} ms, "
+        f"p99 {seconds[len(seconds) * 99 // 100] * 1e3:6.1f} ms, "
+        f"{used / len(seconds) * 1e6:5.0f} us processor time each"
+    )
+
+
+async def _run(url: str) -> None:
+    client = clients.Client.open(url, timeout_s=2.0)
+    table = tables.Table(client)
+    # The stand-in answers as soon as it listens.
+    for _ in range(100):
+        try:
+            await table.read([], step="wait")
+            break
+        except Exception:
+            await asyncio.sleep(0.1)
+    for concurrency in _CONCURRENCY:
+        await _measure(_one_call_each(table), concurrency, "single")
+        await _measure(_claims(table).claim, concurrency, "grouped")
+    await client.close()
+
+
+def main() -> None:
+    """Starts the stand-in and prints both sets of figures."""
+    port = fleets.free_port()
+    with tempfile.TemporaryDirectory() as directory:
+        path = pathlib.Path(directory) / "listing.json"
+        path.write_bytes(msgspec.json.encode(instances.Listing(version=1)))
+        platform = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "standins.platform",
+                f"--platform_port={port}",
+                f"--platform_listing={path}",
+            ]
+        )
+        try:
+            asyncio.run(_run(f"http://127.0.0.1:{port}"))
+        finally:
+            platform.kill()
+            platform.wait()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_claim.py
@@ -0,0 +1,136 @@
+"""Claims of keys that callers choose, over a faulty table."""
+
+import asyncio
+import unittest
+
+from sesameroad import errors
+from sesameroad.ownership import claim as claims
+from sesameroad.platform import table as tables
+from standins import platform as platforms
+from tests import _harness
+
+
+class FakeTable:
+    """The platform stand-in's rows, with faults for each call in turn."""
+
+    def __init__(self, *faults):
+        self.platform = platforms.Platform()
+        self.batches = []
+        self._faults = iter(faults)
+
+    async def write(self, writes, *, step):
+        self.batches.append(len(writes))
+        fault = next(self._faults, "")
+        if fault == "slow":
+            await asyncio.sleep(2.0)
+        await asyncio.sleep(0.004)
+        if fault in {"down", "slow"}:
+            raise errors.PlatformError(fault)
+        results = [self.platform.apply(write) for write in writes]
+        if fault == "lost":
+            raise errors.PlatformError(fault)
+        return results
+
+    async def read(self, names, *, step):
+        if next(self._faults, "") == "down":
+            raise errors.PlatformError("down")
+        absent = [tables.Row(name, tables.ABSENT) for name in names]
+        return [self.platform.rows.get(row.name, row) for row in absent]
+
+
+def _claims(table, incarnation="0a"):
+    return claims.Claims(
+        table=table,
+        clock=_harness.FakeClock(),
+        incarnation=incarnation,
+        data_centre="dc1",
+        lifetime_ms=1_000,
+    )
+
+
+async def _refused_s(claimer, name):
+    """Returns the seconds that a refusal took."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    try:
+        await claimer.claim(name)
+    except errors.PlatformError:
+        return loop.time() - began
+    raise AssertionError(f"{name} was claimed")
+
+
+class ClaimTest(unittest.TestCase):
+    """Guards against two homes of one key and against a pile of claims."""
+
+    def _run(self, scenario):
+        _harness.run(scenario())
+
+    def test_one_of_two_entries_wins(self):
+        async def scenario():
+            table = FakeTable()
+            found = await asyncio.gather(
+                _claims(table, "0a").claim("t/k"),
+                _claims(table, "0b").claim("t/k"),
+            )
+            self.assertEqual(found[0], found[1])
+            window_ms = found[0].window_end_ms - _harness.BASE_MS
+            self.assertEqual(window_ms, 24 * 3_600_000)
+            self.assertEqual(found[0].expiry_ms, _harness.BASE_MS + 1_000)
+
+        self._run(scenario)
+
+    def test_claims_that_arrive_during_a_write_share_the_next(self):
+        async def scenario():
+            table = FakeTable()
+            claimer = _claims(table)
+            first = asyncio.create_task(claimer.claim("t/first"))
+            await asyncio.sleep(0.001)
+            names = [f"t/{n % 300}" for n in range(400)]
+            await asyncio.gather(first, *map(claimer.claim, names))
+            self.assertEqual(table.batches, [1, 200, 100])
+
+        self._run(scenario)
+
+    def test_lost_answer_is_resolved_by_reading_back(self):
+        async def scenario():
+            claim = await _claims(FakeTable("lost")).claim("t/k")
+            self.assertEqual(claim.incarnation, "0a")
+
+        self._run(scenario)
+
+    def test_absent_row_is_refused(self):
+        async def scenario():
+            claimer = _claims(FakeTable("down"))
+            self.assertLess(await _refused_s(claimer, "t/k"), 0.1)
+            await claimer.claim("t/k")
+
+        self._run(scenario)
+
+    def test_dead_platform_is_not_asked_for_each_claim(self):
+        async def scenario():
+            table = FakeTable(*["down"] * 100)
+            claimer = _claims(table)
+            for n in range(50):
+                await _refused_s(claimer, f"t/{n}")
+            self.assertLess(len(table.batches), 5)
+            self.assertEqual(claimer._pending, {})
+
+        self._run(scenario)
+
+    def test_slow_platform_is_answered_fast_and_claims_are_given_up(self):
+        """Claims of callers that were told "not run" are not written later."""
+
+        async def scenario():
+            table = FakeTable("slow")
+            claimer = _claims(table)
+            refusals = [_refused_s(claimer, "t/0")]
+            first = asyncio.create_task(refusals[0])
+            await asyncio.sleep(0.01)
+            self.assertLess(await _refused_s(claimer, "t/1"), 1.0)
+            self.assertLess(await first, 1.0)
+            self.assertEqual(await _refused_s(claimer, "t/2"), 0.0)
+            await asyncio.sleep(5.0)
+            self.assertEqual(table.batches, [1])
+            self.assertEqual(table.platform.rows, {})
+
+        self._run(scenario)
