--- a/sesameroad/ownership/handoff.py
+++ b/sesameroad/ownership/handoff.py
@@ -78,13 +78,13 @@
     Attributes:
         incarnation: The incarnation, which starts nothing any more.
         forgotten_ms: Keys that expire up to this wall time may have run.
-        outcomes: Outcomes by key.
+        kept: Outcomes by key.
         spent: Hashes of keys that may have run, as sorted 64-bit numbers.
     """
 
     incarnation: str
     forgotten_ms: int
-    outcomes: dict[str, Stored]
+    kept: dict[str, Stored]
     spent: bytes
 
     @classmethod
@@ -118,7 +118,7 @@
             digest: Hash of the body, None for a question about status.
             expiry_ms: Expiry of the key in wall time.
         """
-        stored = self.outcomes.get(key)
+        stored = self.kept.get(key)
         if stored is not None:
             if digest is not None and stored.digest not in {"", digest}:
                 return outcomes.NotRun(
--- a/tests/_harness.py
+++ b/tests/_harness.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import selectors
 
 from sesameroad import errors
@@ -55,10 +56,15 @@
         return asyncio.get_running_loop().time()
 
 
-def run(coroutine):
-    """Runs a coroutine in virtual time."""
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(coroutine)
+def virtual(test):
+    """Runs a test in virtual time."""
+
+    @functools.wraps(test)
+    def wrapper(*arguments, **options):
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            runner.run(test(*arguments, **options))
+
+    return wrapper
 
 
 def ledger(clock, *, records=100, marks=100, held_bytes=10_000):
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -62,75 +62,59 @@
 class ClaimTest(unittest.TestCase):
     """Guards against two homes of one key and against a pile of claims."""
 
-    def _run(self, scenario):
-        _harness.run(scenario())
-
-    def test_one_of_two_entries_wins(self):
-        async def scenario():
-            table = FakeTable()
-            found = await asyncio.gather(
-                _claims(table, "0a").claim("t/k"),
-                _claims(table, "0b").claim("t/k"),
-            )
-            self.assertEqual(found[0], found[1])
-            window_ms = found[0].window_end_ms - _harness.BASE_MS
-            self.assertEqual(window_ms, 24 * 3_600_000)
-            self.assertEqual(found[0].expiry_ms, _harness.BASE_MS + 1_000)
-
-        self._run(scenario)
-
-    def test_claims_that_arrive_during_a_write_share_the_next(self):
-        async def scenario():
-            table = FakeTable()
-            claimer = _claims(table)
-            first = asyncio.create_task(claimer.claim("t/first"))
-            await asyncio.sleep(0.001)
-            names = [f"t/{n % 300}" for n in range(400)]
-            await asyncio.gather(first, *map(claimer.claim, names))
-            self.assertEqual(table.batches, [1, 200, 100])
-
-        self._run(scenario)
-
-    def test_lost_answer_is_resolved_by_reading_back(self):
-        async def scenario():
-            claim = await _claims(FakeTable("lost")).claim("t/k")
-            self.assertEqual(claim.incarnation, "0a")
-
-        self._run(scenario)
-
-    def test_absent_row_is_refused(self):
-        async def scenario():
-            claimer = _claims(FakeTable("down"))
-            self.assertLess(await _refused_s(claimer, "t/k"), 0.1)
-            await claimer.claim("t/k")
-
-        self._run(scenario)
-
-    def test_dead_platform_is_not_asked_for_each_claim(self):
-        async def scenario():
-            table = FakeTable(*["down"] * 100)
-            claimer = _claims(table)
-            for n in range(50):
-                await _refused_s(claimer, f"t/{n}")
-            self.assertLess(len(table.batches), 5)
-            self.assertEqual(claimer._pending, {})
-
-        self._run(scenario)
-
-    def test_slow_platform_is_answered_fast_and_claims_are_given_up(self):
+    @_harness.virtual
+    async def test_one_of_two_entries_wins(self):
+        table = FakeTable()
+        found = await asyncio.gather(
+            _claims(table, "0a").claim("t/k"),
+            _claims(table, "0b").claim("t/k"),
+        )
+        self.assertEqual(found[0], found[1])
+        window_ms = found[0].window_end_ms - _harness.BASE_MS
+        self.assertEqual(window_ms, 24 * 3_600_000)
+        self.assertEqual(found[0].expiry_ms, _harness.BASE_MS + 1_000)
+
+    @_harness.virtual
+    async def test_claims_that_arrive_during_a_write_share_the_next(self):
+        table = FakeTable()
+        claimer = _claims(table)
+        first = asyncio.create_task(claimer.claim("t/first"))
+        await asyncio.sleep(0.001)
+        names = [f"t/{n % 300}" for n in range(400)]
+        await asyncio.gather(first, *map(claimer.claim, names))
+        self.assertEqual(table.batches, [1, 200, 100])
+
+    @_harness.virtual
+    async def test_lost_answer_is_resolved_by_reading_back(self):
+        claim = await _claims(FakeTable("lost")).claim("t/k")
+        self.assertEqual(claim.incarnation, "0a")
+
+    @_harness.virtual
+    async def test_absent_row_is_refused(self):
+        claimer = _claims(FakeTable("down"))
+        self.assertLess(await _refused_s(claimer, "t/k"), 0.1)
+        await claimer.claim("t/k")
+
+    @_harness.virtual
+    async def test_dead_platform_is_not_asked_for_each_claim(self):
+        table = FakeTable(*["down"] * 100)
+        claimer = _claims(table)
+        for n in range(50):
+            await _refused_s(claimer, f"t/{n}")
+        self.assertLess(len(table.batches), 5)
+        self.assertEqual(claimer._pending, {})
+
+    @_harness.virtual
+    async def test_slow_platform_is_answered_fast_and_claims_are_given_up(self):
         """Claims of callers that were told "not run" are not written later."""
-
-        async def scenario():
-            table = FakeTable("slow")
-            claimer = _claims(table)
-            refusals = [_refused_s(claimer, "t/0")]
-            first = asyncio.create_task(refusals[0])
-            await asyncio.sleep(0.01)
-            self.assertLess(await _refused_s(claimer, "t/1"), 1.0)
-            self.assertLess(await first, 1.0)
-            self.assertEqual(await _refused_s(claimer, "t/2"), 0.0)
-            await asyncio.sleep(5.0)
-            self.assertEqual(table.batches, [1])
-            self.assertEqual(table.platform.rows, {})
-
-        self._run(scenario)
+        table = FakeTable("slow")
+        claimer = _claims(table)
+        refusals = [_refused_s(claimer, "t/0")]
+        first = asyncio.create_task(refusals[0])
+        await asyncio.sleep(0.01)
+        self.assertLess(await _refused_s(claimer, "t/1"), 1.0)
+        self.assertLess(await first, 1.0)
+        self.assertEqual(await _refused_s(claimer, "t/2"), 0.0)
+        await asyncio.sleep(5.0)
+        self.assertEqual(table.batches, [1])
+        self.assertEqual(table.platform.rows, {})
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -116,107 +116,92 @@
 
     @hypothesis.settings(max_examples=400)
     @hypothesis.given(_steps, _sends, _shapes)
-    def test_at_most_once_under_faults(self, steps, sends, shape):
+    @_harness.virtual
+    async def test_at_most_once_under_faults(self, steps, sends, shape):
         """No second run, no false "not run", no partial or second outcome."""
-
-        async def scenario():
-            home = _harness.Home(sends)
-            answers = await _play(steps, sends, shape, home)
-            await home.close()
-            self.assertEqual(home.ledger.records, {}, "work without an end")
-            self.assertEqual((home.ledger.size, home.ledger.marks), (0, 0))
-            self.assertEqual(home.ledger.held_bytes, 0)
-            if shape != "idempotent":
-                self.assertLessEqual(max(home.ran.values(), default=0), 1)
-            size = 3 if shape == "job" else 1
-            final = {}
-            seen = [(work.key, outcome) for work, outcome, _ in home.observed]
-            for key, outcome in seen + answers:
-                runs = sum(home.ran[f"{key}/{n}"] for n in range(size))
-                match outcome:
-                    case outcomes.NotRun():
-                        self.assertEqual(runs, 0, f"{outcome} of {key}")
-                    case outcomes.Complete(answers=bodies):
-                        self.assertEqual(bodies, (b"{}",) * size)
-                    case outcomes.Failed(may_have_run=False):
-                        self.assertEqual(runs, 0)
-                    case outcomes.Unknown():
-                        continue
-                known = final.setdefault(key, type(outcome))
-                self.assertIs(type(outcome), known, f"two outcomes of {key}")
-
-        _harness.run(scenario())
+        home = _harness.Home(sends)
+        answers = await _play(steps, sends, shape, home)
+        await home.close()
+        self.assertEqual(home.ledger.records, {}, "work without an end")
+        self.assertEqual((home.ledger.size, home.ledger.marks), (0, 0))
+        self.assertEqual(home.ledger.held_bytes, 0)
+        if shape != "idempotent":
+            self.assertLessEqual(max(home.ran.values(), default=0), 1)
+        size = 3 if shape == "job" else 1
+        final = {}
+        seen = [(work.key, outcome) for work, outcome, _ in home.observed]
+        for key, outcome in seen + answers:
+            runs = sum(home.ran[f"{key}/{n}"] for n in range(size))
+            match outcome:
+                case outcomes.NotRun():
+                    self.assertEqual(runs, 0, f"{outcome} of {key}")
+                case outcomes.Complete(answers=bodies):
+                    self.assertEqual(bodies, (b"{}",) * size)
+                case outcomes.Failed(may_have_run=False):
+                    self.assertEqual(runs, 0)
+                case outcomes.Unknown():
+                    continue
+            known = final.setdefault(key, type(outcome))
+            self.assertIs(type(outcome), known, f"two outcomes of {key}")
 
 
 class DispatcherTest(unittest.TestCase):
     """Guards single steps that schedules of faults reach rarely."""
 
-    def test_refusal_after_a_lost_attempt_is_not_called_not_run(self):
-        async def scenario():
-            sends = [_harness.Sent(r) for r in (LOST, *[REFUSED] * 3)]
-            home = _harness.Home(sends)
-            outcome = await home.dispatch(
-                _harness.request("k", idempotent=True)
-            )
-            self.assertIsInstance(outcome, outcomes.Failed)
-            self.assertTrue(outcome.may_have_run)
-            await home.close()
-
-        _harness.run(scenario())
-
-    def test_work_goes_on_without_its_caller(self):
-        async def scenario():
-            home = _harness.Home([_harness.Sent(_harness.ANSWERED, 0.2)])
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(0.1):
-                    await home.dispatch(_harness.request("k"))
-            outcome = await home.dispatch(_harness.request("k"))
-            self.assertEqual(outcome, outcomes.Complete((b"{}",)))
-            self.assertEqual(home.ran, {"k/0": 1})
-            await home.close()
-
-        _harness.run(scenario())
-
-    def test_queued_work_of_a_gone_caller_ends_at_its_deadline(self):
-        async def scenario():
-            home = _harness.Home(slots=0)
-            caller = asyncio.create_task(home.dispatch(_harness.request("k")))
-            await asyncio.sleep(0.1)
-            caller.cancel()
-            await asyncio.sleep(3.0)
-            self.assertEqual(home.dispatcher.in_flight, 0)
-            await home.close()
-
-        _harness.run(scenario())
-
-    def test_answer_past_the_deadline_can_be_asked_for(self):
-        async def scenario():
-            home = _harness.Home([_harness.Sent(_harness.ANSWERED, 2.0)])
-            work = _harness.request("k")
-            late = await home.dispatch(work, remember=False)
-            self.assertIsInstance(late, outcomes.Unknown)
-            self.assertLess(late.ask_again_at_ms, _harness.BASE_MS + 5_000)
-            await asyncio.sleep(1.5)
-            kept = home.dispatcher.outcome("k")
-            self.assertEqual(kept, outcomes.Complete((b"{}",)))
-            await home.close()
-
-        _harness.run(scenario())
-
-    def test_refusal_that_cannot_be_kept_is_not_called_final(self):
-        async def scenario():
-            home = _harness.Home(slots=0, records=1, marks=1)
-            held = asyncio.create_task(home.dispatch(_harness.request("a")))
-            await asyncio.sleep(0)
-            refused = await home.dispatch(_harness.request("b"))
-            self.assertIsInstance(refused, outcomes.NotRun)
-            unkept = await home.dispatch(_harness.request("c"))
-            self.assertIsInstance(unkept, outcomes.Unknown)
-            self.assertIsNotNone(unkept.ask_again_at_ms)
-            await held
-            # Room does not bring the refused key back.
-            again = await home.dispatch(_harness.request("b"))
-            self.assertIsInstance(again, outcomes.NotRun)
-            await home.close()
-
-        _harness.run(scenario())
+    @_harness.virtual
+    async def test_refusal_after_a_lost_attempt_is_not_called_not_run(self):
+        sends = [_harness.Sent(r) for r in (LOST, *[REFUSED] * 3)]
+        home = _harness.Home(sends)
+        outcome = await home.dispatch(_harness.request("k", idempotent=True))
+        self.assertIsInstance(outcome, outcomes.Failed)
+        self.assertTrue(outcome.may_have_run)
+        await home.close()
+
+    @_harness.virtual
+    async def test_work_goes_on_without_its_caller(self):
+        home = _harness.Home([_harness.Sent(_harness.ANSWERED, 0.2)])
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await home.dispatch(_harness.request("k"))
+        outcome = await home.dispatch(_harness.request("k"))
+        self.assertEqual(outcome, outcomes.Complete((b"{}",)))
+        self.assertEqual(home.ran, {"k/0": 1})
+        await home.close()
+
+    @_harness.virtual
+    async def test_queued_work_of_a_gone_caller_ends_at_its_deadline(self):
+        home = _harness.Home(slots=0)
+        caller = asyncio.create_task(home.dispatch(_harness.request("k")))
+        await asyncio.sleep(0.1)
+        caller.cancel()
+        await asyncio.sleep(3.0)
+        self.assertEqual(home.dispatcher.in_flight, 0)
+        await home.close()
+
+    @_harness.virtual
+    async def test_answer_past_the_deadline_can_be_asked_for(self):
+        home = _harness.Home([_harness.Sent(_harness.ANSWERED, 2.0)])
+        work = _harness.request("k")
+        late = await home.dispatch(work, remember=False)
+        self.assertIsInstance(late, outcomes.Unknown)
+        self.assertLess(late.ask_again_at_ms, _harness.BASE_MS + 5_000)
+        await asyncio.sleep(1.5)
+        kept = home.dispatcher.outcome("k")
+        self.assertEqual(kept, outcomes.Complete((b"{}",)))
+        await home.close()
+
+    @_harness.virtual
+    async def test_refusal_that_cannot_be_kept_is_not_called_final(self):
+        home = _harness.Home(slots=0, records=1, marks=1)
+        held = asyncio.create_task(home.dispatch(_harness.request("a")))
+        await asyncio.sleep(0)
+        refused = await home.dispatch(_harness.request("b"))
+        self.assertIsInstance(refused, outcomes.NotRun)
+        unkept = await home.dispatch(_harness.request("c"))
+        self.assertIsInstance(unkept, outcomes.Unknown)
+        self.assertIsNotNone(unkept.ask_again_at_ms)
+        await held
+        # Room does not bring the refused key back.
+        again = await home.dispatch(_harness.request("b"))
+        self.assertIsInstance(again, outcomes.NotRun)
+        await home.close()
