--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,167 @@
+"""At most once through the death, pause and stop of separate processes."""
+
+import asyncio
+import signal
+import time
+import unittest
+
+import aiohttp
+
+from sesameroad.settings import settings as settings_module
+from standins import fleet as fleets
+
+NOT_RUN = "not run"
+UNKNOWN = "outcome unknown, will not be run again"
+
+
+class AtMostOnceTest(unittest.IsolatedAsyncioTestCase):
+    """The endpoints' record of starts decides what ran."""
+
+    async def asyncSetUp(self):
+        timing = settings_module.Timing(key_lifetime_s=4.0, clock_skew_s=0.5)
+        opened = fleets.Fleet.open(
+            data_centres=2, endpoints_each=1, timing=timing
+        )
+        self.fleet = await self.enterAsyncContext(opened)
+        self.session = await self.enterAsyncContext(aiohttp.ClientSession())
+        self.first, self.second = self.fleet.entries.values()
+        for _ in range(200):
+            if await self._cause_of_unseen_key() == "not-found":
+                break
+            await asyncio.sleep(0.05)
+
+    async def _cause_of_unseen_key(self):
+        """Returns "not-found" once the second entry can ask the first."""
+        (key,) = await self._keys(self.first)
+        url = f"{self.second.url}/v1/keys/{key}"
+        async with self.session.get(url) as answer:
+            return (await answer.json(content_type=None))["cause"]
+
+    async def _post(self, entry, key, *, tasks=0, sleep_ms=100):
+        """Submits a request, or a job; returns the body, None if cut off."""
+        payload = {"sleep_ms": sleep_ms, "value": key}
+        body = {"team": "storefront", "kind": "checkout"}
+        if tasks:
+            body["tasks"] = [{"payload": payload}] * tasks
+        else:
+            body["payload"] = payload
+        path = "submissions" if tasks else "requests"
+        url = f"{entry.url}/v1/{path}"
+        headers = {"Idempotency-Key": key}
+        try:
+            async with self.session.post(
+                url, json=body, headers=headers
+            ) as answer:
+                return await answer.json(content_type=None)
+        except aiohttp.ClientError:
+            return None
+
+    async def _keys(self, entry, count=1):
+        url = f"{entry.url}/v1/keys"
+        async with self.session.post(url, json={"count": count}) as answer:
+            return (await answer.json())["keys"]
+
+    async def _assert_started_at_most_once(self):
+        starts = await self.fleet.starts()
+        self.assertLessEqual(max(starts.values(), default=0), 1)
+        return starts
+
+    async def test_key_of_a_killed_home_is_not_run_elsewhere(self):
+        (issued,) = await self._keys(self.first)
+        jobs = [
+            asyncio.create_task(self._post(self.first, key, tasks=20))
+            for key in ("chosen", issued)
+        ]
+        await asyncio.sleep(0.25)
+        self.first.kill()
+        self.assertEqual(await asyncio.gather(*jobs), [None, None])
+        before = await self._assert_started_at_most_once()
+        self.assertTrue(before)
+        for key in ("chosen", issued):
+            body = await self._post(self.second, key, tasks=20)
+            self.assertEqual(body["outcome"], UNKNOWN)
+            self.assertIn("ask_again_at_ms", body)
+        await asyncio.sleep(0.3)
+        after = await self._assert_started_at_most_once()
+        self.assertEqual(before.keys(), after.keys())
+
+    async def test_home_paused_past_expiry_starts_nothing_late(self):
+        (key,) = await self._keys(self.first)
+        expiry_s = int(key.split(".")[3]) / 1_000
+        job = asyncio.create_task(self._post(self.first, key, tasks=60))
+        await asyncio.sleep(0.25)
+        self.first.signal(signal.SIGSTOP)
+        early = await self._post(self.second, key, tasks=60)
+        self.assertEqual(
+            (early["outcome"], early["cause"]), (UNKNOWN, "home-lost")
+        )
+        await asyncio.sleep(max(0.0, expiry_s + 0.6 - time.time()))
+        late = await self._post(self.second, key, tasks=60)
+        self.assertEqual(
+            (late["outcome"], late["cause"]), (UNKNOWN, "key-expired")
+        )
+        self.assertNotIn("ask_again_at_ms", late)
+        before = await self._assert_started_at_most_once()
+        self.first.signal(signal.SIGCONT)
+        self.assertIn((await job)["outcome"], {"failed", UNKNOWN})
+        await asyncio.sleep(0.5)
+        self.assertEqual(await self.fleet.starts(), before)
+
+    async def test_claims_on_a_faulty_platform(self):
+        """A refusal is true although the row may appear later."""
+        platform, entries = self.fleet.platform, (self.first, self.second)
+        await self.fleet.control(platform, "fault", b"lose-answers")
+        for entry in entries:
+            body = await self._post(entry, "lost-answer")
+            self.assertEqual(body["outcome"], "complete")
+        for fault in (b"down", b"slow"):
+            await self.fleet.control(platform, "fault", fault)
+            body = await self._post(self.first, fault.decode())
+            self.assertEqual(
+                (body["outcome"], body["cause"]), (NOT_RUN, "platform-down")
+            )
+            (issued,) = await self._keys(self.first)
+            body = await self._post(self.first, issued)
+            self.assertEqual(body["outcome"], "complete")
+        await self.fleet.control(platform, "fault", b"none")
+        # The stand-in applies a slow write after 5 s.
+        await asyncio.sleep(6.0)
+        starts = await self._assert_started_at_most_once()
+        self.assertEqual(len(starts), 3, starts)
+        bodies = await asyncio.gather(
+            *(self._post(entry, "slow") for entry in entries * 3)
+        )
+        self.assertEqual({body["outcome"] for body in bodies}, {"complete"})
+        await self._assert_started_at_most_once()
+
+    async def test_graceful_stop_under_load_answers_every_request(self):
+        """Each key has the same answer after the stop, at another entry."""
+        chosen = [f"chosen{n}" for n in range(40)]
+        sent = chosen + await self._keys(self.first, 20)
+        (unsent,) = await self._keys(self.first)
+        posts = []
+        for n, key in enumerate(sent):
+            posts.append(asyncio.create_task(self._post(self.first, key)))
+            if n == len(sent) // 2:
+                await asyncio.sleep(0.1)
+                self.first.signal(signal.SIGTERM)
+            await asyncio.sleep(0.002)
+        bodies = await asyncio.gather(*posts)
+        stopped = asyncio.to_thread(self.first.popen.wait, 40)
+        self.assertEqual(await stopped, 0)
+        # An object that was looked for in vain is looked for again after 1 s.
+        await asyncio.sleep(1.1)
+        starts = await self._assert_started_at_most_once()
+        for key, body in zip(sent, bodies, strict=True):
+            self.assertIsNotNone(body, f"{key} was cut off")
+            name = f"storefront/{key}/0" if key in chosen else f"{key}/0"
+            ran = body["outcome"] == "complete"
+            self.assertIn(body["outcome"], {"complete", NOT_RUN})
+            self.assertEqual(starts.get(name, 0), int(ran))
+            if ran or key not in chosen:
+                again = await self._post(self.second, key)
+                self.assertEqual(again["outcome"], body["outcome"], again)
+                self.assertEqual(again.get("answers"), body.get("answers"))
+        body = await self._post(self.second, unsent)
+        self.assertEqual(body["cause"], "home-stopped")
+        self.assertEqual(starts, await self.fleet.starts())
