Check status and cancel of a caller-chosen key over HTTP

Cause: the query parameter for the team was tested only below HTTP. Change: GET and DELETE answer 400 without the team, 200 with it.

--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -114,6 +114,11 @@
         for entry in entries:
             body = await self._post(entry, "lost-answer")
             self.assertEqual(body["outcome"], "complete")
+            url = f"{entry.url}/v1/keys/lost-answer"
+            for query, status in (("", 400), ("?team=storefront", 200)):
+                for ask in (self.session.get, self.session.delete):
+                    async with ask(url + query) as answer:
+                        self.assertEqual(answer.status, status)
         for fault in (b"down", b"slow"):
             await self.fleet.control(platform, "fault", fault)
             body = await self._post(self.first, fault.decode())
