Start tests only when endpoints and peer streams are there

Cause: an entry is ready before its peer streams are open and before an endpoint process listens. With four runs of all tests at a time test_path failed in 2 of 8: 503 once and 504 once (home not linked yet).

Change: Fleet.open waits for the endpoints, and Fleet.wait_linked, which the tests that send a key to a second entry call, for the peer streams. test_path prints the body of an unexpected answer.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -124,6 +124,7 @@
                 fleet.start_entry(name)
             try:
                 await fleet.wait_ready(fleet.entries)
+                await fleet.wait_endpoints()
             except TimeoutError:
                 print(fleet.log_path.read_text()[-_LOG_TAIL_CHARACTERS:])
                 raise
@@ -153,6 +154,27 @@
             for name in names:
                 await _wait_ready(session, self.entries[name].url)
 
+    async def wait_endpoints(self) -> None:
+        """Waits until all endpoints answer; work is refused before that."""
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            while True:
+                with contextlib.suppress(aiohttp.ClientError):
+                    await self.starts()
+                    return
+                await asyncio.sleep(_POLL_S)
+
+    async def wait_linked(self) -> None:
+        """Waits until each entry can ask each other one about its keys."""
+        async with (
+            asyncio.timeout(_START_TIMEOUT_S),
+            aiohttp.ClientSession() as session,
+        ):
+            for home in self.entries.values():
+                async with session.post(f"{home.url}/v1/keys") as answer:
+                    key = (await answer.json())["keys"][0]
+                for entry in self.entries.values():
+                    await _wait_linked(session, entry.url, key)
+
     async def control(self, process: Process, path: str, body: bytes) -> None:
         """Posts to the control interface of a stand-in."""
         async with (
@@ -285,3 +307,15 @@
                     if answer.status == 200:
                         return
             await asyncio.sleep(_POLL_S)
+
+
+async def _wait_linked(
+    session: aiohttp.ClientSession, url: str, key: str
+) -> None:
+    """Waits until an entry can ask the home of a key that was never sent."""
+    while True:
+        async with session.get(f"{url}/v1/keys/{key}") as answer:
+            cause = (await answer.json(content_type=None))["cause"]
+        if cause == "not-found":
+            return
+        await asyncio.sleep(_POLL_S)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -25,17 +25,7 @@
         self.fleet = await self.enterAsyncContext(opened)
         self.session = await self.enterAsyncContext(aiohttp.ClientSession())
         self.first, self.second = self.fleet.entries.values()
-        for _ in range(200):
-            if await self._cause_of_unseen_key() == "not-found":
-                break
-            await asyncio.sleep(0.05)
-
-    async def _cause_of_unseen_key(self):
-        """Returns "not-found" once the second entry can ask the first."""
-        (key,) = await self._keys(self.first)
-        url = f"{self.second.url}/v1/keys/{key}"
-        async with self.session.get(url) as answer:
-            return (await answer.json(content_type=None))["cause"]
+        await self.fleet.wait_linked()
 
     async def _post(self, entry, key, *, tasks=0, sleep_ms=100):
         """Submits a request, or a job; returns the body, None if cut off."""
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -16,6 +16,7 @@
             fleets.Fleet.open(data_centres=2, endpoints_each=1) as fleet,
             aiohttp.ClientSession() as session,
         ):
+            await fleet.wait_linked()
             urls = [process.url for process in fleet.entries.values()]
             async with session.post(f"{urls[0]}/v1/keys") as answer:
                 key = (await answer.json())["keys"][0]
@@ -30,7 +31,7 @@
                     json=body,
                     headers={"Idempotency-Key": key},
                 ) as answer:
-                    self.assertEqual(answer.status, 200)
+                    self.assertEqual(answer.status, 200, await answer.text())
                     outcome = await answer.json()
                     self.assertEqual(outcome["answers"], [{"value": "charged"}])
             self.assertEqual(await fleet.starts(), {f"{key}/0": 1})
