--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -22,6 +22,7 @@
 from sesameroad.model import endpoint as endpoints
 from sesameroad.model import outcome as outcomes
 from sesameroad.model import work as works
+from sesameroad.ownership import key as keys
 from sesameroad.ownership import ledger as ledgers
 from sesameroad.routing import budget as budgets
 from sesameroad.routing import health as healths
@@ -91,7 +92,13 @@
 
 async def _run(fault: Fault, *, enabled: bool) -> str:
     clock = clocks.Clock()
-    ledger = ledgers.Ledger(clock=clock, max_records=100_000)
+    ledger = ledgers.Ledger(
+        clock=clock,
+        max_records=100_000,
+        max_marks=1,
+        max_held_bytes=2**30,
+        incarnation=keys.new_incarnation(),
+    )
     simulation = _Simulation(ledger, fault)
     health = healths.Health(clock=clock)
     budget = budgets.Budget()
--- a/sesameroad/entry/entry.py
+++ b/sesameroad/entry/entry.py
@@ -1,6 +1,7 @@
 """Wires the parts of an entry instance together."""
 
 import asyncio
+import contextlib
 from typing import Self
 
 from aiohttp import web
@@ -25,6 +26,7 @@
 from sesameroad.operators import interpreter as interpreters
 from sesameroad.operators import inventory as inventories
 from sesameroad.ownership import claim as claims
+from sesameroad.ownership import handoff as handoffs
 from sesameroad.ownership import key as keys
 from sesameroad.ownership import ledger as ledgers
 from sesameroad.peering import link as links
@@ -32,6 +34,7 @@
 from sesameroad.peering import message as messages
 from sesameroad.platform import client as clients
 from sesameroad.platform import instances
+from sesameroad.platform import objects as object_store
 from sesameroad.platform import table as tables
 from sesameroad.routing import budget as budgets
 from sesameroad.routing import feasibility as feasibilities
@@ -50,6 +53,8 @@
 from sesameroad.telemetry import metrics as metric_module
 
 _SWEEP_PERIOD_S = 1.0
+# Sends that are still open then have been given up; nobody waits for them.
+_CLOSE_S = 5.0
 
 
 class Entry:
@@ -73,7 +78,14 @@
         self._store = stores.Store(table=table, fallback=settings.fallback)
         self._directory = directories.Directory(seeds=settings.peers)
         self._ledger = ledgers.Ledger(
-            clock=clock, max_records=limits.max_records
+            clock=clock,
+            max_records=limits.max_records,
+            max_marks=limits.max_key_marks,
+            max_held_bytes=limits.max_held_bytes,
+            incarnation=self._incarnation,
+        )
+        self._handoffs = handoffs.Handoffs(
+            objects=object_store.Objects(self._platform), clock=clock
         )
         self._policy = policies.Policy(self._store.current.document)
         self._allocation = allocations.Allocation()
@@ -146,6 +158,7 @@
                 data_centre=settings.data_centre,
                 lifetime_ms=int(timing.key_lifetime_s * 1_000),
             ),
+            handoffs=self._handoffs,
             dispatcher=self._dispatcher,
             ledger=self._ledger,
             mesh=self._mesh,
@@ -160,6 +173,7 @@
             store=self._store,
             directory=self._directory,
             ledger=self._ledger,
+            sender=self._sender,
             dispatcher=self._dispatcher,
             allocation=self._allocation,
             pool=self._pool,
@@ -263,11 +277,16 @@
                 step="stop",
                 in_flight=self._dispatcher.in_flight,
             )
+        self._dispatcher.end()
+        await self._intake.drain()
+        await self._handoffs.write(self._incarnation, self._ledger)
         if self._runner is not None:
             await self._runner.cleanup()
         for task in self._tasks:
             task.cancel()
-        await self._pool.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_CLOSE_S):
+                await self._pool.close()
         await self._mesh.stop()
         await self._sender.close()
         await self._platform.close()
@@ -355,4 +374,4 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_PERIOD_S)
-            self._ledger.sweep()
+            self._dispatcher.sweep()
--- a/sesameroad/entry/spill.py
+++ b/sesameroad/entry/spill.py
@@ -84,8 +84,12 @@
             )
         return None
 
+    def wanted(self, work: works.Work) -> bool:
+        """Returns whether work should not wait for this data centre."""
+        return not self._fits(work, self._data_centre) or self._is_busy(work)
+
     async def place(self, record: ledgers.Record) -> outcomes.Outcome | None:
-        """Delegates untouched work if it should not wait here.
+        """Delegates untouched work that should not wait here.
 
         The starts of all tasks are taken before the message is sent and given
         back only when nothing ran, so the ledger keeps this entry from starting
@@ -96,8 +100,6 @@
         """
         work = record.work
         fits_here = self._fits(work, self._data_centre)
-        if fits_here and not self._is_busy(work):
-            return None
         may_have_run = False
         for link in self._targets(work):
             match await self._delegate(link, record):
--- a/sesameroad/entry/view.py
+++ b/sesameroad/entry/view.py
@@ -15,6 +15,7 @@
 from sesameroad.ownership import ledger as ledgers
 from sesameroad.peering import mesh as meshes
 from sesameroad.routing import pool as pools
+from sesameroad.routing import sender as senders
 from sesameroad.scheduling import allocation as allocations
 from sesameroad.scheduling import item as items
 from sesameroad.settings import settings as settings_module
@@ -32,6 +33,7 @@
     store: stores.Store
     directory: directories.Directory
     ledger: ledgers.Ledger
+    sender: senders.Sender
     dispatcher: dispatchers.Dispatcher
     allocation: allocations.Allocation
     pool: pools.Pool
@@ -57,7 +59,7 @@
         for group in self.dispatcher.open_items.values():
             record = group[0].record
             running += _started(record) - len(record.answers)
-            queued += len(group) - _started(record)
+            queued += len(record.starts) - _started(record)
         state = "leaving" if self.leaving else "live"
         return {
             "entry": self.entry,
@@ -70,7 +72,7 @@
             "peers": len(self.mesh.peers),
             "running": running,
             "queued": queued,
-            "records": len(self.ledger.records),
+            "records": self.ledger.size,
             "slots_used": self._slots_used(),
             "slots": sum(e.slots for e in self.pool.live),
         }
@@ -106,9 +108,9 @@
         if group is not None:
             rows += [self._accepted(group), self._row("now", _progress(group))]
             return rows
-        record = self.ledger.find(key)
-        if record is not None:
-            rows.append(self._row("now", _describe(record.done.result())))
+        match self.ledger.find(key):
+            case ledgers.Closed(outcome=outcome):
+                rows.append(self._row("now", _describe(outcome)))
         return rows
 
     def cancel(self, key: str) -> bool:
@@ -128,12 +130,14 @@
         )
         for group in self.dispatcher.open_items.values():
             record = group[0].record
-            queued[record.work.kind] += len(group) - _started(record)
+            queued[record.work.kind] += len(record.starts) - _started(record)
         return metrics.Figures(
             queued=queued,
             slots_used=self._slots_used(),
             slots=sum(e.slots for e in self.pool.live),
-            ledger_records=len(self.ledger.records),
+            ledger_records=self.ledger.size,
+            ledger_bytes=self.ledger.held_bytes,
+            crossed_answers=self.sender.crossed,
             peers=len(self.mesh.peers),
             configuration_version=self.store.current.number,
         )
@@ -144,7 +148,7 @@
     def _work_row(self, group: list[items.Item], now: float) -> answers.Row:
         record = group[0].record
         running = _started(record) - len(record.answers)
-        queued = len(group) - _started(record)
+        queued = len(record.starts) - _started(record)
         return {
             "entry": self.entry,
             "key": record.work.key,
@@ -152,7 +156,7 @@
             "team": record.work.team,
             "state": "running" if running else "queued",
             "age_ms": round((now - group[0].enqueued_at) * 1_000),
-            "tasks": len(group),
+            "tasks": len(record.starts),
             "running": running,
             "queued": queued,
             "answered": len(record.answers),
@@ -198,7 +202,7 @@
 
 def _started(record: ledgers.Record) -> int:
     """Returns how many tasks are started, answered ones included."""
-    return len(record.started)
+    return len(record.starts) - record.starts.count(0)
 
 
 def _progress(group: list[items.Item]) -> str:
@@ -206,7 +210,7 @@
     record = group[0].record
     started, answered = _started(record), len(record.answers)
     return (
-        f"{len(group) - started} tasks queued, {started - answered} running,"
+        f"{len(record.starts) - started} tasks queued, {started - answered} running,"
         f" {answered} answered"
     )
 
--- a/sesameroad/entry/web.py
+++ b/sesameroad/entry/web.py
@@ -21,6 +21,7 @@
 from sesameroad.model import work as works
 
 KEY_HEADER = "Idempotency-Key"
+_TEAM_PARAMETER = "team"
 _JSON = "application/json"
 _MAX_TIMEOUT_MS = 600_000
 _MAX_KEYS = 1_000
@@ -238,7 +239,9 @@
         if refusal is not None:
             return problem.invalid(refusal.detail)
         try:
-            outcome = await self._intake.status(key, cancel=cancel)
+            outcome = await self._intake.status(
+                key, team=http.query.get(_TEAM_PARAMETER), cancel=cancel
+            )
         except errors.KeyInvalidError as error:
             return problem.invalid(str(error))
         if outcome is None:
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -41,12 +41,18 @@
 
 
 def open_ledger(clock=None):
-    return ledgers.Ledger(clock=clock or clocks.Clock(), max_records=10_000)
+    return ledgers.Ledger(
+        clock=clock or clocks.Clock(),
+        max_records=10_000,
+        max_marks=10_000,
+        max_held_bytes=2**24,
+        incarnation="00ff",
+    )
 
 
 def item(ledger, work, index=0):
     record = ledger.find(work.key) or ledger.open(
-        work, digest="", expiry_ms=2**50
+        work, digest="", expiry_ms=2**50, remember=True
     )
     return items.Item(record, index, 0.0)
 
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -24,6 +24,10 @@
 _SILENT = errors.PeerError("no reply", step="ask peer")
 
 
+def _started(record):
+    return {index for index, starts in enumerate(record.starts) if starts}
+
+
 class _Link:
     """Answers as told, and notes what the ledger held when asked."""
 
@@ -34,7 +38,7 @@
         self._record = record
 
     async def ask(self, question, *, timeout_s):
-        self.asked.append((question(1), set(self._record.started)))
+        self.asked.append((question(1), _started(self._record)))
         await asyncio.sleep(0)
         if isinstance(self._reply, Exception):
             raise self._reply
@@ -70,7 +74,9 @@
         record = fixtures.item(self.ledger, work).record
         links = [_Link("dc2", reply, record) for reply in replies]
         self.mesh.peers = dict(enumerate(links))
-        outcome = await self.spill.place(record)
+        outcome = None
+        if self.spill.wanted(work):
+            outcome = await self.spill.place(record)
         return outcome, record, links
 
     async def test_work_that_fits_here_stays(self):
