Carry held quotas, needs and guarantees in demand and allocation messages

The steward divides team quotas and kind ceilings like slots, and needs to know which endpoints the waiting tasks fit. The data classes move to model.demand, which both scheduling and peering may import; names that have not changed since the previous message are left out of the next.

--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from sesameroad import errors
+from sesameroad.model import demand as demands
 from sesameroad.model import need as needs
 from sesameroad.model import outcome as outcomes
 from sesameroad.model import work as works
@@ -57,10 +58,17 @@
                             team=lane.team,
                             running=lane.running,
                             queued=lane.queued,
+                            cores=lane.need.cores,
+                            memory_mb=lane.need.memory_mb,
+                            accelerators=lane.need.accelerators,
                         )
                         for lane in message.lanes
                     ],
                     held=_encode_slots(message.held),
+                    teams=_encode_slots(message.teams),
+                    kinds=_encode_slots(message.kinds),
+                    number=message.number,
+                    unchanged=message.unchanged,
                 )
             )
         case messages.Allocation():
@@ -71,6 +79,8 @@
                     kinds=_encode_slots(message.kinds),
                     teams=_encode_slots(message.teams),
                     valid_ms=message.valid_ms,
+                    guarantees=_encode_slots(message.guarantees),
+                    restart=message.restart,
                 )
             )
         case messages.ConfigurationUpdate():
@@ -131,12 +141,22 @@
             return messages.Demand(
                 item.demand.epoch,
                 tuple(
-                    messages.LaneDemand(
-                        lane.kind, lane.team, lane.running, lane.queued
+                    demands.LaneDemand(
+                        lane.kind,
+                        lane.team,
+                        lane.running,
+                        lane.queued,
+                        needs.Need(
+                            lane.cores, lane.memory_mb, lane.accelerators
+                        ),
                     )
                     for lane in item.demand.lanes
                 ),
                 _decode_slots(item.demand.held),
+                _decode_slots(item.demand.teams),
+                _decode_slots(item.demand.kinds),
+                item.demand.number,
+                item.demand.unchanged,
             )
         case "allocation":
             return messages.Allocation(
@@ -145,6 +165,8 @@
                 _decode_slots(item.allocation.kinds),
                 _decode_slots(item.allocation.teams),
                 item.allocation.valid_ms,
+                _decode_slots(item.allocation.guarantees),
+                item.allocation.restart,
             )
         case "configuration_update":
             return messages.ConfigurationUpdate(
@@ -180,7 +202,7 @@
 
 
 def _encode_slots(
-    counts: Iterable[messages.SlotCount],
+    counts: Iterable[demands.SlotCount],
 ) -> list[peer_pb2.SlotCount]:
     return [
         peer_pb2.SlotCount(name=c.name, count=c.count, used=c.used)
@@ -190,8 +212,8 @@
 
 def _decode_slots(
     counts: Iterable[peer_pb2.SlotCount],
-) -> tuple[messages.SlotCount, ...]:
-    return tuple(messages.SlotCount(c.name, c.count, c.used) for c in counts)
+) -> tuple[demands.SlotCount, ...]:
+    return tuple(demands.SlotCount(c.name, c.count, c.used) for c in counts)
 
 
 def _encode_relay(message: messages.RelayRequest) -> peer_pb2.RelayRequest:
--- a/sesameroad/peering/message.py
+++ b/sesameroad/peering/message.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from sesameroad.model import demand as demands
 from sesameroad.model import outcome as outcomes
 from sesameroad.model import work as works
 
@@ -25,49 +26,8 @@
     leaving: bool
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class LaneDemand:
-    """Tasks of one kind and team at one entry."""
-
-    kind: str
-    team: str
-    running: int
-    queued: int
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class SlotCount:
-    """Slots that are held, and how many of them are used."""
-
-    name: str
-    count: int
-    used: int = 0
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Demand:
-    """Report of an entry to the steward.
-
-    Attributes:
-        epoch: Epoch of the last allocation that the entry has applied.
-        lanes: Demand by kind and team.
-        held: Slots held of each endpoint.
-    """
-
-    epoch: int
-    lanes: tuple[LaneDemand, ...]
-    held: tuple[SlotCount, ...]
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Allocation:
-    """What the steward grants to an entry until it expires."""
-
-    epoch: int
-    endpoints: tuple[SlotCount, ...]
-    kinds: tuple[SlotCount, ...]
-    teams: tuple[SlotCount, ...]
-    valid_ms: int
+Demand = demands.Demand
+Allocation = demands.Allocation
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
