Divide the slots of a data centre by demand through a steward

Cause: each entry used a fixed part of every endpoint, so slots were idle at one entry while work queued at another; the matcher also looked at all endpoints and sorted all lanes for each start.

Change: the steward (first by rendezvous hash) divides slots, team quotas and kind ceilings by the entries' reports; a slot is granted only after its holder has reported it as given up; an allocation expires after 1.5 s and the fixed part applies. Lanes are kept by kind and pool of endpoints with a heap of teams, endpoints by used slots. Admission bounds the queue by kind and team and refuses work that would start too late.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; figures are ratios of runs within one process."""
--- /dev/null
+++ b/benchmarks/policy_fleet.py
@@ -0,0 +1,338 @@
+"""Several entries of a data centre in one process, over fake endpoints."""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+
+from benchmarks import policy_loop
+from sesameroad.configuration import document
+from sesameroad.entry import dispatcher as dispatchers
+from sesameroad.model import demand as demands
+from sesameroad.model import endpoint as endpoints
+from sesameroad.model import need as needs
+from sesameroad.model import outcome as outcomes
+from sesameroad.model import work as works
+from sesameroad.ownership import ledger as ledgers
+from sesameroad.peering import codec
+from sesameroad.routing import pool as pools
+from sesameroad.routing import result as results
+from sesameroad.scheduling import admission as admissions
+from sesameroad.scheduling import allocation as allocations
+from sesameroad.scheduling import item as items
+from sesameroad.scheduling import matcher as matchers
+from sesameroad.scheduling import policy as policies
+from sesameroad.scheduling import queue as queues
+from sesameroad.scheduling import sharing as sharings
+
+DATA_CENTRE = "dc1"
+# One way between processes of a data centre, and the cost of a send.
+_DELAY_S = 0.0005
+_KEY_LIFETIME_MS = 10**9
+MAX_QUEUED = 20_000
+
+
+class Variant(enum.Enum):
+    """How slots are divided among entries."""
+
+    STEWARD = "steward"
+    FIXED_SHARE = "fixed share"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Arrival:
+    """One request of a trace.
+
+    Attributes:
+        at: Seconds from the start.
+        entry: Number of the entry that gets it.
+        kind: Kind of work.
+        team: Team.
+        run_s: Run time.
+        patience_s: Time from arrival to deadline.
+        cancel_s: Time from arrival to cancellation, or None.
+        need: Resources it needs.
+    """
+
+    at: float
+    entry: int
+    kind: str
+    team: str
+    run_s: float
+    patience_s: float = 60.0
+    cancel_s: float | None = None
+    need: needs.Need = needs.Need()
+
+
+@dataclasses.dataclass(slots=True)
+class Served:
+    """What became of one arrival; response time is None if not complete."""
+
+    arrival: Arrival
+    response_s: float | None
+
+
+@dataclasses.dataclass(slots=True)
+class Report:
+    """What a run has measured.
+
+    Attributes:
+        served: Outcome of each arrival.
+        sends: Sends to endpoints.
+        wasted: Sends that were refused or whose answer came too late.
+        message_bytes: Encoded bytes by sending entry.
+        seconds: Length of the run.
+        highest: Highest number of running tasks by endpoint and by team.
+    """
+
+    served: list[Served] = dataclasses.field(default_factory=list)
+    sends: int = 0
+    wasted: int = 0
+    message_bytes: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    messages: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    seconds: float = 0.0
+    highest: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+class FakeSender:
+    """Runs tasks by sleeping; an endpoint refuses more than its slots."""
+
+    def __init__(
+        self,
+        fleet: "Fleet",
+        ledger: ledgers.Ledger,
+        clock: policy_loop.Clock,
+    ) -> None:
+        self._fleet = fleet
+        self._ledger = ledger
+        self._clock = clock
+
+    async def send(
+        self, endpoint: endpoints.Endpoint, item: items.Item
+    ) -> results.Result:
+        """Sleeps for the run time that the payload names."""
+        fleet = self._fleet
+        if self._clock.wall_ms() >= item.work.deadline_ms:
+            return results.Withheld("deadline passed before the send")
+        self._ledger.start(item.record, item.index)
+        fleet.report.sends += 1
+        await asyncio.sleep(_DELAY_S)
+        if fleet.running[endpoint.id] >= endpoint.slots:
+            fleet.report.wasted += 1
+            await asyncio.sleep(_DELAY_S)
+            return results.Refused(leaving=False)
+        names = (
+            endpoint.id,
+            f"team {item.work.team}",
+            f"kind {item.work.kind}",
+        )
+        for name in names:
+            fleet.running[name] += 1
+            fleet.report.highest[name] = max(
+                fleet.report.highest[name], fleet.running[name]
+            )
+        await asyncio.sleep(float(item.task.payload))
+        for name in names:
+            fleet.running[name] -= 1
+        await asyncio.sleep(_DELAY_S)
+        if item.record.finished:
+            fleet.report.wasted += 1
+        return results.Answered(b"0")
+
+    async def close(self) -> None:
+        """Does nothing; there are no connections."""
+
+
+class Entry:
+    """The scheduling parts of one entry, wired as in entry.entry."""
+
+    def __init__(
+        self,
+        number: int,
+        fleet: "Fleet",
+        content: document.Document,
+        clock: policy_loop.Clock,
+        variant: Variant,
+    ) -> None:
+        self.name = f"entry{number}"
+        self._fleet = fleet
+        self._number = number
+        self._clock = clock
+        ledger = ledgers.Ledger(clock=clock, max_records=10**7)
+        self.allocation = allocations.Allocation(clock)
+        self.policy = policies.Policy(content, allocation=self.allocation)
+        self.queue = queues.Queue()
+        self.matcher = matchers.Matcher(
+            queue=self.queue,
+            policy=self.policy,
+            allocation=self.allocation,
+            clock=clock,
+        )
+        self.admission = admissions.Admission(
+            content,
+            max_queued=MAX_QUEUED,
+            queue=self.queue,
+            policy=self.policy,
+            allocation=self.allocation,
+        )
+        self.matcher.watch(observe=self.admission.observe)
+        self.sharing = None
+        if variant == Variant.STEWARD:
+            self.sharing = sharings.Sharing(
+                entry=self.name,
+                allocation=self.allocation,
+                matcher=self.matcher,
+                policy=self.policy,
+                queue=self.queue,
+                clock=clock,
+                send=self._send,
+            )
+        self.dispatcher = dispatchers.Dispatcher(
+            ledger=ledger,
+            matcher=self.matcher,
+            admission=self.admission,
+            clock=clock,
+            observe=lambda work, outcome, seconds: None,
+        )
+        self.pool = pools.Pool(
+            matcher=self.matcher,
+            sender=FakeSender(fleet, ledger, clock),
+            settle=self.dispatcher.settle,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(
+        self,
+        names: list[str],
+        live: list[endpoints.Endpoint],
+        content: document.Document,
+    ) -> None:
+        """Opens connections and takes part in the division of slots."""
+        self.allocation.set_entries(len(names), names.index(self.name))
+        self.pool.update(live)
+        if self.sharing is not None:
+            self.sharing.configure(
+                data_centre=DATA_CENTRE,
+                content=content,
+                live=live,
+                reachable=names,
+                listed=names,
+            )
+            self._tasks.append(asyncio.create_task(self.sharing.run()))
+
+    async def stop(self) -> None:
+        """Ends all tasks."""
+        for task in self._tasks:
+            task.cancel()
+        await self.pool.close()
+
+    async def serve(self, arrival: Arrival, number: int) -> Served:
+        """Runs one arrival through the dispatcher."""
+        began = self._clock.monotonic()
+        work = works.Request(
+            key=str(number),
+            team=arrival.team,
+            kind=arrival.kind,
+            deadline_ms=int((began + arrival.patience_s) * 1_000),
+            task=works.Task(str(arrival.run_s).encode(), arrival.need),
+            idempotent=True,
+        )
+        if arrival.cancel_s is not None:
+            asyncio.get_running_loop().call_later(
+                arrival.cancel_s, self.dispatcher.cancel, work.key
+            )
+        outcome = await self.dispatcher.dispatch(
+            work, digest="", expiry_ms=_KEY_LIFETIME_MS, remember=False
+        )
+        match outcome:
+            case outcomes.Complete():
+                return Served(arrival, self._clock.monotonic() - began)
+            case _:
+                return Served(arrival, None)
+
+    def _send(
+        self, entry: str, message: demands.Demand | demands.Allocation
+    ) -> bool:
+        envelope = codec.encode([message])
+        self._fleet.report.message_bytes[self._number] += envelope.ByteSize()
+        self._fleet.report.messages[self._number] += 1
+        # The encoded form is decoded, so that the codec is part of the run.
+        [received] = codec.decode(envelope)
+        target = self._fleet.by_name[entry]
+        if target.sharing is not None:
+            asyncio.get_running_loop().call_later(
+                _DELAY_S, target.sharing.receive, self.name, received
+            )
+        return True
+
+
+class Fleet:
+    """The entries and endpoints of one data centre."""
+
+    def __init__(
+        self,
+        *,
+        content: document.Document,
+        entries: int,
+        live: list[endpoints.Endpoint],
+        variant: Variant,
+        clock: policy_loop.Clock,
+    ) -> None:
+        self.report = Report()
+        self.running: collections.Counter[str] = collections.Counter()
+        self._content = content
+        self._live = live
+        self.entries = [
+            Entry(number, self, content, clock, variant)
+            for number in range(entries)
+        ]
+        self.by_name = {entry.name: entry for entry in self.entries}
+
+    async def play(self, trace: list[Arrival]) -> Report:
+        """Plays a trace and returns what was measured."""
+        loop = asyncio.get_running_loop()
+        names = list(self.by_name)
+        for entry in self.entries:
+            entry.start(names, self._live, self._content)
+        tasks = []
+        for number, arrival in enumerate(trace):
+            delay = arrival.at - loop.time()
+            if delay > 0:
+                await asyncio.sleep(delay)
+            entry = self.entries[arrival.entry % len(self.entries)]
+            tasks.append(asyncio.create_task(entry.serve(arrival, number)))
+        self.report.seconds = loop.time()
+        self.report.served = await asyncio.gather(*tasks)
+        for entry in self.entries:
+            await entry.stop()
+        return self.report
+
+
+def play(
+    trace: list[Arrival],
+    *,
+    content: document.Document,
+    live: list[endpoints.Endpoint],
+    variant: Variant = Variant.STEWARD,
+    entries: int = 3,
+) -> Report:
+    """Plays a trace in a loop of its own."""
+
+    async def main() -> Report:
+        clock = policy_loop.Clock(asyncio.get_running_loop())
+        fleet = Fleet(
+            content=content,
+            entries=entries,
+            live=live,
+            variant=variant,
+            clock=clock,
+        )
+        return await fleet.play(trace)
+
+    return policy_loop.run(main())
--- /dev/null
+++ b/benchmarks/policy_loop.py
@@ -0,0 +1,58 @@
+"""An event loop whose clock jumps to the next timer."""
+
+import asyncio
+from collections.abc import Coroutine
+import selectors
+from typing import Any
+
+from sesameroad.model import clock as clocks
+
+
+class _Selector(selectors.DefaultSelector):
+    """Lets time pass instead of waiting for it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+
+    def select(self, timeout: float | None = None) -> list:
+        if timeout is None:
+            raise RuntimeError("nothing is left to wait for")
+        self.now += max(0.0, timeout)
+        return []
+
+
+class Loop(asyncio.SelectorEventLoop):
+    """Runs timers in order, without the time between them."""
+
+    def __init__(self) -> None:
+        self._virtual = _Selector()
+        super().__init__(self._virtual)
+        self._clock_resolution = 1e-9
+
+    def time(self) -> float:
+        """Returns seconds since the start of the loop."""
+        return self._virtual.now
+
+
+class Clock(clocks.Clock):
+    """Reads the time of a loop."""
+
+    __slots__ = ("_loop",)
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+
+    def wall_ms(self) -> int:
+        """Returns milliseconds since the start of the loop."""
+        return int(self._loop.time() * 1_000)
+
+    def monotonic(self) -> float:
+        """Returns seconds since the start of the loop."""
+        return self._loop.time()
+
+
+def run(main: Coroutine[Any, Any, Any]) -> Any:
+    """Runs a coroutine in a new loop of this kind."""
+    with asyncio.Runner(loop_factory=Loop) as runner:
+        return runner.run(main)
--- a/sesameroad/entry/dispatcher.py
+++ b/sesameroad/entry/dispatcher.py
@@ -10,9 +10,9 @@
 from sesameroad.ownership import ledger as ledgers
 from sesameroad.routing import result as results
 from sesameroad.routing import retry
+from sesameroad.scheduling import admission as admissions
 from sesameroad.scheduling import item as items
 from sesameroad.scheduling import matcher as matchers
-from sesameroad.settings import settings as settings_module
 
 _OVERLOAD_RETRY_S = 1.0
 
@@ -23,9 +23,9 @@
     """Accepts work, queues its tasks and decides its outcome."""
 
     __slots__ = (
+        "_admission",
         "_clock",
         "_ledger",
-        "_limits",
         "_matcher",
         "_observe",
         "_queued",
@@ -37,13 +37,13 @@
         *,
         ledger: ledgers.Ledger,
         matcher: matchers.Matcher,
-        limits: settings_module.Limits,
+        admission: admissions.Admission,
         clock: clocks.Clock,
         observe: Observe,
     ) -> None:
         self._ledger = ledger
         self._matcher = matcher
-        self._limits = limits
+        self._admission = admission
         self._clock = clock
         self._observe = observe
         self._queued: dict[str, list[items.Item]] = {}
@@ -134,14 +134,7 @@
             return outcomes.NotRun(
                 outcomes.Cause.STOPPING, "this entry is stopping", 0.0
             )
-        if (
-            self._matcher.waiting + len(work.tasks)
-            > self._limits.max_queued_tasks
-        ):
-            return outcomes.NotRun(
-                outcomes.Cause.OVERLOAD, "the queue is full", _OVERLOAD_RETRY_S
-            )
-        return None
+        return self._admission.refusal(work, now_ms=self._clock.wall_ms())
 
     def _enqueue(self, record: ledgers.Record, began: float) -> None:
         queued = [
@@ -203,6 +196,5 @@
     def _finish(
         self, record: ledgers.Record, outcome: outcomes.Outcome
     ) -> None:
-        for item in self._queued.pop(record.work.key, ()):
-            item.withdrawn = True
+        self._matcher.withdraw(self._queued.pop(record.work.key, ()))
         self._ledger.finish(record, outcome)
--- a/sesameroad/entry/entry.py
+++ b/sesameroad/entry/entry.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from sesameroad import errors
 from sesameroad.configuration import store as stores
 from sesameroad.configuration import watcher as configuration_watcher
 from sesameroad.entry import dispatcher as dispatchers
@@ -26,10 +27,12 @@
 from sesameroad.platform import table as tables
 from sesameroad.routing import pool as pools
 from sesameroad.routing import sender as senders
+from sesameroad.scheduling import admission as admissions
 from sesameroad.scheduling import allocation as allocations
 from sesameroad.scheduling import matcher as matchers
 from sesameroad.scheduling import policy as policies
 from sesameroad.scheduling import queue as queues
+from sesameroad.scheduling import sharing as sharings
 from sesameroad.settings import settings as settings_module
 from sesameroad.telemetry import log
 
@@ -59,17 +62,38 @@
         self._ledger = ledgers.Ledger(
             clock=clock, max_records=limits.max_records
         )
-        self._policy = policies.Policy(self._store.current.document)
-        self._allocation = allocations.Allocation()
+        self._allocation = allocations.Allocation(clock)
+        self._policy = policies.Policy(
+            self._store.current.document, allocation=self._allocation
+        )
+        queue = queues.Queue()
         self._matcher = matchers.Matcher(
-            queue=queues.Queue(),
+            queue=queue,
+            policy=self._policy,
+            allocation=self._allocation,
+            clock=clock,
+        )
+        self._admission = admissions.Admission(
+            self._store.current.document,
+            max_queued=limits.max_queued_tasks,
+            queue=queue,
             policy=self._policy,
             allocation=self._allocation,
         )
+        self._matcher.watch(observe=self._admission.observe)
+        self._sharing = sharings.Sharing(
+            entry=settings.instance_id,
+            allocation=self._allocation,
+            matcher=self._matcher,
+            policy=self._policy,
+            queue=queue,
+            clock=clock,
+            send=self._send_to_neighbour,
+        )
         self._dispatcher = dispatchers.Dispatcher(
             ledger=self._ledger,
             matcher=self._matcher,
-            limits=limits,
+            admission=self._admission,
             clock=clock,
             observe=self._observe,
         )
@@ -155,6 +179,7 @@
                     changed=self._configuration_changed,
                 )
             ),
+            asyncio.create_task(self._sharing.run(), name="sharing"),
             asyncio.create_task(self._sweep()),
         ]
         application = self._web.application(
@@ -208,24 +233,58 @@
         match message:
             case messages.RelayRequest() | messages.StatusQuery():
                 self._intake.receive(link, message)
+            case messages.Demand() | messages.Allocation():
+                self._sharing.receive(link.hello.instance_id, message)
             case _:
                 return
 
     def _members_changed(self) -> None:
         data_centre = self._settings.data_centre
         self._mesh.update(self._directory.entries.values())
-        neighbours = [
-            link
-            for link in self._mesh.peers.values()
-            if link.hello.data_centre == data_centre
-        ]
-        self._allocation.set_entries(1 + len(neighbours))
-        self._pool.update(self._directory.live_endpoints(data_centre))
-        self._matcher.match()
+        live = self._directory.live_endpoints(data_centre)
+        self._pool.update(live)
+        # Entries of the settings count until the platform's list is known.
+        known = (
+            self._directory.listing.entries or self._directory.entries.values()
+        )
+        listed = [entry for entry in known if entry.data_centre == data_centre]
+        self._sharing.configure(
+            data_centre=data_centre,
+            content=self._store.current.document,
+            live=live,
+            reachable=[
+                self._settings.instance_id,
+                *(
+                    link.hello.instance_id
+                    for link in self._mesh.peers.values()
+                    if link.hello.data_centre == data_centre
+                ),
+            ],
+            listed=[entry.id for entry in listed],
+            leaving=[entry.id for entry in listed if entry.leaving],
+        )
+
+    def _send_to_neighbour(self, entry: str, message: messages.Message) -> bool:
+        """Sends a message of the slots' division; returns whether it left."""
+        link = self._mesh.peers.get(entry)
+        if link is None:
+            return False
+        try:
+            link.send(message)
+        except errors.PeerError as error:
+            log.problem(
+                "message to a peer dropped",
+                step=error.step,
+                peer=error.peer,
+                error=str(error),
+            )
+            return False
+        return True
 
     def _configuration_changed(self) -> None:
         content = self._store.current.document
         self._policy.configure(content)
+        self._admission.configure(content)
         self._directory.drain(content.operations.drained)
         self._members_changed()
 
--- a/sesameroad/model/demand.py
+++ b/sesameroad/model/demand.py
@@ -30,15 +30,17 @@
     """Report of an entry to the steward.
 
     Attributes:
-        epoch: Epoch of the last allocation that the entry has applied; 0 if it
-            uses its fixed share.
-        lanes: Demand by kind, team and need; replaces the previous list.
+        epoch: Epoch of the last allocation applied in this session.
+        lanes: Demand by kind and need (no team named), limited to what team
+            quotas let run, and by team (no kind named) where the quota held is
+            not enough. Lanes left out are unchanged since the previous report.
         held: Slots held of each endpoint, the limit or the use, whichever is
             higher. Names left out are unchanged since the previous report.
-        teams: Slots held of team quotas, in the same way.
+        teams: Slots held of team quotas, in the same way. A team never named
+            holds the entry's fixed part.
         kinds: Slots held of kind ceilings, in the same way.
-        number: Counts the reports to one steward; 1 is a whole report.
-        unchanged: Whether the lanes are those of the previous report.
+        session: Session that the entry has opened with a whole report.
+        number: Counts the reports of a session; 1 is the whole report.
     """
 
     epoch: int
@@ -46,8 +48,8 @@
     held: tuple[SlotCount, ...]
     teams: tuple[SlotCount, ...] = ()
     kinds: tuple[SlotCount, ...] = ()
+    session: int = 1
     number: int = 1
-    unchanged: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -55,16 +57,18 @@
     """What the steward grants to an entry until it expires.
 
     Attributes:
-        epoch: Grows with each allocation that one steward sends.
-        endpoints: Limits on slots of endpoints that have changed since the
-            previous epoch. An endpoint never named keeps its fixed part.
-        kinds: Limits under kind ceilings, in the same way.
-        teams: Limits under team quotas, in the same way.
+        epoch: Counts the allocations of a session, from 1.
+        endpoints: Raised limits on slots of endpoints; others are unchanged.
+        kinds: Changed limits under kind ceilings.
+        teams: Changed limits under team quotas.
         valid_ms: Time until it expires.
-        guarantees: Slots of this entry that each kind is sure of; replaces the
-            previous list.
-        restart: Whether the steward lacks a whole report of this entry; the
-            entry keeps what it holds and sends one.
+        guarantees: Slots that each kind is sure of at this entry; kinds left
+            out are unchanged.
+        pools: Slots that the entry may keep in each pool of endpoints; pools
+            left out are unchanged. It gives up what it holds above that, free
+            slots first.
+        session: Session of the entry that this belongs to.
+        restart: Whether a report is missing; the entry opens a new session.
     """
 
     epoch: int
@@ -73,4 +77,6 @@
     teams: tuple[SlotCount, ...]
     valid_ms: int
     guarantees: tuple[SlotCount, ...] = ()
+    pools: tuple[SlotCount, ...] = ()
+    session: int = 1
     restart: bool = False
--- a/sesameroad/model/endpoint.py
+++ b/sesameroad/model/endpoint.py
@@ -33,6 +33,15 @@
     offer: needs.Need = needs.Need(cores=1.0, memory_mb=1024, accelerators=0)
     leaving: bool = False
 
+    @property
+    def pool(self) -> str:
+        """Name of the pool of endpoints that accept the same tasks."""
+        offer = self.offer
+        return (
+            f"{','.join(self.kinds)}/{offer.cores:g}/{offer.memory_mb}"
+            f"/{offer.accelerators}"
+        )
+
     def accepts(self, kind: str, wanted: needs.Need) -> bool:
         """Returns whether a task of this kind and need can run here."""
         if self.kinds and kind not in self.kinds:
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -67,8 +67,8 @@
                     held=_encode_slots(message.held),
                     teams=_encode_slots(message.teams),
                     kinds=_encode_slots(message.kinds),
+                    session=message.session,
                     number=message.number,
-                    unchanged=message.unchanged,
                 )
             )
         case messages.Allocation():
@@ -80,6 +80,8 @@
                     teams=_encode_slots(message.teams),
                     valid_ms=message.valid_ms,
                     guarantees=_encode_slots(message.guarantees),
+                    pools=_encode_slots(message.pools),
+                    session=message.session,
                     restart=message.restart,
                 )
             )
@@ -155,8 +157,8 @@
                 _decode_slots(item.demand.held),
                 _decode_slots(item.demand.teams),
                 _decode_slots(item.demand.kinds),
+                item.demand.session,
                 item.demand.number,
-                item.demand.unchanged,
             )
         case "allocation":
             return messages.Allocation(
@@ -166,6 +168,8 @@
                 _decode_slots(item.allocation.teams),
                 item.allocation.valid_ms,
                 _decode_slots(item.allocation.guarantees),
+                _decode_slots(item.allocation.pools),
+                item.allocation.session,
                 item.allocation.restart,
             )
         case "configuration_update":
--- a/sesameroad/scheduling/item.py
+++ b/sesameroad/scheduling/item.py
@@ -17,6 +17,9 @@
         enqueued_at: Monotonic seconds when it was first queued.
         attempts: Sends so far.
         withdrawn: Whether it must not be handed to a connection any more.
+        queued: Whether it waits in the queue now.
+        sequence: Place in the order of arrival at the queue.
+        began_at: Monotonic seconds of its last start.
     """
 
     record: ledger.Record
@@ -24,6 +27,9 @@
     enqueued_at: float
     attempts: int = 0
     withdrawn: bool = False
+    queued: bool = False
+    sequence: int = 0
+    began_at: float = 0.0
 
     @property
     def work(self) -> works.Work:
--- a/sesameroad/scheduling/matcher.py
+++ b/sesameroad/scheduling/matcher.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
+from collections.abc import Iterable
 
+from sesameroad.model import clock as clocks
 from sesameroad.model import endpoint as endpoints
+from sesameroad.model import need as needs
 from sesameroad.scheduling import allocation as allocations
 from sesameroad.scheduling import item as items
 from sesameroad.scheduling import policy as policies
@@ -11,11 +15,65 @@
 
 _Waiter = asyncio.Future[items.Item | None]
 
+# Needs are chosen by callers, so the number of different ones has no bound.
+_MAX_KNOWN_FITS = 10_000
+
+
+class Pool:
+    """Endpoints that accept the same tasks, by the slots that are used.
+
+    Only endpoints with a free slot and an idle connection are kept, in the order
+    in which they became free, so that the least used one is found without a look
+    at the others.
+    """
+
+    __slots__ = ("_by_used", "_places", "members", "sample")
+
+    def __init__(self, sample: endpoints.Endpoint) -> None:
+        self.sample = sample
+        self.members: set[str] = set()
+        self._by_used: dict[int, dict[str, None]] = {}
+        self._places: dict[str, int] = {}
+
+    @property
+    def available(self) -> bool:
+        """Whether any endpoint can take a task now."""
+        return bool(self._places)
+
+    def place(self, endpoint_id: str, used: int | None) -> None:
+        """Notes the used slots of an endpoint; None if it takes no task."""
+        previous = self._places.pop(endpoint_id, None)
+        if previous is not None:
+            group = self._by_used[previous]
+            del group[endpoint_id]
+            if not group:
+                del self._by_used[previous]
+        if used is not None:
+            self._places[endpoint_id] = used
+            self._by_used.setdefault(used, {})[endpoint_id] = None
+
+    def least_used(self) -> str:
+        """Returns the available endpoint with the fewest used slots."""
+        return next(iter(self._by_used[min(self._by_used)]))
+
 
 class Matcher:
     """Hands the next task, by policy, to the best idle connection."""
 
-    __slots__ = ("_allocation", "_endpoints", "_idle", "_policy", "_queue")
+    __slots__ = (
+        "_allocation",
+        "_changed",
+        "_clock",
+        "_endpoints",
+        "_fits",
+        "_idle",
+        "_numbers",
+        "_observe",
+        "_order",
+        "_policy",
+        "_pools",
+        "_queue",
+    )
 
     def __init__(
         self,
@@ -23,31 +81,79 @@
         queue: queues.Queue,
         policy: policies.Policy,
         allocation: allocations.Allocation,
+        clock: clocks.Clock | None = None,
     ) -> None:
         self._queue = queue
         self._policy = policy
         self._allocation = allocation
+        self._clock = clock or clocks.Clock()
         self._endpoints: dict[str, endpoints.Endpoint] = {}
         self._idle: dict[str, collections.deque[_Waiter]] = {}
+        self._pools: dict[int, Pool] = {}
+        self._numbers: dict[str, int] = {}
+        self._order: list[Pool] = []
+        self._fits: dict[tuple[str, needs.Need], frozenset[int]] = {}
+        self._changed: Callable[[], None] = lambda: None
+        self._observe: Callable[[str, float], None] = lambda kind, seconds: None
+        queue.rank_by(policy.load)
+        queue.regroup(self._fit)
 
     @property
     def waiting(self) -> int:
         """Number of tasks that wait for a slot."""
         return len(self._queue)
 
+    def watch(
+        self,
+        *,
+        changed: Callable[[], None] | None = None,
+        observe: Callable[[str, float], None] | None = None,
+    ) -> None:
+        """Sets who is told of changes.
+
+        Args:
+            changed: Called after tasks were queued, handed over or released.
+            observe: Called with the kind and the run time of each task.
+        """
+        self._changed = changed or self._changed
+        self._observe = observe or self._observe
+
     def submit(self, item: items.Item, *, front: bool = False) -> None:
         """Queues a task and hands it over if a connection is idle."""
-        self._queue.push(item, front=front)
+        if item.withdrawn:
+            return
+        self._queue.push(item, now=self._clock.monotonic(), front=front)
         self.match()
 
+    def withdraw(self, withdrawn: Iterable[items.Item]) -> None:
+        """Takes tasks out of the queue; those handed over run on."""
+        for item in withdrawn:
+            self._queue.withdraw(item)
+
     def open(self, endpoint: endpoints.Endpoint) -> None:
         """Lets connections to an endpoint take tasks."""
         self._endpoints[endpoint.id] = endpoint
         self._idle.setdefault(endpoint.id, collections.deque())
+        number = self._numbers.setdefault(endpoint.pool, len(self._numbers))
+        if number not in self._pools:
+            self._pools[number] = Pool(endpoint)
+            self._regroup()
+        self._pools[number].members.add(endpoint.id)
+        self._allocation.set_endpoints(self._endpoints.values())
+        self.match()
 
     def close(self, endpoint_id: str) -> None:
         """Hands no more tasks to an endpoint; idle connections get None."""
-        self._endpoints.pop(endpoint_id, None)
+        endpoint = self._endpoints.pop(endpoint_id, None)
+        if endpoint is not None:
+            number = self._numbers[endpoint.pool]
+            pool = self._pools[number]
+            pool.place(endpoint_id, None)
+            pool.members.discard(endpoint_id)
+            if not pool.members:
+                del self._pools[number]
+                self._regroup()
+            self._allocation.set_endpoints(self._endpoints.values())
         for waiter in self._idle.pop(endpoint_id, ()):
             if not waiter.done():
                 waiter.set_result(None)
@@ -62,6 +168,7 @@
             return None
         waiter: _Waiter = asyncio.get_running_loop().create_future()
         self._idle[endpoint_id].append(waiter)
+        self._place(endpoint_id)
         self.match()
         try:
             return await waiter
@@ -70,53 +177,109 @@
             if waiter.done() and not waiter.cancelled():
                 item = waiter.result()
                 if item is not None:
-                    self.release(endpoint_id, item)
+                    self._free(endpoint_id, item)
                     self.submit(item, front=True)
             raise
 
     def release(self, endpoint_id: str, item: items.Item) -> None:
         """Frees the slot that a task used."""
-        self._allocation.release(endpoint_id)
-        self._policy.ended(item.work.kind, item.work.team)
+        self._observe(item.work.kind, self._clock.monotonic() - item.began_at)
+        self._free(endpoint_id, item)
+        self.match()
+
+    def refresh(self) -> None:
+        """Takes new limits and a new configuration into account."""
+        for endpoint_id in self._endpoints:
+            self._place(endpoint_id)
+        self._queue.refresh()
         self.match()
 
     def match(self) -> None:
         """Hands over tasks as long as one fits an idle connection."""
+        if self._allocation.refresh():
+            for endpoint_id in self._endpoints:
+                self._place(endpoint_id)
+            self._queue.refresh()
         while len(self._queue) and self._hand_over_one():
             pass
+        self._changed()
 
     def _hand_over_one(self) -> bool:
-        for lane in self._policy.order(self._queue.lanes):
-            endpoint = self._best_endpoint(lane)
-            if endpoint is None:
-                continue
-            item = self._queue.pop(lane)
-            if item is None:
-                return True
-            waiter = self._next_waiter(endpoint.id)
-            if waiter is None:
-                self._queue.push(item, front=True)
-                continue
-            self._allocation.acquire(endpoint.id)
-            self._policy.began(lane.kind, lane.team)
-            waiter.set_result(item)
+        if not any(pool.available for pool in self._order):
+            return False
+        now = self._clock.monotonic()
+        chosen = self._policy.choose(
+            self._queue, self._available, now=now, pools=len(self._pools)
+        )
+        if chosen is None:
+            return False
+        lane, team = chosen
+        endpoint_id = next(
+            pool.least_used()
+            for pool in self._order
+            if pool.available and self._numbers[pool.sample.pool] in lane.fit
+        )
+        waiter = self._next_waiter(endpoint_id)
+        if waiter is None:
+            self._place(endpoint_id)
             return True
-        return False
-
-    def _best_endpoint(self, lane: queues.Lane) -> endpoints.Endpoint | None:
-        best = None
-        best_used = 0
-        for endpoint in self._endpoints.values():
-            if not self._idle[endpoint.id]:
-                continue
-            if not self._allocation.has_free(endpoint):
-                continue
-            if not endpoint.accepts(lane.kind, lane.need):
-                continue
-            used = self._allocation.used(endpoint.id)
-            if best is None or used < best_used:
-                best, best_used = endpoint, used
-        return best
+        item = self._queue.pop(lane, team, now=now)
+        item.began_at = now
+        self._allocation.acquire(endpoint_id)
+        self._policy.began(lane.kind, team, item.need)
+        self._queue.offer(team)
+        self._place(endpoint_id)
+        waiter.set_result(item)
+        return True
+
+    def _free(self, endpoint_id: str, item: items.Item) -> None:
+        self._allocation.release(endpoint_id)
+        self._policy.ended(item.work.kind, item.work.team, item.need)
+        self._queue.offer(item.work.team)
+        self._place(endpoint_id)
+
+    def _available(self, lane: queues.Lane) -> bool:
+        pools = self._pools
+        return any(pools[number].available for number in lane.fit)
+
+    def _place(self, endpoint_id: str) -> None:
+        """Updates the place of an endpoint in its pool."""
+        endpoint = self._endpoints.get(endpoint_id)
+        if endpoint is None:
+            return
+        takes = self._idle[endpoint_id] and self._allocation.has_free(endpoint)
+        self._pools[self._numbers[endpoint.pool]].place(
+            endpoint_id, self._allocation.used(endpoint_id) if takes else None
+        )
+
+    def _regroup(self) -> None:
+        """Sorts tasks into lanes again; the least capable pools go first.
+
+        A task that fits everywhere should leave scarce resources to others.
+        """
+        self._fits.clear()
+        self._order = sorted(
+            self._pools.values(),
+            key=lambda pool: (
+                not pool.sample.kinds,
+                pool.sample.offer.accelerators,
+                pool.sample.offer.memory_mb,
+                pool.sample.offer.cores,
+            ),
+        )
+        self._queue.regroup(self._fit)
+
+    def _fit(self, kind: str, need: needs.Need) -> frozenset[int]:
+        fit = self._fits.get((kind, need))
+        if fit is None:
+            if len(self._fits) >= _MAX_KNOWN_FITS:
+                self._fits.clear()
+            fit = self._fits[kind, need] = frozenset(
+                number
+                for number, pool in self._pools.items()
+                if pool.sample.accepts(kind, need)
+            )
+        return fit
 
     def _next_waiter(self, endpoint_id: str) -> _Waiter | None:
         waiters = self._idle[endpoint_id]
--- /dev/null
+++ b/sesameroad/scheduling/steward.py
@@ -0,0 +1,484 @@
+"""The steward: divides the slots of a data centre among its entries."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import math
+
+from sesameroad.configuration import document
+from sesameroad.model import demand as demands
+from sesameroad.model import endpoint as endpoints
+from sesameroad.model import need as needs
+from sesameroad.scheduling import division
+from sesameroad.scheduling import rank
+
+VALID_S = 1.5
+# Renewals leave room for four lost in a row before an allocation expires.
+RENEW_S = 0.3
+# Demand of the recent past decides who gets spare slots, so that an entry with
+# bursts finds some free without a message.
+_PEAK_DECAY_S = 1.0
+
+_ENDPOINTS, _TEAMS, _KINDS = range(3)
+_Limits = tuple[dict[str, int], dict[str, int], dict[str, int]]
+
+
+def _no_limits() -> _Limits:
+    return ({}, {}, {})
+
+
+@dataclasses.dataclass(slots=True)
+class View:
+    """What the steward knows of one entry.
+
+    Attributes:
+        place: Place of the entry in the order of rank.
+        session: Session that the entry has opened, 0 if none.
+        number: Number of the last report.
+        reported_at: Monotonic seconds of the last report.
+        sent_at: Monotonic seconds of the last allocation.
+        epoch: Epoch of the last allocation sent.
+        lanes: Demand by kind, team and need.
+        held: What the entry holds by its reports: endpoints, teams, kinds.
+        pending: Limits sent and not yet confirmed, by epoch.
+        sent: Limits last sent: endpoints, teams, kinds.
+        pools: Slots of each pool last sent.
+        guarantees: Guaranteed slots last sent.
+        peak: Recent highest demand.
+    """
+
+    place: int
+    session: int = 0
+    number: int = 0
+    reported_at: float = -math.inf
+    sent_at: float = -math.inf
+    epoch: int = 0
+    lanes: dict[tuple[str, str, needs.Need], demands.LaneDemand] = (
+        dataclasses.field(default_factory=dict)
+    )
+    held: _Limits = dataclasses.field(default_factory=_no_limits)
+    pending: list[tuple[int, _Limits]] = dataclasses.field(default_factory=list)
+    sent: _Limits = dataclasses.field(default_factory=_no_limits)
+    pools: dict[str, int] = dataclasses.field(default_factory=dict)
+    guarantees: dict[str, int] = dataclasses.field(default_factory=dict)
+    peak: float = 0.0
+
+    @property
+    def wants(self) -> int:
+        """Slots that the entry could use now."""
+        return sum(
+            lane.running + lane.queued
+            for (kind, _, _), lane in self.lanes.items()
+            if kind
+        )
+
+
+class Steward:
+    """Soft state of the steward, rebuilt from reports after a change.
+
+    A slot, or a part of a quota, counts as held by an entry until a report of
+    that entry says otherwise; only what nobody holds is granted.
+    """
+
+    __slots__ = (
+        "_began_at",
+        "_decided_at",
+        "_document",
+        "_endpoints",
+        "_members",
+        "_pools",
+        "_views",
+    )
+
+    def __init__(self, *, now: float) -> None:
+        self._began_at = now
+        self._decided_at = now
+        self._document = document.Document()
+        self._endpoints: dict[str, endpoints.Endpoint] = {}
+        self._pools: dict[str, list[endpoints.Endpoint]] = {}
+        self._members: tuple[str, ...] = ()
+        self._views: dict[str, View] = {}
+
+    def configure(
+        self,
+        *,
+        content: document.Document,
+        live: Iterable[endpoints.Endpoint],
+        members: Iterable[str],
+        reachable: Iterable[str],
+    ) -> None:
+        """Sets what there is to divide, and among whom.
+
+        Args:
+            content: The configuration in force.
+            live: Endpoints that get new work.
+            members: Entries of the data centre in the order of rank. Those that
+                are not reachable keep their fixed part of quotas.
+            reachable: Entries that reports can come from.
+        """
+        self._document = content
+        self._endpoints = {endpoint.id: endpoint for endpoint in live}
+        self._pools = {}
+        for endpoint in self._endpoints.values():
+            self._pools.setdefault(endpoint.pool, []).append(endpoint)
+        self._members = tuple(members)
+        wanted = set(reachable)
+        places = {entry: n for n, entry in enumerate(self._members)}
+        self._views = {
+            entry: self._views.get(entry, View(places[entry]))
+            for entry in self._members
+            if entry in wanted
+        }
+        for entry, view in self._views.items():
+            view.place = places[entry]
+
+    def receive(
+        self, entry: str, report: demands.Demand, *, now: float
+    ) -> demands.Allocation | None:
+        """Takes a report; returns a message if a whole report is needed."""
+        view = self._views.get(entry)
+        if view is None:
+            return None
+        if report.number == 1:
+            view = self._views[entry] = View(
+                view.place,
+                session=report.session,
+                peak=view.peak,
+            )
+        elif report.session != view.session or report.number != view.number + 1:
+            return demands.Allocation(
+                0, (), (), (), 0, session=report.session, restart=True
+            )
+        view.number = report.number
+        view.reported_at = now
+        for lane in report.lanes:
+            name = (lane.kind, lane.team, lane.need)
+            if lane.running or lane.queued:
+                view.lanes[name] = lane
+            else:
+                view.lanes.pop(name, None)
+        for held, counts in zip(
+            view.held, (report.held, report.teams, report.kinds), strict=True
+        ):
+            held.update((count.name, count.count) for count in counts)
+        view.pending = [p for p in view.pending if p[0] > report.epoch]
+        return None
+
+    def decide(self, *, now: float) -> dict[str, demands.Allocation]:
+        """Returns the allocations to send now."""
+        waited = now - self._began_at >= VALID_S
+        if not waited and any(
+            not view.session for view in self._views.values()
+        ):
+            # Until all have reported or their old allocations have expired, it
+            # is not known what is free.
+            return {}
+        active = {
+            entry: view
+            for entry, view in self._views.items()
+            if view.session and now - view.reported_at < VALID_S
+        }
+        decay = math.exp((self._decided_at - now) / _PEAK_DECAY_S)
+        self._decided_at = now
+        for view in active.values():
+            view.peak = max(view.wants, view.peak * decay)
+        targets, guarantees = self._targets(active)
+        raised = self._raise_endpoints(active, targets, now)
+        operations = self._document.operations
+        teams = self._divide_quotas(active, _TEAMS, operations.team_quotas, now)
+        kinds = self._divide_quotas(
+            active, _KINDS, operations.kind_ceilings, now
+        )
+        messages = {}
+        for entry, view in active.items():
+            limits = (raised[entry], teams[entry], kinds[entry])
+            pools = _changed(view.pools, targets[entry])
+            sure = _changed(view.guarantees, guarantees[entry])
+            urgent = any(limits) or pools
+            if not urgent and now - view.sent_at < RENEW_S:
+                continue
+            view.epoch += 1
+            view.sent_at = now
+            view.pools.update(pools)
+            view.guarantees.update(sure)
+            if any(limits):
+                view.pending.append((view.epoch, limits))
+            messages[entry] = demands.Allocation(
+                view.epoch,
+                *(_counts(limits[n]) for n in (_ENDPOINTS, _KINDS, _TEAMS)),
+                valid_ms=int(VALID_S * 1_000),
+                guarantees=_counts(sure),
+                pools=_counts(pools),
+                session=view.session,
+            )
+        return messages
+
+    def _targets(
+        self, active: Mapping[str, View]
+    ) -> tuple[dict[str, dict[str, int]], dict[str, dict[str, int]]]:
+        """Returns slots by entry and pool, and guarantees by entry and kind."""
+        kinds = self._document.product.kinds
+        ceilings = self._document.operations.kind_ceilings
+        capacity = sum(e.slots for e in self._endpoints.values())
+        wants: dict[str, float] = collections.defaultdict(float)
+        for view in active.values():
+            for (kind, _, _), lane in view.lanes.items():
+                if kind:
+                    wants[kind] += lane.running + lane.queued
+        capped = {
+            kind: min(want, ceilings.get(kind, math.inf))
+            for kind, want in wants.items()
+        }
+        shares = {name: kind.share for name, kind in kinds.items()}
+        given = division.kind_slots(
+            capacity,
+            capped,
+            shares,
+            {name: kind.urgency for name, kind in kinds.items()},
+        )
+        weights = sum(shares.values()) or 1.0
+        amounts: dict[tuple[str, str, needs.Need], float] = {}
+        guarantees: dict[str, dict[str, int]] = {}
+        for entry, view in active.items():
+            own: dict[str, float] = collections.defaultdict(float)
+            for (kind, _, need), lane in view.lanes.items():
+                if kind:
+                    want = lane.running + lane.queued
+                    amounts[entry, kind, need] = (
+                        given[kind] * want / wants[kind]
+                    )
+                    own[kind] += want
+            guarantees[entry] = {
+                kind: math.ceil(
+                    capacity
+                    * share
+                    / weights
+                    * (
+                        own[kind] / wants[kind]
+                        if wants.get(kind)
+                        else 1 / len(active)
+                    )
+                )
+                for kind, share in shares.items()
+            }
+        return self._fill_pools(active, amounts), guarantees
+
+    def _fill_pools(
+        self,
+        active: Mapping[str, View],
+        amounts: Mapping[tuple[str, str, needs.Need], float],
+    ) -> dict[str, dict[str, int]]:
+        """Places amounts on the pools that accept them, then divides the rest."""
+        left = {
+            name: float(sum(e.slots for e in members))
+            for name, members in self._pools.items()
+        }
+        fits = {
+            (kind, need): [
+                name
+                for name, members in self._pools.items()
+                if members[0].accepts(kind, need)
+            ]
+            for _, kind, need in amounts
+        }
+        wanted: dict[str, dict[str, float]] = {
+            name: dict.fromkeys(active, 0.0) for name in self._pools
+        }
+        # Those with the fewest choices go first.
+        by_choices: dict[
+            tuple[str, ...], dict[tuple[str, str, needs.Need], float]
+        ]
+        by_choices = collections.defaultdict(dict)
+        for unit, amount in amounts.items():
+            by_choices[tuple(fits[unit[1], unit[2]])][unit] = amount
+        for choices in sorted(by_choices, key=len):
+            units = by_choices[choices]
+            total = sum(units.values())
+            room = sum(left[name] for name in choices)
+            if total <= 0 or room <= 0:
+                continue
+            part = min(1.0, room / total)
+            before = {name: left[name] for name in choices}
+            for (entry, _, _), amount in units.items():
+                for name in choices:
+                    more = amount * part * before[name] / room
+                    wanted[name][entry] += more
+                    left[name] -= more
+        spare = {
+            entry: math.sqrt(view.peak + 1.0) for entry, view in active.items()
+        }
+        whole = sum(spare.values())
+        targets: dict[str, dict[str, int]] = {entry: {} for entry in active}
+        for name, members in self._pools.items():
+            slots = sum(e.slots for e in members)
+            shares = {
+                entry: amount + max(0.0, left[name]) * spare[entry] / whole
+                for entry, amount in wanted[name].items()
+            }
+            for entry, count in division.apportion(slots, shares).items():
+                targets[entry][name] = count
+        return targets
+
+    def _raise_endpoints(
+        self,
+        active: Mapping[str, View],
+        targets: Mapping[str, Mapping[str, int]],
+        now: float,
+    ) -> dict[str, dict[str, int]]:
+        """Grants free slots to entries that hold fewer than their target."""
+        held = {
+            entry: self._held(view, _ENDPOINTS, now)
+            for entry, view in self._views.items()
+        }
+        raised: dict[str, dict[str, int]] = {entry: {} for entry in active}
+        for name, members in self._pools.items():
+            free = {
+                e.id: e.slots - sum(h[e.id] for h in held.values())
+                for e in members
+            }
+            lacking = {
+                entry: (
+                    targets[entry][name]
+                    - sum(held[entry][e.id] for e in members)
+                )
+                for entry in active
+            }
+            lacking = {e: count for e, count in lacking.items() if count > 0}
+            available = sum(count for count in free.values() if count > 0)
+            if not available or not lacking:
+                continue
+            portion = min(1.0, available / sum(lacking.values()))
+            counts = division.apportion(
+                available,
+                {entry: count * portion for entry, count in lacking.items()},
+            )
+            for entry, count in counts.items():
+                own = held[entry]
+                for _ in range(count):
+                    best = max(free, key=lambda e: (free[e], -own[e]))  # noqa: B023
+                    if free[best] <= 0:
+                        break
+                    free[best] -= 1
+                    own[best] += 1
+                    raised[entry][best] = own[best]
+        return raised
+
+    def _divide_quotas(
+        self,
+        active: Mapping[str, View],
+        resource: int,
+        capacities: Mapping[str, int],
+        now: float,
+    ) -> dict[str, dict[str, int]]:
+        """Returns changed limits of teams or kinds whose fixed part is short."""
+        wants: dict[str, dict[str, int]] = collections.defaultdict(dict)
+        for entry, view in active.items():
+            for (kind, team, _), lane in view.lanes.items():
+                name = team if resource == _TEAMS else kind
+                if name in capacities and bool(kind) == (resource == _KINDS):
+                    wants[name][entry] = (
+                        wants[name].get(entry, 0) + lane.running + lane.queued
+                    )
+        changed: dict[str, dict[str, int]] = {entry: {} for entry in active}
+        for name, by_entry in wants.items():
+            capacity = capacities[name]
+            held = {
+                entry: self._quota_held(view, resource, name, now)
+                for entry, view in self._views.items()
+            }
+            absent = sum(
+                rank.part(
+                    name, capacity, entries=len(self._members), place=place
+                )
+                for place, entry in enumerate(self._members)
+                if entry not in self._views
+            )
+            if all(by_entry.get(e, 0) <= held[e] for e in active):
+                continue
+            silent = sum(held[e] for e in self._views if e not in active)
+            targets = _quota_targets(
+                max(0, capacity - absent - silent),
+                {entry: by_entry.get(entry, 0) for entry in active},
+            )
+            free = capacity - absent - sum(held.values())
+            for entry, target in sorted(
+                targets.items(), key=lambda pair: pair[1] - held[pair[0]]
+            ):
+                grant = min(target, held[entry] + max(0, free))
+                free -= max(0, grant - held[entry])
+                sent = active[entry].sent[resource]
+                if grant != sent.get(name, held[entry]):
+                    changed[entry][name] = grant
+                    sent[name] = grant
+        return changed
+
+    def _held(
+        self, view: View, resource: int, now: float
+    ) -> collections.Counter[str]:
+        """Returns what an entry may be using of the endpoints."""
+        if not view.session or now - view.reported_at >= VALID_S:
+            return collections.Counter(
+                {
+                    name: max(1, self._part(name, endpoint.slots, view.place))
+                    for name, endpoint in self._endpoints.items()
+                }
+            )
+        held = collections.Counter(view.held[resource])
+        for name, endpoint in self._endpoints.items():
+            if name not in held:
+                held[name] = max(
+                    1, self._part(name, endpoint.slots, view.place)
+                )
+        for _, limits in view.pending:
+            for name, count in limits[resource].items():
+                held[name] = max(held[name], count)
+        return held
+
+    def _quota_held(
+        self, view: View, resource: int, name: str, now: float
+    ) -> int:
+        operations = self._document.operations
+        capacities = (
+            operations.team_quotas
+            if resource == _TEAMS
+            else operations.kind_ceilings
+        )
+        part = self._part(name, capacities.get(name, 0), view.place)
+        if not view.session or now - view.reported_at >= VALID_S:
+            return part
+        return max(
+            view.held[resource].get(name, part),
+            *(limits[resource].get(name, 0) for _, limits in view.pending),
+            0,
+        )
+
+    def _part(self, name: str, capacity: int, place: int) -> int:
+        return rank.part(
+            name, capacity, entries=len(self._members), place=place
+        )
+
+
+def _quota_targets(capacity: int, wants: Mapping[str, int]) -> dict[str, int]:
+    """Divides a quota: in proportion to demand, what is over in equal parts."""
+    total = sum(wants.values())
+    portion = min(1.0, capacity / total) if total else 0.0
+    over = max(0, capacity - total) / len(wants)
+    return division.apportion(
+        capacity,
+        {entry: want * portion + over for entry, want in wants.items()},
+    )
+
+
+def _changed(
+    known: Mapping[str, int], new: Mapping[str, int]
+) -> dict[str, int]:
+    return {
+        name: count for name, count in new.items() if known.get(name) != count
+    }
+
+
+def _counts(limits: Mapping[str, int]) -> tuple[demands.SlotCount, ...]:
+    return tuple(
+        demands.SlotCount(name, count) for name, count in limits.items()
+    )
