Round guaranteed slots so that each kind keeps its share

Cause: the steward rounded every guarantee up, so that the guarantees of an entry exceeded its slots and the least urgent kind lost the difference.

Change: guarantees are rounded by largest remainder, with the rest carried to the next entry. The benchmark now offers 1.2 times the share when it measures what is kept.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -194,23 +194,16 @@
 
 
 def _flood(seconds: float) -> None:
-    """Floods with one kind while the others want just their shares."""
-    content = _content(quota=_SLOTS)
+    """Floods with one kind while the others want a part or all of their shares.
+
+    The kept part is measured with demand above the share, response time with
+    demand below it.
+    """
+    content = _content()
     weights = sum(kind.share for kind in KINDS.values())
+    span = {"since": _WARM_UP_S, "until": seconds}
     for flooding in ("batch", "urgent"):
         others = [kind for kind in KINDS if kind != flooding]
-        # The others arrive at 95% of their shares, evenly over time, so that a
-        # missing part is the scheduler's and not the trace's.
-        base = [
-            trace(
-                _SEED + 2 + n,
-                load=0.95 * KINDS[kind].share / weights,
-                seconds=seconds,
-                kinds=(kind,),
-                patience_s=10.0,
-            )
-            for n, kind in enumerate(others)
-        ]
         flood = trace(
             _SEED + 9,
             load=10.0,
@@ -219,36 +212,55 @@
             patience_s=10.0,
             entry_weights=(1, 1, 4),
         )
-        quiet = policy_fleet.play(merged(*base), content=content, live=LIVE)
-        both = merged(*base, flood)
-        runs = {
-            variant.value: (
-                policy_fleet.play(
+        served = {}
+        for part in (0.9, 1.2):
+            base = merged(
+                *(
+                    trace(
+                        _SEED + 2 + n,
+                        load=part * KINDS[kind].share / weights,
+                        seconds=seconds,
+                        kinds=(kind,),
+                        patience_s=10.0,
+                    )
+                    for n, kind in enumerate(others)
+                )
+            )
+            both = merged(base, flood)
+            served["quiet", part] = policy_fleet.play(
+                base, content=content, live=LIVE
+            ).served
+            served["first come", part] = policy_baseline.central(
+                both, slots=_SLOTS
+            )
+            for variant in policy_fleet.Variant:
+                served[variant.value, part] = policy_fleet.play(
                     both, content=content, live=LIVE, variant=variant
                 ).served
-            )
-            for variant in policy_fleet.Variant
-        }
-        runs["first come"] = policy_baseline.central(both, slots=_SLOTS)
-        for name, served in runs.items():
+        for name in (*(v.value for v in policy_fleet.Variant), "first come"):
             kept = []
             for kind in others:
-
-                def wanted(a: Arrival, kind: str = kind) -> bool:
-                    return a.kind == kind
-
-                span = {"since": _WARM_UP_S, "until": seconds}
-                before = slots_used(quiet.served, wanted, **span)
-                after = slots_used(served, wanted, **span)
-                slow = percentile(responses(served, wanted), 0.99) / percentile(
-                    responses(quiet.served, wanted), 0.99
-                )
+                wanted = _of_kind(kind)
+                share = _SLOTS * KINDS[kind].share / weights
+                used = slots_used(served[name, 1.2], wanted, **span)
+                slow = percentile(
+                    responses(served[name, 0.9], wanted), 0.99
+                ) / percentile(responses(served["quiet", 0.9], wanted), 0.99)
                 kept.append(
-                    f"{kind} keeps {after / before:.1%}, p99 x{slow:.2f}"
+                    f"{kind} keeps {used / share:.1%} of its share,"
+                    f" p99 x{slow:.2f}"
                 )
             print(f"flood of {flooding}, {name}: {'; '.join(kept)}")
 
 
+def _of_kind(kind: str) -> Callable[[Arrival], bool]:
+    return lambda arrival: arrival.kind == kind
+
+
+def _of_team(team: str) -> Callable[[Arrival], bool]:
+    return lambda arrival: arrival.team == team
+
+
 def _team_flood(seconds: float) -> None:
     """Floods with one team while the others want most of their quotas."""
     content = _content(quota=_SLOTS // 3)
@@ -278,10 +290,7 @@
         )
         kept = []
         for team in TEAMS[1:]:
-
-            def wanted(a: Arrival, team: str = team) -> bool:
-                return a.team == team
-
+            wanted = _of_team(team)
             span = {"since": _WARM_UP_S, "until": seconds}
             part = slots_used(report.served, wanted, **span) / slots_used(
                 quiet.served, wanted, **span
--- a/sesameroad/scheduling/steward.py
+++ b/sesameroad/scheduling/steward.py
@@ -237,32 +237,22 @@
             shares,
             {name: kind.urgency for name, kind in kinds.items()},
         )
-        weights = sum(shares.values()) or 1.0
         amounts: dict[tuple[str, str, needs.Need], float] = {}
-        guarantees: dict[str, dict[str, int]] = {}
+        own: dict[str, dict[str, float]] = {}
         for entry, view in active.items():
-            own: dict[str, float] = collections.defaultdict(float)
+            own[entry] = collections.defaultdict(float)
             for (kind, _, need), lane in view.lanes.items():
                 if kind:
                     want = lane.running + lane.queued
                     amounts[entry, kind, need] = (
                         given[kind] * want / wants[kind]
                     )
-                    own[kind] += want
-            guarantees[entry] = {
-                kind: math.ceil(
-                    capacity
-                    * share
-                    / weights
-                    * (
-                        own[kind] / wants[kind]
-                        if wants.get(kind)
-                        else 1 / len(active)
-                    )
-                )
-                for kind, share in shares.items()
-            }
-        return self._fill_pools(active, amounts), guarantees
+                    own[entry][kind] += want
+        weights = sum(shares.values()) or 1.0
+        sure = {
+            kind: capacity * share / weights for kind, share in shares.items()
+        }
+        return self._fill_pools(active, amounts), _guarantees(own, wants, sure)
 
     def _fill_pools(
         self,
@@ -459,6 +449,41 @@
         )
 
 
+def _guarantees(
+    own: Mapping[str, Mapping[str, float]],
+    wants: Mapping[str, float],
+    sure: Mapping[str, float],
+) -> dict[str, dict[str, int]]:
+    """Divides the guaranteed slots of each kind among entries.
+
+    What kinds can use now is rounded so that the guarantees fit into the slots
+    of an entry and those of a kind add up: if each were rounded up, the least
+    urgent kind would lose what the others have too much. What a kind cannot use
+    yet is added on top, for tasks that arrive before the next allocation.
+
+    Args:
+        own: Wanted slots by entry and kind.
+        wants: Wanted slots by kind.
+        sure: Guaranteed slots by kind.
+    """
+    carry = dict.fromkeys(sure, 0.0)
+    guarantees = {}
+    for entry, by_kind in own.items():
+        exact = {}
+        unused = {}
+        for kind, count in sure.items():
+            want = wants.get(kind, 0.0)
+            part = by_kind.get(kind, 0.0) / want if want else 1 / len(own)
+            exact[kind] = max(0.0, min(want, count) * part + carry[kind])
+            unused[kind] = math.ceil(max(0.0, count - want) * part)
+        total = math.ceil(sum(exact.values()))
+        whole = division.apportion(total, exact)
+        for kind in sure:
+            carry[kind] = exact[kind] - whole[kind]
+        guarantees[entry] = {kind: whole[kind] + unused[kind] for kind in sure}
+    return guarantees
+
+
 def _quota_targets(capacity: int, wants: Mapping[str, int]) -> dict[str, int]:
     """Divides a quota: in proportion to demand, what is over in equal parts."""
     total = sum(wants.values())
