--- a/sesameroad/scheduling/steward.py
+++ b/sesameroad/scheduling/steward.py
@@ -179,18 +179,20 @@
 
     def decide(self, *, now: float) -> dict[str, demands.Allocation]:
         """Returns the allocations to send now."""
-        waited = now - self._began_at >= VALID_S
-        if not waited and any(
-            not view.session for view in self._views.values()
-        ):
-            # Until all have reported or their old allocations have expired, it
-            # is not known what is free.
-            return {}
+        for entry, view in tuple(self._views.items()):
+            if view.lost_at is not None and now - view.lost_at >= _LOST_QUOTA_S:
+                del self._views[entry]
         active = {
             entry: view
             for entry, view in self._views.items()
-            if view.session and now - view.reported_at < VALID_S
+            if view.lost_at is None
+            and view.session
+            and now - view.reported_at < VALID_S
         }
+        if now - self._began_at < VALID_S and len(active) < len(self._members):
+            # What an entry that has not reported holds of the previous
+            # steward's allocation is not known before that has expired.
+            return self._renewals(active, now)
         decay = math.exp((self._decided_at - now) / _PEAK_DECAY_S)
         self._decided_at = now
         for view in active.values():
