--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -138,6 +138,21 @@
     return used / (until - since)
 
 
+def _traffic(report: policy_fleet.Report) -> list[int]:
+    """Returns bytes of encoded messages by entry and second."""
+    return [
+        round(count / report.seconds)
+        for _, count in sorted(report.message_bytes.items())
+    ]
+
+
+def _idle(seconds: float) -> None:
+    """Measures the traffic of entries that have one request in all."""
+    last = Arrival(seconds, 0, "urgent", TEAMS[0], 0.1)
+    report = policy_fleet.play([last], content=_content(), live=LIVE)
+    print(f"idle: bytes/s sent by each entry {_traffic(report)}")
+
+
 def _load(seconds: float) -> None:
     content = _content()
     for load in (0.5, 0.8, 0.95):
@@ -157,10 +172,6 @@
                     _by_arrival(report.served), _by_arrival(served), strict=True
                 )
             ]
-            traffic = [
-                round(count / report.seconds)
-                for _, count in sorted(report.message_bytes.items())
-            ]
             print(
                 f"load {load:.0%}, {variant.value}: response over ideal"
                 f" median {percentile(own, 0.5) / percentile(ideal, 0.5):.3f}"
@@ -168,7 +179,7 @@
                 " request by request median"
                 f" {percentile(each, 0.5):.3f} p99 {percentile(each, 0.99):.3f};"
                 f" wasted {report.wasted / report.sends:.2%};"
-                f" bytes/s sent by each entry {traffic}"
+                f" bytes/s sent by each entry {_traffic(report)}"
             )
 
 
@@ -189,7 +200,8 @@
             print(
                 f"twice the capacity, deadline {patience_s:.0f} s,"
                 f" {variant.value}: wasted {report.wasted / report.sends:.2%},"
-                f" slots in useful work {used / _SLOTS:.1%}"
+                f" slots in useful work {used / _SLOTS:.1%};"
+                f" bytes/s sent by each entry {_traffic(report)}"
             )
 
 
@@ -358,6 +370,7 @@
 
 def main(seconds: float = 40.0) -> None:
     """Runs all parts; the seeds are fixed."""
+    _idle(seconds)
     _load(seconds)
     _overload(seconds)
     _flood(seconds)
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,87 @@
+"""Load shedding."""
+
+import asyncio
+import unittest
+
+from sesameroad.configuration import document
+from sesameroad.model import endpoint as endpoints
+from sesameroad.model import outcome as outcomes
+from sesameroad.model import work as works
+from sesameroad.ownership import ledger as ledgers
+from sesameroad.scheduling import admission as admissions
+from sesameroad.scheduling import allocation as allocations
+from sesameroad.scheduling import item as items
+from sesameroad.scheduling import policy as policies
+from sesameroad.scheduling import queue as queues
+
+_CONTENT = document.Document(
+    product=document.Product(
+        kinds={"call": document.Kind(0), "job": document.Kind(1)}
+    ),
+    operations=document.Operations(
+        team_quotas={"red": 50, "blue": 50, "none": 0},
+        kind_ceilings={"job": 50},
+    ),
+)
+_LATER_MS = 10**9
+
+
+class AdmissionTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a flood that fills the queue for others."""
+
+    def setUp(self):
+        allocation = allocations.Allocation()
+        allocation.set_endpoints([endpoints.Endpoint("e0", "", "dc1")])
+        self.queue = queues.Queue()
+        self.admission = admissions.Admission(
+            _CONTENT,
+            max_queued=100,
+            queue=self.queue,
+            policy=policies.Policy(_CONTENT, allocation=allocation),
+            allocation=allocation,
+        )
+
+    def _work(self, kind="call", team="red", deadline_ms=_LATER_MS):
+        return works.Request("k", team, kind, deadline_ms, works.Task(b""))
+
+    def _refusal(self, **fields):
+        return self.admission.refusal(self._work(**fields), now_ms=0)
+
+    def _flood(self, kind, teams, count=200):
+        for number in range(count):
+            work = self._work(kind, teams[number % len(teams)])
+            if self.admission.refusal(work, now_ms=0) is None:
+                done = asyncio.get_running_loop().create_future()
+                record = ledgers.Record(work, "", 0, set(), {}, done)
+                self.queue.push(items.Item(record, 0, 0.0), now=0.0)
+
+    async def test_flood_of_a_kind_leaves_room_for_the_other(self):
+        self._flood("job", ["red", "blue"])
+        self.assertIsNotNone(self._refusal(kind="job"))
+        self.assertIsNone(self._refusal(kind="call"))
+
+    async def test_flood_of_a_team_leaves_room_for_the_other(self):
+        self._flood("job", ["red"])
+        refusal = self._refusal(kind="job", team="red")
+        self.assertEqual(refusal.cause, outcomes.Cause.TEAM_QUOTA)
+        self.assertIsNone(self._refusal(kind="job", team="blue"))
+
+    async def test_work_that_would_start_too_late_is_refused(self):
+        for _ in range(20):
+            self.admission.observe("call", 1.0)
+        self._flood("call", ["red", "blue"], count=40)
+        refusal = self._refusal(deadline_ms=2_000)
+        self.assertEqual(refusal.cause, outcomes.Cause.DEADLINE)
+        self.assertIsNone(self._refusal(deadline_ms=60_000))
+
+    async def test_team_without_quota_is_refused_with_its_cause(self):
+        refusal = self._refusal(team="none")
+        self.assertEqual(refusal.cause, outcomes.Cause.TEAM_QUOTA)
+
+    async def test_task_past_its_deadline_is_late(self):
+        """A task that queued until then must not be sent."""
+        work = self._work(deadline_ms=1_000)
+        done = asyncio.get_running_loop().create_future()
+        item = items.Item(ledgers.Record(work, "", 0, set(), {}, done), 0, 0.0)
+        self.assertTrue(self.admission.is_late(item, now=2.0, now_ms=2_000))
+        self.assertFalse(self.admission.is_late(item, now=0.1, now_ms=100))
--- a/tests/test_matcher.py
+++ b/tests/test_matcher.py
@@ -76,7 +76,7 @@
     st.tuples(
         st.sampled_from(
             ["submit", "submit", "take", "take", "cancel take", "withdraw"]
-            + ["release", "close", "open", "turn"]
+            + ["release", "close", "open", "turn", "cancel handed"]
         ),
         st.integers(0, 30),
     ),
@@ -110,6 +110,13 @@
                         )
                     case "cancel take" if takes:
                         takes[n % len(takes)].cancel()
+                    case "cancel handed":
+                        takes.append(
+                            asyncio.create_task(bench.take(endpoint_id))
+                        )
+                        await asyncio.sleep(0)
+                        bench.submit("call", "blue")
+                        takes[-1].cancel()
                     case "withdraw" if bench.submitted:
                         item = bench.submitted[n % len(bench.submitted)]
                         bench.matcher.withdraw([item])
@@ -187,3 +194,24 @@
 
         served = self._served(prepare)
         self.assertEqual({work.team for work in served}, {"blue", "red"})
+
+    def test_task_that_fits_few_endpoints_is_not_starved(self):
+        """Its kind has its share elsewhere, and urgent work always waits."""
+
+        async def main():
+            bench = Bench()
+            for endpoint in _LIVE.values():
+                bench.matcher.open(endpoint)
+            for _ in range(2):
+                bench.submit("job", "blue")
+                await bench.take("plain")
+            for _ in range(50):
+                bench.submit("call", "blue")
+            bench.submit("job", "blue", _GPU)
+            await bench.take("gpu")
+            self.assertEqual(bench.handed[-1].work.kind, "call")
+            await asyncio.sleep(3.0)
+            await bench.take("gpu")
+            self.assertEqual(bench.handed[-1].need, _GPU)
+
+        policy_loop.run(main())
