Report the demand of a team under a divided quota in steps

Cause: with 320 teams whose quotas are small, the demand of a divided team changes with each task and fills the reports.

Change: demand below the limit is reported in steps of half the limit.

--- a/sesameroad/scheduling/sharing.py
+++ b/sesameroad/scheduling/sharing.py
@@ -277,13 +277,20 @@
                 min(capacity, queued.get((kind, need), 0)),
                 need,
             )
-        for team in wants.keys() | allocation.divided_teams:
-            used = allocation.team_used(team)
-            want = min(allocation.quota(team), used + wants.get(team, 0))
-            if want and (
-                want > allocation.team_limit(team)
-                or team in allocation.divided_teams
-            ):
+        divided = allocation.divided_teams
+        for team in wants.keys() | divided:
+            limit = allocation.team_limit(team)
+            want = min(
+                allocation.quota(team),
+                allocation.team_used(team) + wants.get(team, 0),
+            )
+            if want <= limit:
+                if team not in divided:
+                    continue
+                # Reported only in steps of half the limit, because the demand
+                # of many teams changes with each task.
+                want = limit if want * 2 > limit else (limit + 1) // 2
+            if want:
                 lanes["", team, needs.Need()] = demands.LaneDemand(
                     "", team, 0, want
                 )
