Flood the queue with many teams in the test of kinds

With two teams the bound of each team kept the queue from filling, so that the test passed without the part reserved for other kinds. With 100 teams it fails when nothing is reserved, and passes with half of the queue reserved.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -19,7 +19,8 @@
         kinds={"call": document.Kind(0), "job": document.Kind(1)}
     ),
     operations=document.Operations(
-        team_quotas={"red": 50, "blue": 50, "none": 0},
+        team_quotas={"red": 50, "blue": 50, "none": 0}
+        | {f"team{n}": 50 for n in range(100)},
         kind_ceilings={"job": 50},
     ),
 )
@@ -56,7 +57,8 @@
                 self.queue.push(items.Item(record, 0, 0.0), now=0.0)
 
     async def test_flood_of_a_kind_leaves_room_for_the_other(self):
-        self._flood("job", ["red", "blue"])
+        # So many teams that the bound of a team alone does not stop them.
+        self._flood("job", [f"team{n}" for n in range(100)])
         self.assertIsNotNone(self._refusal(kind="job"))
         self.assertIsNone(self._refusal(kind="call"))
 
