--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -28,12 +28,12 @@
 from sesameroad.routing import health as healths
 from sesameroad.routing import pool as pools
 from sesameroad.routing import result as results
+from sesameroad.scheduling import admission as admissions
 from sesameroad.scheduling import allocation as allocations
 from sesameroad.scheduling import item as items
 from sesameroad.scheduling import matcher as matchers
 from sesameroad.scheduling import policy as policies
 from sesameroad.scheduling import queue as queues
-from sesameroad.settings import settings as settings_module
 
 _SEED = 20_260_101
 _ENDPOINTS = 16
@@ -109,16 +109,24 @@
         operations=document.Operations(team_quotas={"team": 1_000}),
     )
     rank = health.rank if enabled else lambda _endpoint, _item, used: used
+    queue = queues.Queue()
+    allocation = allocations.Allocation(clock)
+    policy = policies.Policy(content, allocation=allocation)
     matcher = matchers.Matcher(
-        queue=queues.Queue(),
-        policy=policies.Policy(content),
-        allocation=allocations.Allocation(),
-        rank=rank,
+        queue=queue, policy=policy, allocation=allocation, rank=rank
     )
+    admission = admissions.Admission(
+        content,
+        max_queued=20_000,
+        queue=queue,
+        policy=policy,
+        allocation=allocation,
+    )
+    matcher.watch(observe=admission.observe)
     dispatcher = dispatchers.Dispatcher(
         ledger=ledger,
         matcher=matcher,
-        limits=settings_module.Limits(),
+        admission=admission,
         clock=clock,
         observe=lambda *_: None,
         budget=budget,
--- a/sesameroad/entry/dispatcher.py
+++ b/sesameroad/entry/dispatcher.py
@@ -14,9 +14,9 @@
 from sesameroad.routing import budget as budgets
 from sesameroad.routing import result as results
 from sesameroad.routing import retry
+from sesameroad.scheduling import admission as admissions
 from sesameroad.scheduling import item as items
 from sesameroad.scheduling import matcher as matchers
-from sesameroad.settings import settings as settings_module
 
 _OVERLOAD_RETRY_S = 1.0
 _ASK_AGAIN_MS = 1_000
@@ -34,10 +34,10 @@
     """Accepts work, queues its tasks and decides its outcome."""
 
     __slots__ = (
+        "_admission",
         "_budget",
         "_clock",
         "_ledger",
-        "_limits",
         "_matcher",
         "_observe",
         "_placements",
@@ -51,7 +51,7 @@
         *,
         ledger: ledgers.Ledger,
         matcher: matchers.Matcher,
-        limits: settings_module.Limits,
+        admission: admissions.Admission,
         clock: clocks.Clock,
         observe: Observe,
         budget: budgets.Budget | None = None,
@@ -61,12 +61,13 @@
         self._budget = budget or budgets.Budget()
         self._ledger = ledger
         self._matcher = matcher
-        self._limits = limits
+        self._admission = admission
         self._clock = clock
         self._observe = observe
         self._queued: dict[str, list[items.Item]] = {}
         self._placements: set[asyncio.Task[None]] = set()
         self._stopping = False
+        matcher.watch(screen=self._screen)
 
     @property
     def in_flight(self) -> int:
@@ -149,9 +150,10 @@
         try:
             self._ledger.check(expiry_ms=expiry_ms, remember=remember)
             refusal = self._refusal(work)
+            delegate = self._may_delegate(work, spilled=spilled)
             if refusal is None and spilled and self._spill is not None:
                 refusal = self._spill.refusal(work)
-            if refusal is not None:
+            if refusal is not None and not delegate:
                 return self._refuse(work, refusal, expiry_ms, remember)
             record = self._ledger.open(
                 work, digest=digest, expiry_ms=expiry_ms, remember=remember
@@ -166,11 +168,11 @@
                 outcomes.Cause.OVERLOAD, str(error), _OVERLOAD_RETRY_S
             )
             return self._refuse(work, refusal, expiry_ms, remember)
-        if self._spill is not None and not spilled and self._spill.wanted(work):
+        if delegate:
             # A graceful stop waits for delegated work as well.
             self._queued[work.key] = [items.Item(record, 0, record.accepted_at)]
             placement = asyncio.create_task(
-                self._place(record, self._spill), name=f"spill {work.key}"
+                self._place(record), name=f"spill {work.key}"
             )
             self._placements.add(placement)
             placement.add_done_callback(self._placements.discard)
@@ -178,15 +180,31 @@
             self._enqueue(record)
         return await self._await_outcome(record, work.deadline_ms)
 
-    async def _place(self, record: ledgers.Record, spill: spills.Spill) -> None:
+    def _may_delegate(self, work: works.Work, *, spilled: bool) -> bool:
+        """Returns whether another data centre is asked before this one.
+
+        Work that this data centre would refuse for lack of time goes there too.
+        """
+        if self._spill is None or spilled or self._stopping:
+            return False
+        return self._spill.wanted(work)
+
+    async def _place(self, record: ledgers.Record) -> None:
         """Delegates work to another data centre, or queues it here."""
-        outcome = await spill.place(record)
+        outcome = None
+        if self._spill is not None:
+            outcome = await self._spill.place(record)
         if record.finished:
             return
+        if outcome is None:
+            # A graceful stop still runs it: the work was accepted before.
+            outcome = self._admission.refusal(
+                record.work, now_ms=self._clock.wall_ms()
+            )
         if outcome is None:
             self._enqueue(record)
         else:
-            self._finish(record, outcome)
+            self._finish(record, self._as_whole(record, outcome))
 
     def _refuse(
         self,
@@ -280,14 +298,21 @@
             return outcomes.NotRun(
                 outcomes.Cause.STOPPING, "this entry is stopping", 0.0
             )
-        if (
-            self._matcher.waiting + len(work.tasks)
-            > self._limits.max_queued_tasks
+        return self._admission.refusal(work, now_ms=self._clock.wall_ms())
+
+    def _screen(self, item: items.Item) -> bool:
+        """Returns whether a task may still be sent; refuses its work if not."""
+        if not self._admission.is_late(
+            item,
+            now=self._clock.monotonic(),
+            now_ms=self._clock.wall_ms(),
         ):
-            return outcomes.NotRun(
-                outcomes.Cause.OVERLOAD, "the queue is full", _OVERLOAD_RETRY_S
-            )
-        return None
+            return True
+        late = outcomes.NotRun(
+            outcomes.Cause.DEADLINE, "no slot in time before the deadline"
+        )
+        self._finish(item.record, self._as_whole(item.record, late))
+        return False
 
     def _enqueue(self, record: ledgers.Record) -> None:
         queued = [
@@ -400,7 +425,6 @@
         work = record.work
         if not self._ledger.finish(record, outcome):
             return
-        for item in self._queued.pop(work.key, ()):
-            item.withdrawn = True
+        self._matcher.withdraw(self._queued.pop(work.key, ()))
         seconds = self._clock.monotonic() - record.accepted_at
         self._observe(work, outcome, seconds)
--- a/sesameroad/entry/entry.py
+++ b/sesameroad/entry/entry.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from sesameroad import errors
 from sesameroad.configuration import store as stores
 from sesameroad.configuration import watcher as configuration_watcher
 from sesameroad.entry import console as consoles
@@ -42,11 +43,13 @@
 from sesameroad.routing import pool as pools
 from sesameroad.routing import result as results
 from sesameroad.routing import sender as senders
+from sesameroad.scheduling import admission as admissions
 from sesameroad.scheduling import allocation as allocations
 from sesameroad.scheduling import item as items
 from sesameroad.scheduling import matcher as matchers
 from sesameroad.scheduling import policy as policies
 from sesameroad.scheduling import queue as queues
+from sesameroad.scheduling import sharing as sharings
 from sesameroad.settings import settings as settings_module
 from sesameroad.telemetry import burn as burns
 from sesameroad.telemetry import log
@@ -87,15 +90,36 @@
         self._handoffs = handoffs.Handoffs(
             objects=object_store.Objects(self._platform), clock=clock
         )
-        self._policy = policies.Policy(self._store.current.document)
-        self._allocation = allocations.Allocation()
+        self._allocation = allocations.Allocation(clock)
+        self._policy = policies.Policy(
+            self._store.current.document, allocation=self._allocation
+        )
+        queue = queues.Queue()
         self._health = healths.Health(clock=clock)
         self._budget = budgets.Budget()
         self._matcher = matchers.Matcher(
-            queue=queues.Queue(),
+            queue=queue,
             policy=self._policy,
             allocation=self._allocation,
             rank=self._health.rank,
+            clock=clock,
+        )
+        self._admission = admissions.Admission(
+            self._store.current.document,
+            max_queued=limits.max_queued_tasks,
+            queue=queue,
+            policy=self._policy,
+            allocation=self._allocation,
+        )
+        self._matcher.watch(observe=self._admission.observe)
+        self._sharing = sharings.Sharing(
+            entry=settings.instance_id,
+            allocation=self._allocation,
+            matcher=self._matcher,
+            policy=self._policy,
+            queue=queue,
+            clock=clock,
+            send=self._send_to_neighbour,
         )
         self._mesh = meshes.Mesh(
             hello=messages.Hello(
@@ -113,7 +137,7 @@
             ledger=self._ledger,
             mesh=self._mesh,
             feasibility=self._feasibility,
-            expected_wait_s=self._expected_wait_s,
+            expected_wait_s=self._admission.expected_wait_s,
             clock=clock,
             wait_limit_s=self._store.current.document.operations.spill_wait_ms
             / 1_000,
@@ -121,7 +145,7 @@
         self._dispatcher = dispatchers.Dispatcher(
             ledger=self._ledger,
             matcher=self._matcher,
-            limits=limits,
+            admission=self._admission,
             clock=clock,
             observe=self._observe,
             budget=self._budget,
@@ -245,6 +269,7 @@
                     changed=self._configuration_changed,
                 )
             ),
+            asyncio.create_task(self._sharing.run(), name="sharing"),
             asyncio.create_task(self._sweep()),
         ]
         application = self._web.application(
@@ -308,23 +333,14 @@
                 self._intake.receive(link, message)
             case messages.FleetQuery():
                 fleets.reply(link, message, self._interpreter.answer_peer)
+            case messages.Demand() | messages.Allocation():
+                self._sharing.receive(link.hello.instance_id, message)
             case _:
                 return
 
     def _members_changed(self) -> None:
         data_centre = self._settings.data_centre
         self._mesh.update(self._directory.entries.values())
-        neighbours = [
-            link
-            for link in self._mesh.peers.values()
-            if link.hello.data_centre == data_centre
-        ]
-        self._allocation.set_entries(1 + len(neighbours))
-        listed = [
-            entry
-            for entry in self._directory.entries.values()
-            if entry.data_centre == data_centre
-        ]
         listed_endpoints = self._directory.listing.endpoints
         self._feasibility.update(
             listed_endpoints,
@@ -334,12 +350,44 @@
                 for endpoint in self._directory.live_endpoints(name)
             ),
         )
+        # Entries of the settings count until the platform's list is known.
+        known = (
+            self._directory.listing.entries or self._directory.entries.values()
+        )
+        listed = [entry for entry in known if entry.data_centre == data_centre]
+        neighbours = [
+            link.hello.instance_id
+            for link in self._mesh.peers.values()
+            if link.hello.data_centre == data_centre
+        ]
+        live = self._directory.live_endpoints(data_centre)
         self._pool.set_entries(max(len(listed), 1 + len(neighbours)))
-        self._pool.update(self._directory.live_endpoints(data_centre))
-        self._matcher.match()
+        self._pool.update(live)
+        self._sharing.configure(
+            data_centre=data_centre,
+            content=self._store.current.document,
+            live=live,
+            reachable=[self._settings.instance_id, *neighbours],
+            listed=[entry.id for entry in listed],
+            leaving=[entry.id for entry in listed if entry.leaving],
+        )
 
-    def _expected_wait_s(self, kind: str) -> float:
-        return self._pool.expected_wait_s(kind)
+    def _send_to_neighbour(self, entry: str, message: messages.Message) -> bool:
+        """Sends a message of the slots' division; returns whether it left."""
+        link = self._mesh.peers.get(entry)
+        if link is None:
+            return False
+        try:
+            link.send(message)
+        except errors.PeerError as error:
+            log.problem(
+                "message to a peer dropped",
+                step=error.step,
+                peer=error.peer,
+                error=str(error),
+            )
+            return False
+        return True
 
     def _endpoint_leaving(self, endpoint_id: str) -> None:
         self._directory.mark_leaving(endpoint_id)
@@ -359,6 +407,7 @@
         self._budget.configure(content.operations.retry_percent)
         self._spill.configure(content.operations.spill_wait_ms)
         self._policy.configure(content)
+        self._admission.configure(content)
         self._directory.drain(content.operations.drained)
         self._members_changed()
 
--- a/sesameroad/entry/spill.py
+++ b/sesameroad/entry/spill.py
@@ -18,6 +18,7 @@
 _REPLY_GRACE_S = 1.0
 _MAX_TARGETS = 2
 _RETRY_S = 1.0
+_REFUSAL_PAUSE_S = 1.0
 _NOT_QUEUED_STEP = "send to peer"
 
 
@@ -43,6 +44,7 @@
         "_feasibility",
         "_ledger",
         "_mesh",
+        "_refused_at",
         "_wait_limit_s",
     )
 
@@ -53,7 +55,7 @@
         ledger: ledgers.Ledger,
         mesh: meshes.Mesh,
         feasibility: feasibilities.Feasibility,
-        expected_wait_s: Callable[[str], float],
+        expected_wait_s: Callable[[works.Work], float],
         clock: clocks.Clock,
         wait_limit_s: float,
     ) -> None:
@@ -64,6 +66,7 @@
         self._expected_wait_s = expected_wait_s
         self._clock = clock
         self._wait_limit_s = wait_limit_s
+        self._refused_at: dict[str, float] = {}
 
     def configure(self, wait_limit_ms: int) -> None:
         """Sets the expected wait over which work is delegated."""
@@ -86,7 +89,9 @@
 
     def wanted(self, work: works.Work) -> bool:
         """Returns whether work should not wait for this data centre."""
-        return not self._fits(work, self._data_centre) or self._is_busy(work)
+        if not self._fits(work, self._data_centre):
+            return True
+        return self._is_busy(work) and bool(self._targets(work))
 
     async def place(self, record: ledgers.Record) -> outcomes.Outcome | None:
         """Delegates untouched work that should not wait here.
@@ -107,6 +112,9 @@
                     self._give_back(record, may_have_run)
                 case outcomes.NotRun():
                     self._give_back(record, may_have_run)
+                    self._refused_at[link.hello.data_centre] = (
+                        self._clock.monotonic()
+                    )
                 case _NoReply(detail=detail) if work.idempotent:
                     may_have_run = True
                     log.problem(
@@ -175,15 +183,26 @@
             for link in self._mesh.peers.values()
             if link.hello.data_centre != self._data_centre
             and self._fits(work, link.hello.data_centre)
+            and self._is_willing(link.hello.data_centre)
         ]
         return random.sample(fitting, min(_MAX_TARGETS, len(fitting)))
 
+    def _is_willing(self, data_centre: str) -> bool:
+        """Whether a data centre has not just refused work.
+
+        In a flood of the whole fleet every try would be a wasted message.
+        """
+        refused_at = self._refused_at.get(data_centre)
+        if refused_at is None:
+            return True
+        return self._clock.monotonic() - refused_at > _REFUSAL_PAUSE_S
+
     def _fits(self, work: works.Work, data_centre: str) -> bool:
         wanted = {task.need for task in work.tasks}
         return self._feasibility.fits(data_centre, work.kind, wanted)
 
     def _is_busy(self, work: works.Work) -> bool:
-        return self._expected_wait_s(work.kind) > self._wait_limit_s
+        return self._expected_wait_s(work) > self._wait_limit_s
 
 
 def _missing(work: works.Work) -> outcomes.NotRun:
--- a/sesameroad/ownership/ledger.py
+++ b/sesameroad/ownership/ledger.py
@@ -4,6 +4,7 @@
 import asyncio
 from collections.abc import Iterator
 import dataclasses
+from typing import Self
 
 import xxhash
 
@@ -49,6 +50,30 @@
     held_bytes: int
     done: asyncio.Future[outcomes.Outcome]
 
+    @classmethod
+    def from_work(
+        cls,
+        work: works.Work,
+        *,
+        digest: str,
+        expiry_ms: int,
+        remember: bool = False,
+        accepted_at: float = 0.0,
+    ) -> Self:
+        """Returns a record of work of which nothing has started."""
+        return cls(
+            work=work,
+            digest=digest,
+            expiry_ms=expiry_ms,
+            remember=remember,
+            accepted_at=accepted_at,
+            starts=bytearray(len(work.tasks)),
+            started=0,
+            answers={},
+            held_bytes=sum(len(task.payload) for task in work.tasks),
+            done=asyncio.get_running_loop().create_future(),
+        )
+
     @property
     def finished(self) -> bool:
         """Whether the outcome is decided."""
@@ -231,17 +256,12 @@
         self.check(expiry_ms=expiry_ms, remember=remember)
         payload_bytes = sum(len(task.payload) for task in work.tasks)
         self._make_room(payload_bytes)
-        record = Record(
-            work=work,
+        record = Record.from_work(
+            work,
             digest=digest,
             expiry_ms=expiry_ms,
             remember=remember,
             accepted_at=self._clock.monotonic(),
-            starts=bytearray(len(work.tasks)),
-            started=0,
-            answers={},
-            held_bytes=payload_bytes,
-            done=asyncio.get_running_loop().create_future(),
         )
         self._records[work.key] = record
         self._held_bytes += payload_bytes
--- a/sesameroad/routing/pool.py
+++ b/sesameroad/routing/pool.py
@@ -90,12 +90,6 @@
             s.endpoint.accepts(kind, need) for s in self._served.values()
         )
 
-    def expected_wait_s(self, kind: str) -> float:
-        """Estimates the wait of a new task of a kind, at least."""
-        width = sum(served.width for served in self._served.values())
-        seconds = self._health.run_seconds(kind) or 0.0
-        return self._matcher.waiting_of(kind) * seconds / max(1, width)
-
     def set_entries(self, count: int) -> None:
         """Sets how many entries of the data centre share the connections."""
         if count != self._entries:
--- /dev/null
+++ b/sesameroad/scheduling/admission.py
@@ -0,0 +1,213 @@
+"""Load shedding: which work is refused at once."""
+
+import collections
+
+from sesameroad.configuration import document
+from sesameroad.model import outcome as outcomes
+from sesameroad.model import work as works
+from sesameroad.scheduling import allocation as allocations
+from sesameroad.scheduling import item as items
+from sesameroad.scheduling import policy as policies
+from sesameroad.scheduling import queue as queues
+
+_RETRY_S = 1.0
+# Half of the queue is divided among kinds by share, so that no flood can take
+# it; the other half goes to whoever comes first.
+_RESERVED = 0.5
+# Run times kept for each kind, and how often their figures are computed again.
+_RUNS_KEPT = 512
+_RUNS_BETWEEN = 16
+# An answer that comes after the deadline is a wasted send. Work that would start
+# with less time left than all but 2% of runs need is refused instead.
+_LONG_RUN = 0.98
+# A deadline close to the usual run time leaves no room for that; half of the
+# time may then go to waiting.
+_MAX_RUN_PART = 0.5
+
+
+class RunTimes:
+    """Mean and long run times of one kind, in seconds, from its last runs."""
+
+    __slots__ = ("_count", "_runs", "long_s", "mean_s")
+
+    def __init__(self) -> None:
+        self._runs: collections.deque[float] = collections.deque(
+            maxlen=_RUNS_KEPT
+        )
+        self._count = 0
+        self.mean_s = 0.0
+        self.long_s = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Notes the run time of a task."""
+        self._runs.append(seconds)
+        self._count += 1
+        if self._count > _RUNS_BETWEEN and self._count % _RUNS_BETWEEN:
+            return
+        ordered = sorted(self._runs)
+        self.mean_s = sum(ordered) / len(ordered)
+        self.long_s = ordered[int(_LONG_RUN * (len(ordered) - 1))]
+
+
+class Admission:
+    """Bounds the queue, and refuses work that could not start in time."""
+
+    __slots__ = (
+        "_allocation",
+        "_document",
+        "_max_queued",
+        "_policy",
+        "_queue",
+        "_runs",
+    )
+
+    def __init__(
+        self,
+        content: document.Document,
+        *,
+        max_queued: int,
+        queue: queues.Queue,
+        policy: policies.Policy,
+        allocation: allocations.Allocation,
+    ) -> None:
+        self._document = content
+        self._max_queued = max_queued
+        self._queue = queue
+        self._policy = policy
+        self._allocation = allocation
+        self._runs: collections.defaultdict[str, RunTimes] = (
+            collections.defaultdict(RunTimes)
+        )
+
+    def configure(self, content: document.Document) -> None:
+        """Applies a new configuration."""
+        self._document = content
+
+    def observe(self, kind: str, seconds: float) -> None:
+        """Notes the run time of a task."""
+        self._runs[kind].add(seconds)
+
+    def is_late(self, item: items.Item, *, now: float, now_ms: int) -> bool:
+        """Returns whether a waiting task is too late to be sent.
+
+        The answers of a submission's other tasks would be wasted with it, so
+        that its tasks are late only at the deadline.
+        """
+        work = item.work
+        remaining_s = (work.deadline_ms - now_ms) / 1_000
+        match work:
+            case works.Submission():
+                return remaining_s <= 0
+            case works.Request():
+                waited_s = now - item.enqueued_at
+                return remaining_s < self._reserve_s(
+                    work.kind, remaining_s + waited_s
+                )
+
+    def _reserve_s(self, kind: str, whole_s: float) -> float:
+        """Returns the time before the deadline at which a start is too late."""
+        return min(self._runs[kind].long_s, whole_s * _MAX_RUN_PART)
+
+    def refusal(
+        self, work: works.Work, *, now_ms: int
+    ) -> outcomes.NotRun | None:
+        """Returns why work is refused, or None if it may queue."""
+        operations = self._document.operations
+        if not operations.team_quotas.get(work.team, 0):
+            return _not_run(
+                outcomes.Cause.TEAM_QUOTA, "the quota of the team is 0"
+            )
+        if operations.kind_ceilings.get(work.kind) == 0:
+            return _not_run(
+                outcomes.Cause.KIND_CEILING, "the ceiling of the kind is 0"
+            )
+        return self._full(work) or self._late(work, now_ms)
+
+    def expected_wait_s(self, work: works.Work) -> float:
+        """Returns when the last task of new work is likely to start."""
+        return max(self._kind_wait_s(work), self._team_wait_s(work))
+
+    def _full(self, work: works.Work) -> outcomes.NotRun | None:
+        count = len(work.tasks)
+        if len(self._queue) + count > self._max_queued:
+            return _not_run(outcomes.Cause.OVERLOAD, "the queue is full")
+        kinds = self._document.product.kinds
+        weights = sum(kind.share for kind in kinds.values()) or 1.0
+        reserved = {
+            name: self._max_queued * _RESERVED * kind.share / weights
+            for name, kind in kinds.items()
+        }
+        own = reserved.get(work.kind, 0.0)
+        waiting = self._queue.of_kind(work.kind)
+        common = self._max_queued * (1 - _RESERVED) - sum(
+            max(0.0, self._queue.of_kind(name) - part)
+            for name, part in reserved.items()
+            if name != work.kind
+        )
+        room = own + max(0.0, common) - waiting
+        if count > room:
+            return _not_run(
+                outcomes.Cause.OVERLOAD, f"the queue of {work.kind} is full"
+            )
+        # A team may queue as much as it leaves free. Other teams of the kind
+        # then find room however far one of them floods it.
+        if self._queue.of_team(work.kind, work.team) + count > room:
+            return _not_run(
+                outcomes.Cause.TEAM_QUOTA,
+                f"the queue of team {work.team} is full",
+            )
+        return None
+
+    def _late(self, work: works.Work, now_ms: int) -> outcomes.NotRun | None:
+        remaining_s = (work.deadline_ms - now_ms) / 1_000
+        run_s = self._reserve_s(work.kind, remaining_s)
+        for cause, wait_s in (
+            (outcomes.Cause.DEADLINE, self._kind_wait_s(work)),
+            (outcomes.Cause.TEAM_QUOTA, self._team_wait_s(work)),
+        ):
+            if wait_s > 0 and wait_s + run_s > remaining_s:
+                return outcomes.NotRun(
+                    cause,
+                    f"the expected wait is {wait_s:.2f} s",
+                    retry_after_s=max(_RETRY_S, wait_s),
+                )
+        return None
+
+    def _mean_s(self, kind: str) -> float:
+        return self._runs[kind].mean_s
+
+    def _kind_wait_s(self, work: works.Work) -> float:
+        """Time until the tasks ahead in the kind have got a slot.
+
+        Teams take turns, so that a team with little waiting does not wait for
+        the whole queue of a team with much.
+        """
+        kind = work.kind
+        waiting = self._queue.of_kind(kind)
+        if not waiting and len(work.tasks) == 1:
+            return 0.0
+        own = self._queue.of_team(kind, work.team) + len(work.tasks)
+        ahead = min(
+            waiting + len(work.tasks),
+            own * self._queue.teams_of(kind, work.team),
+        )
+        running = self._policy.running(kind)
+        others = self._policy.running_all - running
+        slots = max(
+            running,
+            self._policy.guarantee(kind),
+            self._allocation.total - others,
+            1,
+        )
+        return ahead * self._mean_s(kind) / slots
+
+    def _team_wait_s(self, work: works.Work) -> float:
+        own = self._queue.of_team(work.kind, work.team) + len(work.tasks)
+        limit = self._allocation.team_limit(work.team)
+        if self._allocation.team_used(work.team) + own <= limit:
+            return 0.0
+        return own * self._mean_s(work.kind) / max(1, limit)
+
+
+def _not_run(cause: outcomes.Cause, detail: str) -> outcomes.NotRun:
+    return outcomes.NotRun(cause, detail, _RETRY_S)
--- a/sesameroad/scheduling/item.py
+++ b/sesameroad/scheduling/item.py
@@ -21,6 +21,9 @@
         tried: Endpoints where a send failed, was refused or was lost.
         may_have_run: Whether any send so far may have run, or a hedge is out.
         hedge: Whether it repeats a task that is still being run elsewhere.
+        queued: Whether it waits in the queue now.
+        sequence: Place in the order of arrival at the queue.
+        began_at: Monotonic seconds of its last start.
     """
 
     record: ledger.Record
@@ -32,6 +35,9 @@
     tried: tuple[str, ...] = ()
     may_have_run: bool = False
     hedge: bool = False
+    queued: bool = False
+    sequence: int = 0
+    began_at: float = 0.0
 
     @property
     def work(self) -> works.Work:
--- a/tests/_harness.py
+++ b/tests/_harness.py
@@ -13,11 +13,11 @@
 from sesameroad.ownership import ledger as ledgers
 from sesameroad.routing import result as results
 from sesameroad.routing import retry
+from sesameroad.scheduling import admission as admissions
 from sesameroad.scheduling import allocation as allocations
 from sesameroad.scheduling import matcher as matchers
 from sesameroad.scheduling import policy as policies
 from sesameroad.scheduling import queue as queues
-from sesameroad.settings import settings as settings_module
 from standins import fleet as fleets
 
 BASE_MS = 1_000_000
@@ -116,15 +116,27 @@
         self.ran = collections.Counter()
         self.observed = []
         self._script = iter(script)
+        content = fleets.default_document()
+        queue = queues.Queue()
+        allocation = allocations.Allocation(self.clock)
+        policy = policies.Policy(content, allocation=allocation)
         self._matcher = matchers.Matcher(
-            queue=queues.Queue(),
-            policy=policies.Policy(fleets.default_document()),
-            allocation=allocations.Allocation(),
+            queue=queue,
+            policy=policy,
+            allocation=allocation,
+            clock=self.clock,
+        )
+        admission = admissions.Admission(
+            content,
+            max_queued=1_000,
+            queue=queue,
+            policy=policy,
+            allocation=allocation,
         )
         self.dispatcher = dispatchers.Dispatcher(
             ledger=self.ledger,
             matcher=self._matcher,
-            limits=settings_module.Limits(),
+            admission=admission,
             clock=self.clock,
             observe=lambda *seen: self.observed.append(seen),
         )
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -56,10 +56,11 @@
         content = document.Document(
             operations=document.Operations(team_quotas={"team": 10_000})
         )
+        allocation = allocations.Allocation(clock)
         self.matcher = matchers.Matcher(
             queue=queues.Queue(),
-            policy=policies.Policy(content),
-            allocation=allocations.Allocation(),
+            policy=policies.Policy(content, allocation=allocation),
+            allocation=allocation,
             rank=self.health.rank,
         )
         self.leaving = []
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -53,7 +53,10 @@
         self.feasibility = feasibilities.Feasibility()
         self.wait_s = 0.0
         self.mesh = types.SimpleNamespace(peers={})
-        self.spill = spills.Spill(
+        self.spill = self._open_spill()
+
+    def _open_spill(self):
+        return spills.Spill(
             data_centre="dc1",
             ledger=self.ledger,
             mesh=self.mesh,
@@ -130,6 +133,8 @@
         self.wait_s = 1.0
         # Targets are drawn at random; eight draws have both orders.
         for number in range(8):
+            # A data centre that refused is left alone for a while.
+            self.spill = self._open_spill()
             work = fixtures.request(str(number), idempotent=True)
             outcome, record, _ = await self._place(work, _SILENT, _NOT_RUN)
             self.assertIsNone(outcome)
