Keep one true stream to each peer under restarts, cuts and slow readers

Cause: a replaced stream went on delivering; a leaving flag in the list or an entry missing from it broke a live stream; heartbeats starved under steady traffic; a write to a peer that does not read never ended; an undecodable envelope or an unknown enumeration value ended the dialling task for good; each dial over a half-cut link made the peer seem live; links were redialled after stop; the backoff was never reset; the outbox was bounded in count only.

Change: the acceptor admits a stream after the second envelope, a replaced incarnation does not come back, heartbeats are due on time, reader and writer time out after the peer timeout, malformed items are dropped and counted, the outbox is bounded in bytes and leaves in envelopes of at most 256 KiB, late replies are counted. A liveness check reads the clock, for a process that wakes. EndpointUpdate carries leaving marks with list version and age.

--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -12,7 +12,7 @@
 
 def encode(batch: Iterable[messages.Message]) -> peer_pb2.Envelope:
     """Returns one envelope that holds a batch of messages."""
-    return peer_pb2.Envelope(items=[_encode_item(m) for m in batch])
+    return peer_pb2.Envelope(items=[encode_item(m) for m in batch])
 
 
 def decode(envelope: peer_pb2.Envelope) -> list[messages.Message]:
@@ -21,15 +21,12 @@
     Raises:
         PeerError: If a message is malformed.
     """
-    decoded = []
-    for item in envelope.items:
-        # A peer of a newer release may send types that this one does not know.
-        if item.WhichOneof("body") is not None:
-            decoded.append(_decode_item(item))
-    return decoded
+    decoded = (decode_item(item) for item in envelope.items)
+    return [message for message in decoded if message is not None]
 
 
-def _encode_item(message: messages.Message) -> peer_pb2.Item:
+def encode_item(message: messages.Message) -> peer_pb2.Item:
+    """Returns the item that holds a message."""
     match message:
         case messages.Hello():
             return peer_pb2.Item(
@@ -82,7 +79,15 @@
         case messages.EndpointUpdate():
             return peer_pb2.Item(
                 endpoint_update=peer_pb2.EndpointUpdate(
-                    listing=message.listing, leaving=message.leaving
+                    listing=message.listing,
+                    marks=[
+                        peer_pb2.LeavingMark(
+                            endpoint_id=mark.endpoint_id,
+                            listing_version=mark.listing_version,
+                            age_ms=mark.age_ms,
+                        )
+                        for mark in message.marks
+                    ],
                 )
             )
         case messages.RelayRequest():
@@ -113,8 +118,16 @@
             )
 
 
-def _decode_item(item: peer_pb2.Item) -> messages.Message:
+def decode_item(item: peer_pb2.Item) -> messages.Message | None:
+    """Returns the message of an item, or None if its type is not known here.
+
+    Raises:
+        PeerError: If the message is malformed.
+    """
     match item.WhichOneof("body"):
+        case None:
+            # A peer of a newer release may send types not known here.
+            return None
         case "hello":
             return messages.Hello(
                 item.hello.instance_id,
@@ -153,7 +166,12 @@
         case "endpoint_update":
             return messages.EndpointUpdate(
                 item.endpoint_update.listing,
-                tuple(item.endpoint_update.leaving),
+                tuple(
+                    messages.LeavingMark(
+                        mark.endpoint_id, mark.listing_version, mark.age_ms
+                    )
+                    for mark in item.endpoint_update.marks
+                ),
             )
         case "relay_request":
             return _decode_relay(item.relay_request)
@@ -229,6 +247,10 @@
     )
     if not tasks:
         raise errors.PeerError("relayed work without tasks", step="decode")
+    try:
+        purpose = messages.Purpose(relay.purpose)
+    except ValueError as error:
+        raise errors.PeerError(str(error), step="decode") from error
     if relay.submission:
         work = works.Submission(
             relay.key, relay.team, relay.kind, relay.deadline_ms, tasks
@@ -244,7 +266,7 @@
         )
     return messages.RelayRequest(
         relay.id,
-        messages.Purpose(relay.purpose),
+        purpose,
         work,
         relay.digest,
         relay.expiry_ms,
--- a/sesameroad/peering/link.py
+++ b/sesameroad/peering/link.py
@@ -2,17 +2,24 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import itertools
+import time
 from typing import Protocol
 
 from sesameroad import errors
 from sesameroad.peering import codec
 from sesameroad.peering import message as messages
 from sesameroad.peering import peer_pb2
+from sesameroad.telemetry import log
 
-# Bounds the memory held for a peer that reads slowly; the oldest state reports
-# are superseded by newer ones, and lost questions are answered as peer errors.
+# Bound the memory held for a peer that reads slowly. One relayed body of the
+# largest size that callers may send fits several times.
 _MAX_OUTBOX = 10_000
+_MAX_OUTBOX_BYTES = 16 * 1024 * 1024
+# The reader counts as silent until a whole envelope has arrived, so that a long
+# backlog in one envelope would look like a lost peer.
+_MAX_ENVELOPE_BYTES = 256 * 1024
 
 
 class Stream(Protocol):
@@ -25,22 +32,63 @@
         """Receives one envelope, None at the end of the stream."""
 
 
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """Events on all links of a process since its start.
+
+    Attributes:
+        late_replies: Replies dropped because nobody waits for them any more.
+        malformed: Messages dropped because they cannot be decoded.
+        dropped: Messages not sent because the peer does not keep up.
+        replaced: Streams closed in favour of a newer one to the same peer.
+        refused: Streams refused at the greeting.
+        envelopes_sent: Envelopes handed to the transport.
+        bytes_sent: Their size, without the framing of the transport.
+    """
+
+    late_replies: int = 0
+    malformed: int = 0
+    dropped: int = 0
+    replaced: int = 0
+    refused: int = 0
+    envelopes_sent: int = 0
+    bytes_sent: int = 0
+
+
 Receive = Callable[["Link", messages.Message], None]
 
 
 class Link:
-    """A greeted stream to a peer, with its unanswered questions."""
+    """A greeted stream to a peer, with its unanswered questions.
+
+    Attributes:
+        state: Last heartbeat of the peer, None before the first.
+        offered_configuration: Highest configuration version sent on this link.
+        offered_listing: Highest listing version sent on this link.
+        offered_marks: Whether the leaving marks in force were sent.
+    """
 
     __slots__ = (
+        "_close_reason",
         "_closed",
+        "_counters",
+        "_heard_at",
         "_heartbeat",
+        "_heartbeat_due",
+        "_heartbeat_s",
         "_hello",
         "_ids",
         "_outbox",
+        "_outbox_bytes",
         "_outgoing",
         "_pending",
         "_stream",
+        "_timeout_s",
         "_wake",
+        "offered_configuration",
+        "offered_listing",
+        "offered_marks",
+        "state",
     )
 
     def __init__(
@@ -50,16 +98,30 @@
         hello: messages.Hello,
         outgoing: bool,
         heartbeat: Callable[[], messages.Heartbeat],
+        heartbeat_s: float,
+        timeout_s: float,
+        counters: Counters,
     ) -> None:
         self._stream = stream
         self._hello = hello
         self._outgoing = outgoing
         self._heartbeat = heartbeat
-        self._outbox: list[messages.Message] = []
+        self._heartbeat_s = heartbeat_s
+        self._timeout_s = timeout_s
+        self._counters = counters
+        self._outbox: list[peer_pb2.Item] = []
+        self._outbox_bytes = 0
+        self._heartbeat_due = True
         self._wake = asyncio.Event()
         self._ids = itertools.count(1)
         self._pending: dict[int, asyncio.Future[messages.Reply]] = {}
-        self._closed = False
+        self._heard_at = time.monotonic()
+        self._close_reason = "stream closed"
+        self._closed = asyncio.Event()
+        self.state: messages.Heartbeat | None = None
+        self.offered_configuration = 0
+        self.offered_listing = 0
+        self.offered_marks = False
 
     @property
     def hello(self) -> messages.Hello:
@@ -71,19 +133,44 @@
         """Whether this side dialled."""
         return self._outgoing
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the peer said that it is about to stop."""
+        return self.state is not None and self.state.leaving
+
+    @property
+    def live(self) -> bool:
+        """Whether the stream is open and the peer was heard in time.
+
+        The clock is read here because a process that was paused runs other code
+        before the reader notices the silence.
+        """
+        silent_s = time.monotonic() - self._heard_at
+        return not self._closed.is_set() and silent_s < self._timeout_s
+
     def send(self, message: messages.Message) -> None:
         """Queues a message; messages of one loop turn leave together.
 
         Raises:
             PeerError: If the stream is closed or the peer does not keep up.
         """
-        if self._closed or len(self._outbox) >= _MAX_OUTBOX:
-            raise errors.PeerError(
-                "stream closed" if self._closed else "peer does not keep up",
-                step="send to peer",
-                peer=self._hello.instance_id,
-            )
-        self._outbox.append(message)
+        if self._closed.is_set():
+            raise self._error(self._close_reason, "send to peer")
+        item = codec.encode_item(message)
+        size = item.ByteSize()
+        if (
+            len(self._outbox) >= _MAX_OUTBOX
+            or self._outbox_bytes + size > _MAX_OUTBOX_BYTES
+        ):
+            self._counters.dropped += 1
+            raise self._error("peer does not keep up", "send to peer")
+        self._outbox.append(item)
+        self._outbox_bytes += size
+        self._wake.set()
+
+    def beat(self) -> None:
+        """Sends a heartbeat now instead of at the end of the period."""
+        self._heartbeat_due = True
         self._wake.set()
 
     async def ask(
@@ -112,78 +199,150 @@
             async with asyncio.timeout(timeout_s):
                 return await future
         except TimeoutError as error:
-            raise errors.PeerError(
-                f"no reply within {timeout_s} s",
-                step="ask peer",
-                peer=self._hello.instance_id,
+            raise self._error(
+                f"no reply within {timeout_s} s", "ask peer"
             ) from error
         finally:
             self._pending.pop(number, None)
 
     async def converse(
-        self, receive: Receive, *, heartbeat_s: float, timeout_s: float
+        self, receive: Receive, *, first: peer_pb2.Envelope | None = None
     ) -> None:
         """Reads and writes until the stream ends, breaks or falls silent.
 
+        Args:
+            receive: Called with each message that is not a reply.
+            first: Envelope that the greeting has already read.
+
         Raises:
-            PeerError: If nothing arrives for timeout_s seconds.
+            PeerError: If the peer is silent or does not read for the timeout,
+                or if the link is closed.
         """
         try:
+            if first is not None:
+                self._take(receive, first)
             async with asyncio.TaskGroup() as group:
-                writer = group.create_task(self._write(heartbeat_s))
-                await self._read(receive, timeout_s)
+                writer = group.create_task(self._write())
+                await self._read(receive)
                 writer.cancel()
         except ExceptionGroup as failures:
             # Reader and writer break together; the first failure is the cause.
             raise failures.exceptions[0] from failures
         finally:
-            self._close()
+            self.close("stream closed")
+
+    def close(self, reason: str) -> None:
+        """Ends the conversation; unanswered questions fail with the reason."""
+        if self._closed.is_set():
+            return
+        self._close_reason = reason
+        self._closed.set()
+        self._wake.set()
+        self._outbox.clear()
+        self._outbox_bytes = 0
+        for future in self._pending.values():
+            if not future.done():
+                future.set_exception(self._error(reason, "ask peer"))
+
+    async def wait_closed(self) -> None:
+        """Waits until the link is closed, by either side."""
+        await self._closed.wait()
 
-    async def _read(self, receive: Receive, timeout_s: float) -> None:
+    async def _read(self, receive: Receive) -> None:
         while True:
             try:
-                async with asyncio.timeout(timeout_s):
+                async with asyncio.timeout(self._timeout_s):
                     envelope = await self._stream.recv_message()
             except TimeoutError as error:
-                raise errors.PeerError(
-                    f"silent for {timeout_s} s",
-                    step="read from peer",
-                    peer=self._hello.instance_id,
+                raise self._error(
+                    f"silent for {self._timeout_s} s", "read from peer"
                 ) from error
+            if self._closed.is_set():
+                raise self._error(self._close_reason, "read from peer")
             if envelope is None:
                 return
-            for message in codec.decode(envelope):
-                match message:
-                    case messages.RelayReply() | messages.FleetReply():
-                        self._resolve(message)
-                    case _:
-                        receive(self, message)
-
-    async def _write(self, heartbeat_s: float) -> None:
-        while True:
-            batch: list[messages.Message] = self._outbox or [self._heartbeat()]
-            self._outbox = []
+            self._take(receive, envelope)
+
+    def _take(self, receive: Receive, envelope: peer_pb2.Envelope) -> None:
+        self._heard_at = time.monotonic()
+        for item in envelope.items:
+            try:
+                message = codec.decode_item(item)
+            except errors.PeerError as error:
+                # One bad message, for example of a newer release, must not
+                # break the answers to all others.
+                self._counters.malformed += 1
+                log.problem(
+                    "message of a peer dropped",
+                    step=error.step,
+                    peer=self._hello.instance_id,
+                    error=str(error),
+                )
+                continue
+            match message:
+                case None:
+                    continue
+                case messages.RelayReply() | messages.FleetReply():
+                    self._resolve(message)
+                case _:
+                    receive(self, message)
+
+    async def _write(self) -> None:
+        next_heartbeat = 0.0
+        while not self._closed.is_set():
             self._wake.clear()
-            await self._stream.send_message(codec.encode(batch))
+            items = self._next_items()
+            # Heartbeats are due on time also when other messages are flowing:
+            # they carry the versions that the peer compares with its own.
+            now = time.monotonic()
+            if self._heartbeat_due or now >= next_heartbeat:
+                items.append(codec.encode_item(self._heartbeat()))
+                self._heartbeat_due = False
+                next_heartbeat = now + self._heartbeat_s
+            await self._send_envelope(peer_pb2.Envelope(items=items))
+            if self._outbox:
+                await asyncio.sleep(0)
+                continue
             try:
-                async with asyncio.timeout(heartbeat_s):
+                async with asyncio.timeout(next_heartbeat - time.monotonic()):
                     await self._wake.wait()
             except TimeoutError:
                 continue
+        raise self._error(self._close_reason, "write to peer")
+
+    def _next_items(self) -> list[peer_pb2.Item]:
+        """Takes items up to the size of one envelope, at least one."""
+        size = 0
+        count = 0
+        for item in self._outbox:
+            size += item.ByteSize()
+            if count and size > _MAX_ENVELOPE_BYTES:
+                break
+            count += 1
+        items = self._outbox[:count]
+        del self._outbox[:count]
+        self._outbox_bytes -= sum(item.ByteSize() for item in items)
+        return items
+
+    async def _send_envelope(self, envelope: peer_pb2.Envelope) -> None:
+        if not envelope.items:
+            return
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                await self._stream.send_message(envelope)
+        except TimeoutError as error:
+            raise self._error(
+                f"reads nothing for {self._timeout_s} s", "write to peer"
+            ) from error
+        self._counters.envelopes_sent += 1
+        self._counters.bytes_sent += envelope.ByteSize()
 
     def _resolve(self, reply: messages.Reply) -> None:
         future = self._pending.get(reply.id)
-        if future is not None and not future.done():
-            future.set_result(reply)
+        if future is None or future.done():
+            self._counters.late_replies += 1
+            return
+        future.set_result(reply)
 
-    def _close(self) -> None:
-        self._closed = True
-        for future in self._pending.values():
-            if not future.done():
-                future.set_exception(
-                    errors.PeerError(
-                        "stream closed",
-                        step="ask peer",
-                        peer=self._hello.instance_id,
-                    )
-                )
+    def _error(self, detail: str, step: str) -> errors.PeerError:
+        return errors.PeerError(detail, step=step, peer=self._hello.instance_id)
--- a/sesameroad/peering/mesh.py
+++ b/sesameroad/peering/mesh.py
@@ -1,13 +1,13 @@
 """Streams to all other entries of the fleet."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import random
 from typing import Any
 
 from grpclib import client as grpc_client
-from grpclib import exceptions as grpc_exceptions
 from grpclib import server as grpc_server
 
 from sesameroad import errors
@@ -16,23 +16,19 @@
 from sesameroad.peering import link as links
 from sesameroad.peering import message as messages
 from sesameroad.peering import peer_grpc
+from sesameroad.peering import peer_pb2
 from sesameroad.telemetry import log
 
 _GREETING_TIMEOUT_S = 1.0
 _REDIAL_MIN_S = 0.1
-_REDIAL_MAX_S = 2.0
+_REDIAL_MAX_S = 1.0
 # The instance with the higher id leaves the first dial to the other one, so that
 # two entries that start together do not open two streams.
 _SECOND_DIAL_DELAY_S = 0.5
-
-_BROKEN = (
-    errors.PeerError,
-    grpc_exceptions.GRPCError,
-    grpc_exceptions.StreamTerminatedError,
-    grpc_exceptions.ProtocolError,
-    OSError,
-    asyncio.TimeoutError,
-)
+# Time for peers to read the end of their streams before the sockets close.
+_STOP_TIMEOUT_S = 0.5
+# Incarnations of one instance id that are remembered as replaced.
+_MAX_REPLACED = 8
 
 
 class Mesh(peer_grpc.PeerBase):
@@ -54,34 +50,57 @@
         self._changed = changed
         self._heartbeat_s = heartbeat_s
         self._timeout_s = timeout_s
+        self._counters = links.Counters()
         self._links: dict[str, links.Link] = {}
-        self._dialling: dict[instances.Instance, asyncio.Task[None]] = {}
+        self._incarnations: dict[str, str] = {}
+        self._replaced: dict[str, collections.deque[str]] = {}
+        self._wanted: dict[str, str] = {}
+        self._dialling: dict[tuple[str, str], asyncio.Task[None]] = {}
+        self._serving: set[asyncio.Task[Any]] = set()
         self._server: grpc_server.Server | None = None
+        self._stopped = False
+
+    @property
+    def counters(self) -> links.Counters:
+        """Events on all links since the start."""
+        return self._counters
 
     @property
     def peers(self) -> dict[str, links.Link]:
         """Live streams by the peer's instance id."""
-        return self._links
+        return {name: link for name, link in self._links.items() if link.live}
 
     def find(self, incarnation: str) -> links.Link | None:
         """Returns the stream to an incarnation, or None."""
         for link in self._links.values():
-            if link.hello.incarnation == incarnation:
+            if link.hello.incarnation == incarnation and link.live:
                 return link
         return None
 
-    def broadcast(self, message: messages.Message) -> None:
-        """Sends a message to every peer that keeps up."""
-        for link in tuple(self._links.values()):
-            try:
-                link.send(message)
-            except errors.PeerError as error:
-                log.problem(
-                    "message to a peer dropped",
-                    step=error.step,
-                    peer=error.peer,
-                    error=str(error),
-                )
+    def broadcast(
+        self, message: messages.Message, *, skip: links.Link | None = None
+    ) -> None:
+        """Sends a message to every peer that keeps up, but for one link."""
+        for link in self.peers.values():
+            if link is not skip:
+                self.send(link, message)
+
+    def send(self, link: links.Link, message: messages.Message) -> None:
+        """Sends a message that a later one makes up for if it is lost."""
+        try:
+            link.send(message)
+        except errors.PeerError as error:
+            log.problem(
+                "message to a peer dropped",
+                step=error.step,
+                peer=error.peer,
+                error=str(error),
+            )
+
+    def beat(self) -> None:
+        """Sends a heartbeat to every peer now."""
+        for link in self._links.values():
+            link.beat()
 
     async def start(self, host: str, port: int) -> None:
         """Listens for streams of peers."""
@@ -89,102 +108,231 @@
         await self._server.start(host, port)
 
     async def stop(self) -> None:
-        """Closes all streams."""
-        self.update(())
+        """Closes all streams; nothing is dialled or admitted afterwards."""
+        self._stopped = True
+        self._wanted = {}
+        for link in self._links.values():
+            link.close("this entry stops")
+        dials = list(self._dialling.values())
+        for task in dials:
+            task.cancel()
+        await asyncio.gather(*dials, return_exceptions=True)
+        if self._serving:
+            await asyncio.wait(self._serving, timeout=_STOP_TIMEOUT_S)
         if self._server is not None:
             self._server.close()
-            await self._server.wait_closed()
+            try:
+                # Waits for connections, which a paused peer may keep open.
+                async with asyncio.timeout(_STOP_TIMEOUT_S):
+                    await self._server.wait_closed()
+            except TimeoutError:
+                log.problem("a peer keeps its connection open", step="stop")
 
     def update(self, entries: Iterable[instances.Instance]) -> None:
-        """Dials new entries and stops dialling those that are gone."""
-        wanted = {e for e in entries if e.id != self._hello.instance_id}
-        for entry, task in tuple(self._dialling.items()):
-            if entry not in wanted:
-                task.cancel()
-                del self._dialling[entry]
-        for entry in wanted - self._dialling.keys():
-            self._dialling[entry] = asyncio.create_task(
-                self._dial(entry), name=f"peer {entry.id}"
-            )
+        """Dials new entries and stops dialling those that are gone.
+
+        A stream to an entry that is no longer listed stays until it breaks:
+        the list lags, and heartbeats are the better evidence.
+        """
+        if self._stopped:
+            return
+        self._wanted = {
+            entry.id: entry.address
+            for entry in entries
+            if entry.id != self._hello.instance_id
+        }
+        for place in self._wanted.items():
+            if place not in self._dialling:
+                self._dialling[place] = asyncio.create_task(
+                    self._dial(*place), name=f"peer {place[0]}"
+                )
 
     async def Exchange(self, stream: Any) -> None:  # noqa: N802
         """Serves a stream that a peer opened."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._serving.add(task)
         try:
-            await self._run(stream, outgoing=False)
-        except _BROKEN as error:
+            await self._serve(stream)
+        except Exception as error:  # The peer may send anything.
             log.problem(
-                "stream from a peer ended", step="serve peer", error=str(error)
+                "stream from a peer ended",
+                step="serve peer",
+                peer=getattr(error, "peer", ""),
+                error=str(error) or type(error).__name__,
             )
+        finally:
+            self._serving.discard(task)
 
-    async def _dial(self, entry: instances.Instance) -> None:
+    async def _dial(self, name: str, address: str) -> None:
         """Keeps a stream to one entry open as long as the entry is listed."""
-        host, _, port = entry.address.rpartition(":")
         backoff_s = _REDIAL_MIN_S
-        if self._hello.instance_id > entry.id:
-            await asyncio.sleep(_SECOND_DIAL_DELAY_S)
-        while True:
-            if entry.id in self._links:
-                await asyncio.sleep(self._timeout_s)
-                continue
-            channel = grpc_client.Channel(host, int(port))
-            try:
-                async with peer_grpc.PeerStub(
-                    channel
-                ).Exchange.open() as stream:
-                    await self._run(stream, outgoing=True)
-                backoff_s = _REDIAL_MIN_S
-            except _BROKEN as error:
-                log.problem(
-                    "stream to a peer broke",
-                    step="dial peer",
-                    peer=entry.id,
-                    error=str(error) or type(error).__name__,
+        try:
+            while self._wanted.get(name) == address:
+                if self._hello.instance_id > name and name not in self._links:
+                    await asyncio.sleep(_SECOND_DIAL_DELAY_S)
+                known = self._links.get(name)
+                if known is not None:
+                    await known.wait_closed()
+                    # The reader removes the link in the next turn of the loop.
+                    await asyncio.sleep(0)
+                    backoff_s = _REDIAL_MIN_S
+                    continue
+                # The stream has a task of its own because grpclib cancels the
+                # task that reads when the connection ends. The count of
+                # cancellations would stay with the task that redials, and task
+                # groups of newer interpreters cancel such a task again.
+                stream = asyncio.create_task(
+                    self._open(name, address), name=f"stream {name}"
                 )
-            finally:
-                channel.close()
-            await asyncio.sleep(backoff_s * random.uniform(0.5, 1.5))
-            backoff_s = min(backoff_s * 2, _REDIAL_MAX_S)
+                try:
+                    await asyncio.wait([stream])
+                finally:
+                    stream.cancel()
+                    await asyncio.wait([stream])
+                if not stream.cancelled() and stream.result():
+                    backoff_s = _REDIAL_MIN_S
+                await asyncio.sleep(backoff_s * random.uniform(0.5, 1.5))
+                backoff_s = min(backoff_s * 2, _REDIAL_MAX_S)
+        finally:
+            self._dialling.pop((name, address), None)
 
-    async def _run(self, stream: links.Stream, *, outgoing: bool) -> None:
-        """Greets a peer and converses with it until the stream ends."""
+    async def _open(self, name: str, address: str) -> bool:
+        """Opens a stream and converses on it; returns whether it was in use."""
+        host, _, port = address.rpartition(":")
+        channel = grpc_client.Channel(host, int(port))
+        link = None
+        try:
+            async with peer_grpc.PeerStub(channel).Exchange.open() as stream:
+                async with asyncio.timeout(_GREETING_TIMEOUT_S):
+                    await stream.send_message(codec.encode([self._hello]))
+                    hello = _greeting(await stream.recv_message())
+                if hello.instance_id != name:
+                    raise errors.PeerError(
+                        f"{hello.instance_id} answers at {address}",
+                        step="greet peer",
+                        peer=name,
+                    )
+                link = self._new_link(stream, hello, outgoing=True)
+                await self._converse(link, first=None)
+        except Exception as error:  # The peer may send anything.
+            log.problem(
+                "stream to a peer broke",
+                step="dial peer",
+                peer=name,
+                error=str(error) or type(error).__name__,
+            )
+        finally:
+            channel.close()
+        return link is not None and link.state is not None
+
+    async def _serve(self, stream: links.Stream) -> None:
+        """Answers a greeting and converses on a stream that a peer opened.
+
+        The link counts from the second envelope of the peer, which proves that
+        the answer to the greeting arrived. On a half-cut link it does not, and
+        the peer would seem live after each of its dials.
+        """
         async with asyncio.timeout(_GREETING_TIMEOUT_S):
+            hello = _greeting(await stream.recv_message())
             await stream.send_message(codec.encode([self._hello]))
-            envelope = await stream.recv_message()
-        greeting = codec.decode(envelope) if envelope is not None else []
-        match greeting:
-            case [messages.Hello() as hello, *_]:
-                link = links.Link(
-                    stream=stream,
-                    hello=hello,
-                    outgoing=outgoing,
-                    heartbeat=self._heartbeat,
-                )
-            case _:
-                raise errors.PeerError("no greeting", step="greet peer")
-        if not self._admit(link):
-            return
-        try:
-            await link.converse(
-                self._receive,
-                heartbeat_s=self._heartbeat_s,
-                timeout_s=self._timeout_s,
+            first = await stream.recv_message()
+        if first is None:
+            raise errors.PeerError(
+                "stream ended", step="greet peer", peer=hello.instance_id
             )
+        link = self._new_link(stream, hello, outgoing=False)
+        await self._converse(link, first=first)
+
+    def _new_link(
+        self, stream: links.Stream, hello: messages.Hello, *, outgoing: bool
+    ) -> links.Link:
+        return links.Link(
+            stream=stream,
+            hello=hello,
+            outgoing=outgoing,
+            heartbeat=self._heartbeat,
+            heartbeat_s=self._heartbeat_s,
+            timeout_s=self._timeout_s,
+            counters=self._counters,
+        )
+
+    async def _converse(
+        self, link: links.Link, *, first: peer_pb2.Envelope | None
+    ) -> None:
+        name = link.hello.instance_id
+        refusal = self._refusal(link)
+        if refusal:
+            self._counters.refused += 1
+            raise errors.PeerError(refusal, step="greet peer", peer=name)
+        self._admit(link)
+        try:
+            await link.converse(self._take, first=first)
         finally:
-            if self._links.get(hello.instance_id) is link:
-                del self._links[hello.instance_id]
-                self._changed()
+            if self._links.get(name) is link:
+                del self._links[name]
+                if not self._stopped:
+                    self._changed()
 
-    def _admit(self, link: links.Link) -> bool:
-        """Keeps one stream for each peer: the one that the lower id dialled."""
+    def _refusal(self, link: links.Link) -> str:
+        """Returns why a stream must not be used, empty if it may be."""
         hello = link.hello
         known = self._links.get(hello.instance_id)
-        lower_is_self = self._hello.instance_id < hello.instance_id
+        if self._stopped:
+            return "this entry stops"
+        if hello.instance_id == self._hello.instance_id:
+            return "the peer has the id of this entry"
+        if hello.incarnation in self._replaced.get(hello.instance_id, ()):
+            # A paused process that wakes must not displace its successor.
+            return "the incarnation was replaced"
         if (
             known is not None
+            and known.live
             and known.hello.incarnation == hello.incarnation
-            and link.outgoing != lower_is_self
+            and self._is_preferred(known)
+            and not self._is_preferred(link)
         ):
-            return False
-        self._links[hello.instance_id] = link
+            return "another stream is in use"
+        return ""
+
+    def _is_preferred(self, link: links.Link) -> bool:
+        """Whether the lower instance id dialled, on which both sides agree."""
+        lower_is_self = self._hello.instance_id < link.hello.instance_id
+        return link.outgoing == lower_is_self
+
+    def _admit(self, link: links.Link) -> None:
+        name = link.hello.instance_id
+        previous = self._incarnations.get(name)
+        if previous is not None and previous != link.hello.incarnation:
+            self._replaced.setdefault(
+                name, collections.deque(maxlen=_MAX_REPLACED)
+            ).append(previous)
+        self._incarnations[name] = link.hello.incarnation
+        known = self._links.get(name)
+        self._links[name] = link
+        if known is not None:
+            self._counters.replaced += 1
+            known.close("replaced by a newer stream")
         self._changed()
-        return True
+
+    def _take(self, link: links.Link, message: messages.Message) -> None:
+        match message:
+            case messages.Heartbeat():
+                was_leaving = link.leaving
+                link.state = message
+                if link.leaving != was_leaving:
+                    self._changed()
+            case _:
+                pass
+        self._receive(link, message)
+
+
+def _greeting(envelope: peer_pb2.Envelope | None) -> messages.Hello:
+    greeting = codec.decode(envelope) if envelope is not None else []
+    match greeting:
+        case [messages.Hello() as hello, *_] if (
+            hello.instance_id and hello.incarnation
+        ):
+            return hello
+        case _:
+            raise errors.PeerError("no greeting", step="greet peer")
--- a/sesameroad/peering/message.py
+++ b/sesameroad/peering/message.py
@@ -77,12 +77,32 @@
     version: bytes
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LeavingMark:
+    """Word that an endpoint is leaving.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        listing_version: Version of the instance list when the mark was made.
+        age_ms: Time since then; clocks of entries need not agree.
+    """
+
+    endpoint_id: str
+    listing_version: int
+    age_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class EndpointUpdate:
-    """The newest instance list known, as JSON, and leaving endpoints."""
+    """The newest instance list known, or endpoints that are leaving.
+
+    Attributes:
+        listing: The list as compressed JSON, empty if the message has none.
+        marks: Endpoints that are leaving.
+    """
 
     listing: bytes
-    leaving: tuple[str, ...] = ()
+    marks: tuple[LeavingMark, ...] = ()
 
 
 class Purpose(enum.Enum):
--- /dev/null
+++ b/standins/forwarder.py
@@ -0,0 +1,127 @@
+"""TCP forwarder that cuts, half-cuts and delays a link between processes."""
+
+import asyncio
+import contextlib
+import enum
+from typing import Self
+
+_HOST = "127.0.0.1"
+_CHUNK_BYTES = 64 * 1024
+
+
+class Fault(enum.Enum):
+    """What happens to bytes on the link."""
+
+    NONE = "none"
+    CUT = "cut"
+    DROP_REQUESTS = "drop-requests"
+    DROP_ANSWERS = "drop-answers"
+
+
+class Forwarder:
+    """Forwards connections on a loopback port to another address.
+
+    While a direction is cut, its bytes vanish and connections stay open, as with
+    a switch that loses packets. New connections are accepted and then see the
+    same fault. The end of a connection passes in the directions that work.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host = host
+        self._port = port
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.Task[None]] = set()
+        self._fault = Fault.NONE
+        self._fault_changed = asyncio.Event()
+        self.delay_s = 0.0
+        self.forwarded_bytes = 0
+
+    @classmethod
+    async def open(cls, address: str, *, port: int = 0) -> Self:
+        """Returns a forwarder to "host:port" that listens already."""
+        host, _, target = address.rpartition(":")
+        forwarder = cls(host, int(target))
+        forwarder._server = await asyncio.start_server(
+            forwarder._accept, _HOST, port
+        )
+        return forwarder
+
+    @property
+    def fault(self) -> Fault:
+        """What happens to bytes now."""
+        return self._fault
+
+    @fault.setter
+    def fault(self, fault: Fault) -> None:
+        self._fault = fault
+        self._fault_changed.set()
+        self._fault_changed = asyncio.Event()
+
+    @property
+    def address(self) -> str:
+        """Host and port to connect to."""
+        assert self._server is not None
+        return f"{_HOST}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def close(self) -> None:
+        """Stops listening and breaks all connections."""
+        assert self._server is not None
+        self._server.close()
+        await self.break_connections()
+
+    async def break_connections(self) -> None:
+        """Breaks the connections of now; new ones are accepted."""
+        tasks = list(self._connections)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections.add(task)
+        onward: asyncio.StreamWriter | None = None
+        # The owner of a broken connection sees its end; nothing is to report.
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            answers, onward = await asyncio.open_connection(
+                self._host, self._port
+            )
+            async with asyncio.TaskGroup() as group:
+                group.create_task(
+                    self._pump(reader, onward, Fault.DROP_REQUESTS)
+                )
+                group.create_task(
+                    self._pump(answers, writer, Fault.DROP_ANSWERS)
+                )
+        for end in (writer, onward):
+            if end is not None:
+                end.transport.abort()
+        self._connections.discard(task)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        drop: Fault,
+    ) -> None:
+        """Copies one direction until its end."""
+        while True:
+            try:
+                chunk = await reader.read(_CHUNK_BYTES)
+            except OSError:
+                chunk = b""
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            if not chunk:
+                while self._fault in (Fault.CUT, drop):
+                    await self._fault_changed.wait()
+                writer.close()
+                return
+            if self._fault in (Fault.CUT, drop):
+                continue
+            self.forwarded_bytes += len(chunk)
+            writer.write(chunk)
+            with contextlib.suppress(OSError):
+                await writer.drain()
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,52 @@
+"""Translation of messages to protobuf and back."""
+
+import unittest
+
+from google.protobuf import message as protobuf_message
+import hypothesis
+from hypothesis import strategies as st
+
+from sesameroad import errors
+from sesameroad.model import need as needs
+from sesameroad.model import outcome as outcomes
+from sesameroad.model import work as works
+from sesameroad.peering import codec
+from sesameroad.peering import message as messages
+from sesameroad.peering import peer_pb2
+
+_TASKS = (works.Task(b"1", needs.Need(1.5, 10, 1)), works.Task(b"2"))
+_WORK = works.Submission("k", "team", "kind", 5, _TASKS)
+_MESSAGES = [
+    messages.Hello("a", "dc1", "ff"),
+    messages.Heartbeat(3, 4, True),
+    messages.ConfigurationUpdate(b"{}"),
+    messages.EndpointUpdate(b"x", (messages.LeavingMark("e", 3, 1_500),)),
+    messages.RelayRequest(1, messages.Purpose.SPILL, _WORK, "d", 9),
+    messages.RelayReply(1, outcomes.Complete((b"1", b"2"))),
+    messages.StatusQuery(2, "k", True),
+    messages.FleetQuery(3, "show"),
+    messages.FleetReply(3, b"{}"),
+]
+
+
+class CodecTest(unittest.TestCase):
+
+    def test_messages_survive_the_round_trip(self):
+        text = codec.encode(_MESSAGES).SerializeToString()
+        decoded = codec.decode(peer_pb2.Envelope.FromString(text))
+        self.assertEqual(decoded, _MESSAGES)
+
+    @hypothesis.given(st.binary(max_size=64))
+    def test_garbage_raises_nothing_but_peer_errors(self, text):
+        """Any other error would end the task that reads the stream."""
+        for field in peer_pb2.Item.DESCRIPTOR.fields:
+            item = peer_pb2.Item()
+            try:
+                getattr(item, field.name).MergeFromString(text)
+                getattr(item, field.name).SetInParent()
+            except protobuf_message.DecodeError:
+                continue
+            try:
+                codec.decode_item(item)
+            except errors.PeerError:
+                continue
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,149 @@
+"""One stream to one peer."""
+
+import asyncio
+import contextlib
+import time
+import unittest
+
+from sesameroad import errors
+from sesameroad.model import outcome as outcomes
+from sesameroad.peering import codec
+from sesameroad.peering import link as links
+from sesameroad.peering import message as messages
+from sesameroad.peering import peer_pb2
+
+_REPLY = messages.RelayReply(1, outcomes.Complete((b"1",)))
+_DEMAND = messages.Demand(1, (), ())
+
+
+class _Stream:
+    """An end of a stream whose other end is the test."""
+
+    def __init__(self, *, blocked: bool = False):
+        self.sent = []
+        self.arrived = asyncio.Queue()
+        self._blocked = blocked
+
+    async def send_message(self, message):
+        if self._blocked:
+            await asyncio.Event().wait()
+        self.sent.append(codec.decode(message))
+
+    async def recv_message(self):
+        return await self.arrived.get()
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+
+    def setUp(self):
+        self.counters = links.Counters()
+        self.received = []
+
+    def _link(self, stream, *, heartbeat_s=0.02, timeout_s=0.2):
+        return links.Link(
+            stream=stream,
+            hello=messages.Hello("b", "dc1", "1"),
+            outgoing=True,
+            heartbeat=lambda: messages.Heartbeat(1, 1, False),
+            heartbeat_s=heartbeat_s,
+            timeout_s=timeout_s,
+            counters=self.counters,
+        )
+
+    @contextlib.asynccontextmanager
+    async def _conversing(self, link):
+        task = asyncio.create_task(
+            link.converse(lambda _, message: self.received.append(message))
+        )
+        await asyncio.sleep(0)
+        yield task
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def test_heartbeats_go_on_under_steady_traffic(self):
+        """Traffic must not starve the versions that heartbeats carry."""
+        stream = _Stream()
+        link = self._link(stream, timeout_s=5)
+        async with self._conversing(link):
+            for _ in range(20):
+                link.send(_DEMAND)
+                await asyncio.sleep(0.005)
+        beats = [m for e in stream.sent for m in e if m != _DEMAND]
+        self.assertGreaterEqual(len(beats), 3)
+
+    async def test_blocked_writer_ends_the_link(self):
+        """A peer that sends but does not read is lost as well."""
+        stream = _Stream(blocked=True)
+        async with self._conversing(self._link(stream)) as task:
+            for _ in range(10):
+                stream.arrived.put_nowait(codec.encode([_DEMAND]))
+                await asyncio.sleep(0.05)
+            with self.assertRaisesRegex(errors.PeerError, "reads nothing"):
+                await asyncio.wait_for(task, 0.5)
+
+    async def test_malformed_message_spares_the_others(self):
+        """One bad item must not break the stream and all its questions."""
+        stream = _Stream()
+        envelope = codec.encode([_DEMAND, _DEMAND])
+        envelope.items.insert(1, peer_pb2.Item(relay_request={"purpose": 7}))
+        async with self._conversing(self._link(stream)) as task:
+            stream.arrived.put_nowait(envelope)
+            await asyncio.sleep(0.05)
+            self.assertFalse(task.done())
+        self.assertEqual(self.received, [_DEMAND, _DEMAND])
+        self.assertEqual(self.counters.malformed, 1)
+
+    async def test_late_reply_is_dropped_and_counted(self):
+        stream = _Stream()
+        link = self._link(stream)
+        async with self._conversing(link):
+            with self.assertRaisesRegex(errors.PeerError, "no reply"):
+                await link.ask(
+                    lambda n: messages.FleetQuery(n, "x"), timeout_s=0.01
+                )
+            stream.arrived.put_nowait(codec.encode([_REPLY]))
+            await asyncio.sleep(0.02)
+        self.assertEqual(self.counters.late_replies, 1)
+
+    async def test_closed_link_fails_questions_and_takes_nothing(self):
+        """After its replacement, a stream must not deliver old state."""
+        stream = _Stream()
+        link = self._link(stream)
+        async with self._conversing(link) as task:
+            question = asyncio.create_task(
+                link.ask(lambda n: messages.FleetQuery(n, "x"), timeout_s=5)
+            )
+            await asyncio.sleep(0.01)
+            stream.arrived.put_nowait(codec.encode([_DEMAND]))
+            link.close("replaced by a newer stream")
+            for ended in (question, task):
+                with self.assertRaisesRegex(errors.PeerError, "replaced"):
+                    await asyncio.wait_for(ended, 0.5)
+        self.assertEqual(self.received, [])
+        with self.assertRaisesRegex(errors.PeerError, "replaced"):
+            link.send(_DEMAND)
+
+    async def test_silent_peer_is_not_live_after_a_pause(self):
+        """A woken process must not use views from before its pause."""
+        link = self._link(_Stream(), timeout_s=0.05)
+        self.assertTrue(link.live)
+        time.sleep(0.06)  # Stops the whole process, as SIGSTOP does.
+        self.assertFalse(link.live)
+
+    async def test_slow_reader_costs_bounded_memory(self):
+        link = self._link(_Stream(blocked=True))
+        update = messages.EndpointUpdate(b"x" * 1024 * 1024)
+        with self.assertRaisesRegex(errors.PeerError, "keep up"):
+            for _ in range(17):
+                link.send(update)
+        self.assertEqual(self.counters.dropped, 1)
+
+    async def test_backlog_leaves_in_several_envelopes(self):
+        """An envelope that takes longer than the timeout looks like silence."""
+        stream = _Stream()
+        link = self._link(stream)
+        for _ in range(8):
+            link.send(messages.EndpointUpdate(b"x" * 100_000))
+        async with self._conversing(link):
+            await asyncio.sleep(0.02)
+        self.assertEqual([len(e) for e in stream.sent[:4]], [3, 2, 2, 2])
--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,179 @@
+"""Streams between entries, over real sockets."""
+
+import asyncio
+import socket
+import unittest
+from unittest import mock
+
+from grpclib import const
+from grpclib import server as grpc_server
+
+from sesameroad.peering import codec
+from sesameroad.peering import mesh as meshes
+from sesameroad.peering import message as messages
+from sesameroad.peering import peer_pb2
+from standins import fleet as fleets
+from standins import forwarder as forwarders
+from tests import _peers
+
+_HELLO = codec.encode([messages.Hello("b", "dc1", "1")])
+
+
+class _Rogue:
+    """Answers a greeting, then sends bytes that are no envelope."""
+
+    def __init__(self):
+        self.streams = 0
+
+    async def exchange(self, stream):
+        self.streams += 1
+        task = peer_pb2.Task(payload=_HELLO.items[0].SerializeToString())
+        await stream.send_message(task)
+        await stream.send_message(peer_pb2.Task(payload=b"\xff\xff"))
+        await asyncio.sleep(0.2)
+
+    def __mapping__(self):
+        handler = const.Handler(
+            self.exchange,
+            const.Cardinality.STREAM_STREAM,
+            peer_pb2.Envelope,
+            peer_pb2.Task,
+        )
+        return {"/sesameroad.peering.Peer/Exchange": handler}
+
+
+class MeshTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_simultaneous_dials_leave_one_stream(self):
+        """Two streams would carry state out of order."""
+        a, b = _peers.Node("a"), _peers.Node("b")
+        with mock.patch.object(meshes, "_SECOND_DIAL_DELAY_S", 0.0):
+            async with _peers.running(a, b):
+                for node in (a, b):
+                    node.mesh.update([a.listed(), b.listed()])
+                await _peers.until(lambda: a.peers and b.peers)
+                await asyncio.sleep(2 * _peers.TIMEOUT_S)
+                self.assertTrue(a.mesh.peers["b"].outgoing)
+                self.assertFalse(b.mesh.peers["a"].outgoing)
+                replaced = a.mesh.counters.replaced
+                await asyncio.sleep(_peers.TIMEOUT_S)
+                self.assertEqual(a.mesh.counters.replaced, replaced)
+
+    async def test_restarted_peer_displaces_the_old_and_stays(self):
+        """A paused process that wakes must not displace its successor."""
+        a, old = _peers.Node("a"), _peers.Node("b", "1")
+        new = _peers.Node("b", "2")
+        async with _peers.running(a, old, new):
+            old.mesh.update([a.listed()])
+            await _peers.until(lambda: a.peers == {"b": "1"})
+            first = a.mesh.peers["b"]
+            new.mesh.update([a.listed()])
+            await _peers.until(lambda: a.peers == {"b": "2"})
+            self.assertIsNone(a.mesh.find("1"))
+            await asyncio.wait_for(first.wait_closed(), 0.1)
+            await _peers.until(lambda: a.mesh.counters.refused >= 1)
+            self.assertEqual(a.peers, {"b": "2"})
+
+    async def test_leaving_mark_in_the_list_keeps_the_stream(self):
+        """A leaving entry still relays and finishes its work."""
+        a, b = _peers.Node("a"), _peers.Node("b")
+        async with _peers.running(a, b):
+            a.mesh.update([b.listed()])
+            await _peers.until(lambda: a.peers)
+            link = a.mesh.peers["b"]
+            a.mesh.update([b.listed(leaving=True)])
+            await asyncio.sleep(0.1)
+            self.assertIs(a.mesh.peers["b"], link)
+            b.state = messages.Heartbeat(0, 0, True)
+            b.mesh.beat()
+            await _peers.until(lambda: link.leaving, 0.5)
+
+    async def test_unlisted_entry_stays_while_it_heartbeats(self):
+        """The list lags; a listed entry that is silent does not count."""
+        a, b = _peers.Node("a"), _peers.Node("b")
+        silent = _peers.Node("c")
+        async with _peers.running(a, b):
+            a.mesh.update([b.listed(), silent.listed()])
+            await _peers.until(lambda: a.peers)
+            a.mesh.update([])
+            await asyncio.sleep(2 * _peers.TIMEOUT_S)
+            self.assertEqual(a.peers, {"b": "1"})
+            await b.mesh.stop()
+            await _peers.until(lambda: not a.mesh._dialling)
+
+    async def test_another_instance_at_an_address_is_refused(self):
+        """A reused address must not displace the stream to its new owner."""
+        a, b = _peers.Node("a"), _peers.Node("b")
+        async with _peers.running(a, b):
+            a.mesh.update([_peers.Node("gone", port=b.port).listed()])
+            await asyncio.sleep(0.3)
+            self.assertEqual(a.peers, {})
+            self.assertEqual(b.peers, {})
+
+    async def test_undecodable_envelope_does_not_end_redialling(self):
+        a = _peers.Node("a")
+        rogue, port = _Rogue(), fleets.free_port()
+        server = grpc_server.Server([rogue])
+        await server.start("127.0.0.1", port)
+        async with _peers.running(a):
+            a.mesh.update([_peers.Node("b", port=port).listed()])
+            await _peers.until(lambda: rogue.streams >= 2)
+        server.close()
+        await server.wait_closed()
+
+    async def test_stream_recovers_each_time_it_breaks(self):
+        """A break must not leave the dialling task cancelled."""
+        a, b = _peers.Node("a"), _peers.Node("b")
+        async with _peers.running(a, b):
+            link = await forwarders.Forwarder.open(f"127.0.0.1:{b.port}")
+            a.mesh.update([b.listed(link.address)])
+            for replaced in (False, False, True, False):
+                await _peers.until(lambda: a.peers and b.peers)
+                if replaced:
+                    a.mesh.peers["b"].close("replaced")
+                else:
+                    await link.break_connections()
+                await _peers.until(lambda: not a.peers and not b.peers)
+            await _peers.until(lambda: a.peers and b.peers)
+            await link.close()
+
+    async def test_half_cut_link_is_lost_on_both_sides(self):
+        """Dials over a half-cut link must not make the peer seem live."""
+        for fault in (
+            forwarders.Fault.DROP_ANSWERS,
+            forwarders.Fault.DROP_REQUESTS,
+        ):
+            a, b = _peers.Node("a"), _peers.Node("b")
+            async with _peers.running(a, b):
+                link = await forwarders.Forwarder.open(f"127.0.0.1:{b.port}")
+                a.mesh.update([b.listed(link.address)])
+                await _peers.until(lambda a=a, b=b: a.peers and b.peers)
+                link.fault = fault
+                limit_s = 3 * _peers.TIMEOUT_S
+                await _peers.until(
+                    lambda a=a, b=b: not a.peers and not b.peers, limit_s
+                )
+                for _ in range(100):
+                    await asyncio.sleep(0.02)
+                    self.assertEqual((a.peers, b.peers), ({}, {}), fault)
+                link.fault = forwarders.Fault.NONE
+                await _peers.until(lambda a=a, b=b: a.peers and b.peers)
+                await link.close()
+
+    async def test_stop_while_dialling_leaves_no_task(self):
+        """Stopping must end, and the loss of links must not redial."""
+        a, b = _peers.Node("a"), _peers.Node("b")
+        mute = socket.create_server(("127.0.0.1", 0))
+        port = mute.getsockname()[1]
+        entries = [b.listed(), _peers.Node("c", port=port).listed()]
+        async with _peers.running(b):
+            await a.mesh.start("127.0.0.1", a.port)
+            a.mesh.update(entries[1:])
+            b.mesh.update([a.listed()])
+            await _peers.until(lambda: a.peers)
+            a.mesh._changed = lambda: a.mesh.update(entries)
+            await asyncio.wait_for(a.mesh.stop(), 2)
+            await asyncio.sleep(0.05)
+            names = {task.get_name() for task in asyncio.all_tasks()}
+        self.assertFalse({n for n in names if n.endswith((" b", " c"))})
+        mute.close()
