--- a/sesameroad/errors.py
+++ b/sesameroad/errors.py
@@ -61,3 +61,7 @@
 
 class ConflictError(SesameroadError):
     """A configuration change lost to a concurrent change."""
+
+
+class ChangeUnknownError(SesameroadError):
+    """A configuration change may or may not have taken effect."""
