Spread configuration, list and leaving marks between entries

Cause: peers ignored each other's versions, so an entry cut off from the platform kept its configuration and list; a leaving mark never ended and stayed on one entry; each poll of the list transferred all of it.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements. Figures depend on the machine; ratios are what they are for."""
--- a/sesameroad/entry/entry.py
+++ b/sesameroad/entry/entry.py
@@ -9,6 +9,7 @@
 from sesameroad.configuration import watcher as configuration_watcher
 from sesameroad.entry import dispatcher as dispatchers
 from sesameroad.entry import intake as intakes
+from sesameroad.entry import spread as spreads
 from sesameroad.entry import web as webs
 from sesameroad.membership import directory as directories
 from sesameroad.membership import watcher as membership_watcher
@@ -54,8 +55,14 @@
         )
         table = tables.Table(self._platform)
         self._instances = instances.Instances(self._platform)
-        self._store = stores.Store(table=table, fallback=settings.fallback)
-        self._directory = directories.Directory(seeds=settings.peers)
+        self._store = stores.Store(
+            table=table,
+            fallback=settings.fallback,
+            accepted=self._configuration_accepted,
+        )
+        self._directory = directories.Directory(
+            seeds=settings.peers, clock=clock
+        )
         self._ledger = ledgers.Ledger(
             clock=clock, max_records=limits.max_records
         )
@@ -94,6 +101,15 @@
             heartbeat_s=timing.heartbeat_s,
             timeout_s=timing.peer_timeout_s,
         )
+        self._spread = spreads.Spread(
+            instance_id=settings.instance_id,
+            mesh=self._mesh,
+            store=self._store,
+            directory=self._directory,
+            clock=clock,
+            configuration_changed=self._configuration_changed,
+            members_changed=self._members_changed,
+        )
         self._intake = intakes.Intake(
             incarnation=self._incarnation,
             issuer=keys.Issuer.from_secret(
@@ -132,7 +148,11 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return not self._leaving and bool(tuple(self._pool.live))
+        return (
+            not self._leaving
+            and self._spread.settled
+            and bool(tuple(self._pool.live))
+        )
 
     async def start(self) -> None:
         """Starts all services."""
@@ -145,14 +165,14 @@
                     self._instances,
                     self._directory,
                     period_s=settings.timing.poll_s,
-                    changed=self._members_changed,
+                    changed=self._listing_changed,
                 )
             ),
             asyncio.create_task(
                 configuration_watcher.watch(
                     self._store,
                     period_s=settings.timing.poll_s,
-                    changed=self._configuration_changed,
+                    changed=self._configuration_accepted,
                 )
             ),
             asyncio.create_task(self._sweep()),
@@ -177,6 +197,7 @@
     async def stop(self) -> None:
         """Stops gracefully: no request in flight is cut off."""
         self._leaving = True
+        self._mesh.beat()
         self._dispatcher.stop_accepting()
         try:
             async with asyncio.timeout(self._settings.timing.graceful_stop_s):
@@ -209,7 +230,7 @@
             case messages.RelayRequest() | messages.StatusQuery():
                 self._intake.receive(link, message)
             case _:
-                return
+                self._spread.receive(link, message)
 
     def _members_changed(self) -> None:
         data_centre = self._settings.data_centre
@@ -218,11 +239,25 @@
             link
             for link in self._mesh.peers.values()
             if link.hello.data_centre == data_centre
+            and not link.leaving
+            and not self._directory.is_leaving_entry(link.hello.instance_id)
         ]
         self._allocation.set_entries(1 + len(neighbours))
         self._pool.update(self._directory.live_endpoints(data_centre))
         self._matcher.match()
 
+    def _listing_changed(self) -> None:
+        self._spread.listing_changed()
+        self._members_changed()
+
+    def _endpoint_leaving(self, endpoint_id: str) -> None:
+        if self._spread.endpoint_leaving(endpoint_id):
+            self._members_changed()
+
+    def _configuration_accepted(self) -> None:
+        self._spread.push_configuration()
+        self._configuration_changed()
+
     def _configuration_changed(self) -> None:
         content = self._store.current.document
         self._policy.configure(content)
--- a/sesameroad/membership/directory.py
+++ b/sesameroad/membership/directory.py
@@ -1,23 +1,50 @@
 """The live view of entries and endpoints."""
 
 from collections.abc import Iterable
+import enum
 
 from sesameroad.configuration import document
+from sesameroad.membership import mark as marks
+from sesameroad.model import clock as clocks
 from sesameroad.model import endpoint as endpoints
 from sesameroad.model import instance
 from sesameroad.platform import instances
 
 
+class Standing(enum.Enum):
+    """Whether an endpoint gets new work, and if not, who said so."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    DRAINED = "drained"
+
+
 class Directory:
     """Merges the platform's list, the operators' drains and leaving marks."""
 
-    __slots__ = ("_drained", "_leaving", "_listing", "_seeds")
+    __slots__ = (
+        "_by_data_centre",
+        "_clock",
+        "_drained",
+        "_endpoints",
+        "_listing",
+        "_marks",
+        "_seeds",
+    )
 
-    def __init__(self, *, seeds: Iterable[instance.Instance]) -> None:
+    def __init__(
+        self,
+        *,
+        seeds: Iterable[instance.Instance],
+        clock: clocks.Clock | None = None,
+    ) -> None:
         self._seeds = tuple(seeds)
+        self._clock = clock or clocks.Clock()
         self._listing = instances.Listing(version=0)
         self._drained = document.Membership()
-        self._leaving: set[str] = set()
+        self._marks: dict[str, marks.Mark] = {}
+        self._endpoints: dict[str, endpoints.Endpoint] = {}
+        self._by_data_centre: dict[str, list[endpoints.Endpoint]] = {}
 
     @property
     def listing(self) -> instances.Listing:
@@ -31,36 +58,144 @@
         known.update({entry.id: entry for entry in self._listing.entries})
         return known
 
+    @property
+    def data_centres(self) -> list[str]:
+        """Names of all data centres that have endpoints or entries."""
+        named = {entry.data_centre for entry in self.entries.values()}
+        return sorted(named | self._by_data_centre.keys())
+
+    @property
+    def leaving_marks(self) -> tuple[marks.Mark, ...]:
+        """Leaving marks that are in force."""
+        return tuple(self._marks.values())
+
     def apply(self, listing: instances.Listing) -> bool:
         """Takes a list if it is newer; returns whether it was."""
         if listing.version <= self._listing.version:
             return False
         self._listing = listing
+        self._endpoints = {e.id: e for e in listing.endpoints}
+        self._by_data_centre = {}
+        for endpoint in listing.endpoints:
+            self._by_data_centre.setdefault(endpoint.data_centre, []).append(
+                endpoint
+            )
+        for mark in self._marks.values():
+            if not self._is_listed_live(mark.endpoint_id):
+                mark.confirmed = True
+        self.expire_marks()
         return True
 
+    def expire_marks(self) -> bool:
+        """Ends marks that the list contradicts; returns whether any ended."""
+        over = [m for m in self._marks.values() if self._is_over(m)]
+        for mark in over:
+            del self._marks[mark.endpoint_id]
+        return bool(over)
+
     def drain(self, drained: document.Membership) -> None:
         """Applies what the operators have taken out of service."""
         self._drained = drained
 
-    def mark_leaving(self, endpoint_id: str) -> None:
-        """Notes that an endpoint said it is leaving."""
-        self._leaving.add(endpoint_id)
+    def mark_leaving(
+        self,
+        endpoint_id: str,
+        *,
+        listing_version: int | None = None,
+        age_s: float = 0.0,
+    ) -> bool:
+        """Notes that an endpoint is leaving.
+
+        Args:
+            endpoint_id: The endpoint.
+            listing_version: Version of the list where the mark was made, if not
+                the one here.
+            age_s: Time since the mark was made.
+
+        Returns:
+            Whether the mark is new and in force.
+        """
+        if endpoint_id in self._marks:
+            return False
+        if listing_version is None:
+            listing_version = self._listing.version
+        mark = marks.Mark(
+            endpoint_id, listing_version, self._clock.monotonic() - age_s
+        )
+        if self._is_over(mark):
+            return False
+        self._marks[endpoint_id] = mark
+        return True
+
+    def age_s(self, mark: marks.Mark) -> float:
+        """Returns the time since a mark was made."""
+        return self._clock.monotonic() - mark.made_at
+
+    def find(self, endpoint_id: str) -> endpoints.Endpoint | None:
+        """Returns a listed endpoint, or None."""
+        return self._endpoints.get(endpoint_id)
+
+    def select(
+        self,
+        *,
+        data_centre: str | None = None,
+        worker: str | None = None,
+        rack: str | None = None,
+    ) -> list[endpoints.Endpoint]:
+        """Returns listed endpoints by place, those that get no work included.
+
+        Args:
+            data_centre: Only of this data centre.
+            worker: Only on this worker.
+            rack: Only in this rack.
+        """
+        listed: Iterable[endpoints.Endpoint] = self._listing.endpoints
+        if data_centre is not None:
+            listed = self._by_data_centre.get(data_centre, [])
+        return [
+            endpoint
+            for endpoint in listed
+            if worker in (None, endpoint.worker)
+            and rack in (None, endpoint.rack)
+        ]
 
     def live_endpoints(self, data_centre: str) -> list[endpoints.Endpoint]:
         """Returns the endpoints of a data centre that may get new work."""
         return [
             endpoint
-            for endpoint in self._listing.endpoints
-            if endpoint.data_centre == data_centre and self._may_work(endpoint)
+            for endpoint in self._by_data_centre.get(data_centre, [])
+            if self.standing(endpoint) is Standing.LIVE
         ]
 
-    def _may_work(self, endpoint: endpoints.Endpoint) -> bool:
+    def standing(self, endpoint: endpoints.Endpoint) -> Standing:
+        """Returns whether an endpoint gets new work, and why not."""
         drained = self._drained
-        return not (
-            endpoint.leaving
-            or endpoint.id in self._leaving
-            or endpoint.id in drained.endpoints
+        if endpoint.leaving or endpoint.id in self._marks:
+            return Standing.LEAVING
+        if (
+            endpoint.id in drained.endpoints
             or endpoint.worker in drained.workers
             or endpoint.rack in drained.racks
             or endpoint.data_centre in drained.data_centres
+        ):
+            return Standing.DRAINED
+        return Standing.LIVE
+
+    def is_leaving_entry(self, entry_id: str) -> bool:
+        """Returns whether the list shows an entry as leaving."""
+        return any(
+            e.id == entry_id and e.leaving for e in self._listing.entries
+        )
+
+    def _is_listed_live(self, endpoint_id: str) -> bool:
+        endpoint = self._endpoints.get(endpoint_id)
+        return endpoint is not None and not endpoint.leaving
+
+    def _is_over(self, mark: marks.Mark) -> bool:
+        if mark.endpoint_id not in self._endpoints and mark.confirmed:
+            return self.age_s(mark) >= marks.LIST_LAG_S
+        return mark.is_over(
+            listing_version=self._listing.version,
+            listed_live=self._is_listed_live(mark.endpoint_id),
+            now=self._clock.monotonic(),
         )
--- a/sesameroad/membership/watcher.py
+++ b/sesameroad/membership/watcher.py
@@ -28,4 +28,6 @@
                 peer=error.peer,
                 error=str(error),
             )
+        if directory.expire_marks():
+            changed()
         await asyncio.sleep(period_s)
--- a/sesameroad/platform/client.py
+++ b/sesameroad/platform/client.py
@@ -44,7 +44,26 @@
         Raises:
             PlatformError: If the platform fails or does not answer.
         """
-        return await self._call("GET", path, None, step)
+        answer = await self._call("GET", path, None, step)
+        return None if answer is None else answer[0]
+
+    async def get_if_changed(
+        self, path: str, etag: str, *, step: str
+    ) -> tuple[bytes, str] | None:
+        """Reads a resource unless it still has an entity tag.
+
+        Returns:
+            The body and its entity tag, or None if the tag is still right.
+
+        Raises:
+            PlatformError: If the platform fails, does not answer or does not
+                have the resource.
+        """
+        headers = {"If-None-Match": etag} if etag else {}
+        answer = await self._call("GET", path, None, step, headers)
+        if answer is None:
+            raise errors.PlatformError("not found", step=step, peer=_PEER)
+        return None if answer[1] == etag != "" else answer
 
     async def post(self, path: str, body: Any, *, step: str) -> bytes:
         """Posts a JSON body and returns the answer's body.
@@ -53,7 +72,7 @@
             PlatformError: If the platform fails or does not answer.
         """
         answer = await self._call("POST", path, msgspec.json.encode(body), step)
-        return answer or b""
+        return answer[0] if answer is not None else b""
 
     async def put(self, path: str, body: bytes, *, step: str) -> None:
         """Writes a resource.
@@ -64,11 +83,21 @@
         await self._call("PUT", path, body, step)
 
     async def _call(
-        self, method: str, path: str, body: bytes | None, step: str
-    ) -> bytes | None:
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        step: str,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[bytes, str] | None:
+        """Returns the body and the entity tag, None if there is no resource."""
         try:
             async with self._session.request(
-                method, self._base_url + path, data=body, timeout=self._timeout
+                method,
+                self._base_url + path,
+                data=body,
+                headers=headers,
+                timeout=self._timeout,
             ) as response:
                 answer = await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
@@ -81,4 +110,4 @@
             raise errors.PlatformError(
                 f"status {response.status}", step=step, peer=_PEER
             )
-        return answer
+        return answer, response.headers.get("ETag", "")
--- a/sesameroad/platform/instances.py
+++ b/sesameroad/platform/instances.py
@@ -20,12 +20,18 @@
 
 
 class Instances:
-    """Reads the list."""
+    """Reads the list, and transfers it only if it has changed.
 
-    __slots__ = ("_client",)
+    At the design size the list takes 200 KB, forty times what an entry's
+    control traffic may take in a second.
+    """
+
+    __slots__ = ("_client", "_etag", "_last")
 
     def __init__(self, client: clients.Client) -> None:
         self._client = client
+        self._etag = ""
+        self._last = Listing(version=0)
 
     async def read(self) -> Listing:
         """Returns the current list.
@@ -34,8 +40,15 @@
             PlatformError: If the platform fails or does not answer.
         """
         step = "read instance list"
-        body = await self._client.get("/instances/v1", step=step)
+        answer = await self._client.get_if_changed(
+            "/instances/v1", self._etag, step=step
+        )
+        if answer is None:
+            return self._last
+        body, etag = answer
         try:
-            return msgspec.json.decode(body or b"", type=Listing)
+            self._last = msgspec.json.decode(body, type=Listing)
         except msgspec.MsgspecError as error:
             raise errors.PlatformError(str(error), step=step) from error
+        self._etag = etag
+        return self._last
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -20,6 +20,7 @@
 from sesameroad.model import instance
 from sesameroad.platform import instances
 from sesameroad.settings import settings as settings_module
+from standins import forwarder as forwarders
 
 _HOST = "127.0.0.1"
 _START_TIMEOUT_S = 20.0
@@ -86,10 +87,13 @@
         self._directory = directory
         self._log = log
         self.platform: Process
+        self.platform_url = ""
         self.entries: dict[str, Process] = {}
         self.endpoints: dict[str, Process] = {}
         self.settings: dict[str, settings_module.Settings] = {}
         self.listing = instances.Listing(version=1)
+        self.peer_links: dict[str, forwarders.Forwarder] = {}
+        self.platform_links: dict[str, forwarders.Forwarder] = {}
 
     @classmethod
     @contextlib.asynccontextmanager
@@ -101,8 +105,19 @@
         endpoints_each: int = 2,
         content: document.Document | None = None,
         timing: settings_module.Timing | None = None,
+        forwarded: bool = False,
     ) -> "contextlib.AsyncIterator[Self]":  # type: ignore[name-defined]
-        """Starts a fleet and stops all of it at the end."""
+        """Starts a fleet and stops all of it at the end.
+
+        Args:
+            data_centres: Number of data centres.
+            entries_each: Entries in each.
+            endpoints_each: Endpoints in each.
+            content: Fallback configuration of the entries.
+            timing: Periods and timeouts of the entries.
+            forwarded: Whether peers reach each entry, and each entry the
+                platform, through a forwarder that can fail.
+        """
         with contextlib.ExitStack() as stack:
             path = pathlib.Path(
                 stack.enter_context(tempfile.TemporaryDirectory())
@@ -117,6 +132,8 @@
                 content or default_document(),
                 timing or settings_module.Timing(),
             )
+            if forwarded:
+                await fleet._open_links()
             fleet._start_platform()
             for endpoint in fleet.listing.endpoints:
                 fleet._start_endpoint(endpoint)
@@ -128,6 +145,11 @@
                 print(fleet.log_path.read_text()[-_LOG_TAIL_CHARACTERS:])
                 raise
             yield fleet
+            for link in (
+                *fleet.peer_links.values(),
+                *fleet.platform_links.values(),
+            ):
+                await link.close()
 
     @property
     def log_path(self) -> pathlib.Path:
@@ -177,6 +199,36 @@
                     total[task] = total.get(task, 0) + count
         return total
 
+    async def set_listing(self, listing: instances.Listing) -> None:
+        """Replaces the platform's list."""
+        self.listing = listing
+        await self.control(
+            self.platform, "listing", msgspec.json.encode(listing)
+        )
+
+    async def _open_links(self) -> None:
+        """Puts forwarders in front of all peer services and the platform."""
+        for name, settings in self.settings.items():
+            url = settings.platform_url
+            self.platform_links[name] = await forwarders.Forwarder.open(
+                url.removeprefix("http://")
+            )
+            self.peer_links[name] = await forwarders.Forwarder.open(
+                f"{settings.peer.host}:{settings.peer.port}"
+            )
+        entries = tuple(
+            dataclasses.replace(
+                entry, address=self.peer_links[entry.id].address
+            )
+            for entry in self.listing.entries
+        )
+        self.listing = dataclasses.replace(self.listing, entries=entries)
+        for name, settings in self.settings.items():
+            link = self.platform_links[name]
+            self.settings[name] = dataclasses.replace(
+                settings, peers=entries, platform_url=f"http://{link.address}"
+            )
+
     def _plan(
         self,
         data_centres: int,
@@ -208,7 +260,7 @@
                 for n in range(1, endpoints_each + 1)
             ),
         )
-        platform_url = f"http://{_HOST}:{free_port()}"
+        platform_url = self.platform_url = f"http://{_HOST}:{free_port()}"
         for entry in entries:
             host, _, port = entry.address.rpartition(":")
             self.settings[entry.id] = settings_module.Settings(
@@ -232,7 +284,7 @@
             )
 
     def _start_platform(self) -> None:
-        url = next(iter(self.settings.values())).platform_url
+        url = self.platform_url
         path = self._directory / "listing.json"
         path.write_bytes(msgspec.json.encode(self.listing))
         port = url.rpartition(":")[2]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -9,6 +9,7 @@
 from absl import flags
 from aiohttp import web
 import msgspec
+import xxhash
 
 from sesameroad.platform import instances
 from sesameroad.platform import table as tables
@@ -112,8 +113,14 @@
         await asyncio.sleep(self._write_s)
         return _json([self.apply(write) for write in body.writes])
 
-    async def _list(self, _: web.Request) -> web.Response:
-        return _json(self.listing)
+    async def _list(self, request: web.Request) -> web.Response:
+        body = msgspec.json.encode(self.listing)
+        headers = {"ETag": f'"{xxhash.xxh3_64_hexdigest(body)}"'}
+        if request.headers.get("If-None-Match") == headers["ETag"]:
+            return web.Response(status=304, headers=headers)
+        return web.Response(
+            body=body, content_type="application/json", headers=headers
+        )
 
     async def _get_object(self, request: web.Request) -> web.Response:
         body = self.objects.get(request.match_info["name"])
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,105 @@
+"""The live view of endpoints."""
+
+import unittest
+
+from sesameroad.configuration import document
+from sesameroad.membership import directory as directories
+from sesameroad.membership import mark
+from sesameroad.model import endpoint
+from sesameroad.model import instance
+from sesameroad.platform import instances
+
+
+class _Clock:
+    now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+
+def _endpoint(number: int, *, data_centre="dc1", leaving=False):
+    return endpoint.Endpoint(
+        f"{data_centre}-e{number}",
+        "http://127.0.0.1:1",
+        data_centre,
+        worker=f"{data_centre}-w{number}",
+        rack=f"{data_centre}-r{number % 2}",
+        leaving=leaving,
+    )
+
+
+def _listing(version: int, *endpoints):
+    entry = instance.Instance("a", "dc1", "127.0.0.1:1", leaving=True)
+    return instances.Listing(version, (entry,), endpoints)
+
+
+class DirectoryTest(unittest.TestCase):
+
+    def setUp(self):
+        self.clock = _Clock()
+        self.directory = directories.Directory(seeds=(), clock=self.clock)
+        self.both = (
+            _endpoint(1),
+            _endpoint(2),
+            _endpoint(1, data_centre="dc2"),
+        )
+        self.directory.apply(_listing(1, *self.both))
+
+    def _live(self, data_centre="dc1"):
+        return [e.id for e in self.directory.live_endpoints(data_centre)]
+
+    def test_older_list_is_not_taken(self):
+        self.assertFalse(self.directory.apply(_listing(1)))
+        self.assertFalse(self.directory.apply(_listing(0)))
+        self.assertEqual(len(self.directory.listing.endpoints), 3)
+
+    def test_lookup_by_place(self):
+        def ids(**place):
+            return [e.id for e in self.directory.select(**place)]
+
+        self.assertEqual(ids(data_centre="dc2"), ["dc2-e1"])
+        self.assertEqual(ids(worker="dc1-w2"), ["dc1-e2"])
+        self.assertEqual(ids(data_centre="dc1", rack="dc1-r1"), ["dc1-e1"])
+        self.assertEqual(self.directory.data_centres, ["dc1", "dc2"])
+        self.assertTrue(self.directory.is_leaving_entry("a"))
+
+    def test_drain_takes_out_each_kind_of_place(self):
+        for drained, live in (
+            (document.Membership(endpoints=("dc1-e1",)), ["dc1-e2"]),
+            (document.Membership(workers=("dc1-w2",)), ["dc1-e1"]),
+            (document.Membership(racks=("dc1-r1",)), ["dc1-e2"]),
+            (document.Membership(data_centres=("dc1",)), []),
+            (document.Membership(), ["dc1-e1", "dc1-e2"]),
+        ):
+            self.directory.drain(drained)
+            self.assertEqual(self._live(), live)
+            self.assertEqual(self._live("dc2"), ["dc2-e1"])
+
+    def test_mark_outlives_a_list_that_lags(self):
+        """A newer list may still show how the endpoint was before the mark."""
+        self.assertTrue(self.directory.mark_leaving("dc1-e1"))
+        self.directory.apply(_listing(2, *self.both))
+        self.assertEqual(self._live(), ["dc1-e2"])
+        self.clock.now += mark.LIST_LAG_S
+        self.assertTrue(self.directory.expire_marks())
+        self.assertEqual(self._live(), ["dc1-e1", "dc1-e2"])
+
+    def test_mark_ends_when_the_list_shows_the_endpoint_live_again(self):
+        self.directory.mark_leaving("dc1-e1")
+        self.clock.now += mark.LIST_LAG_S
+        self.assertFalse(self.directory.expire_marks())
+        self.directory.apply(_listing(2, _endpoint(1, leaving=True)))
+        self.assertEqual(self._live(), [])
+        self.directory.apply(_listing(3, *self.both))
+        self.assertEqual(self._live(), ["dc1-e1", "dc1-e2"])
+        self.assertEqual(self.directory.leaving_marks, ())
+
+    def test_old_mark_of_a_peer_does_not_come_back(self):
+        """A peer cut off from the platform may hold a mark for long."""
+        self.directory.apply(_listing(2, *self.both))
+        self.assertFalse(
+            self.directory.mark_leaving(
+                "dc1-e1", listing_version=1, age_s=mark.LIST_LAG_S
+            )
+        )
+        self.assertEqual(self._live(), ["dc1-e1", "dc1-e2"])
