--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -130,7 +130,8 @@
             # Silence counts as loss after 1.5 s, then the redial takes 1 s.
             await asyncio.sleep(3.0)
             for url, other in ((near, far), (far, near)):
-                status, text = await self._relay(url, other)
+                async with asyncio.timeout(1):
+                    status, text = await self._relay(url, other)
                 self.assertEqual(status, 504, text)
                 self.assertIn("home-unreachable", text)
             for link in fleet.peer_links.values():
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,150 @@
+"""What entries tell each other about configuration and endpoints."""
+
+import dataclasses
+import types
+import unittest
+
+from sesameroad.configuration import store as stores
+from sesameroad.entry import spread as spreads
+from sesameroad.membership import directory as directories
+from sesameroad.model import endpoint
+from sesameroad.peering import message as messages
+from sesameroad.platform import instances
+
+_BEHIND = messages.Heartbeat(0, 0, False)
+_LISTING = instances.Listing(
+    4, (), (endpoint.Endpoint("e1", "http://127.0.0.1:1", "dc1"),)
+)
+
+
+class _Clock:
+    now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+
+class _Mesh:
+
+    def __init__(self, *names):
+        self.sent = []
+        self.peers = {
+            name: types.SimpleNamespace(
+                hello=messages.Hello(name, "dc1", name),
+                state=_BEHIND,
+                offered_configuration=0,
+                offered_listing=0,
+                offered_marks=False,
+            )
+            for name in names
+        }
+
+    def send(self, link, message):
+        self.sent.append((link.hello.instance_id, message))
+
+    def broadcast(self, message, *, skip=None):
+        for link in self.peers.values():
+            if link is not skip:
+                self.send(link, message)
+
+
+class SpreadTest(unittest.TestCase):
+
+    def setUp(self):
+        self.clock = _Clock()
+        self.mesh = _Mesh("b", "c")
+        self.b, self.c = self.mesh.peers.values()
+        self.store = stores.Store(table=None, fallback=None)
+        self.directory = directories.Directory(seeds=(), clock=self.clock)
+        self.spread = spreads.Spread(
+            instance_id="a",
+            mesh=self.mesh,
+            store=self.store,
+            directory=self.directory,
+            clock=self.clock,
+            configuration_changed=lambda: None,
+            members_changed=lambda: None,
+        )
+        self.version = dataclasses.replace(
+            self.store.current, number=3, change_id="x"
+        )
+
+    def _beat(self, link, *state):
+        link.state = messages.Heartbeat(*state, False)
+        self.spread.receive(link, link.state)
+        sent, self.mesh.sent = self.mesh.sent, []
+        return sent
+
+    def test_entry_settles_on_the_newest_version_of_its_peers(self):
+        """The fallback must not be served while a peer knows better."""
+        self.b.state = messages.Heartbeat(3, 0, False)
+        self.assertFalse(self.spread.settled)
+        update = messages.ConfigurationUpdate(self.version.to_json())
+        self.spread.receive(self.b, update)
+        self.assertTrue(self.spread.settled)
+
+    def test_entry_goes_on_with_the_fallback_after_a_bounded_time(self):
+        self.b.state = messages.Heartbeat(3, 0, False)
+        self.clock.now += 3.0
+        self.assertFalse(self.spread.settled)
+        self.clock.now += 0.1
+        self.assertTrue(self.spread.settled)
+
+    def test_mark_goes_to_all_but_its_source_and_only_once(self):
+        self.directory.apply(_LISTING)
+        mark = messages.LeavingMark("e1", 4, 100)
+        for _ in range(2):
+            self.spread.receive(self.b, messages.EndpointUpdate(b"", (mark,)))
+        expected = messages.EndpointUpdate(b"", (mark,))
+        self.assertEqual(self.mesh.sent, [("c", expected)])
+        self.assertEqual(self.directory.live_endpoints("dc1"), [])
+
+    def test_marks_of_list_and_endpoint_are_pushed(self):
+        """An entry cut off from the platform learns of leaving from peers."""
+        self.directory.apply(_LISTING)
+        self.assertTrue(self.spread.endpoint_leaving("e1"))
+        self.assertFalse(self.spread.endpoint_leaving("e1"))
+        self.assertEqual([name for name, _ in self.mesh.sent], ["b", "c"])
+        leaving = dataclasses.replace(_LISTING.endpoints[0], leaving=True)
+        self.directory.apply(instances.Listing(5, (), (leaving,)))
+        self.spread.listing_changed()
+        self.spread.listing_changed()
+        self.assertEqual(len(self.mesh.sent), 4)
+
+    def test_list_is_offered_once_and_only_to_a_peer_that_is_behind(self):
+        """At the design size a list is large."""
+        self.directory.apply(_LISTING)
+        self.assertEqual(self._beat(self.b, 0, 4), [])
+        self.assertEqual(self._beat(self.b, 0, 3), [])
+        self.clock.now += 2.5
+        ((name, update),) = self._beat(self.b, 0, 3)
+        self.assertEqual(name, "b")
+        self.assertEqual(self._beat(self.b, 0, 3), [])
+        other = directories.Directory(seeds=())
+        self.spread._directory = other
+        self.spread.receive(self.b, update)
+        self.assertEqual(other.listing, _LISTING)
+        self.spread.receive(self.b, messages.EndpointUpdate(b"garbage"))
+
+    def test_new_peer_gets_configuration_and_marks_at_once(self):
+        self.directory.apply(_LISTING)
+        self.store.apply(self.version)
+        self.directory.mark_leaving("e1")
+        self.clock.now += 1.0
+        sent = [message for _, message in self._beat(self.c, 0, 4)]
+        self.assertEqual(
+            sent,
+            [
+                messages.EndpointUpdate(
+                    b"", (messages.LeavingMark("e1", 4, 1_000),)
+                ),
+                messages.ConfigurationUpdate(self.version.to_json()),
+            ],
+        )
+
+    def test_push_goes_to_peers_that_are_behind(self):
+        self.store.apply(self.version)
+        self.b.state = messages.Heartbeat(3, 0, False)
+        self.spread.push_configuration()
+        self.spread.push_configuration()
+        self.assertEqual([name for name, _ in self.mesh.sent], ["c"])
