Start ready with links, and keep fleets of tests apart

Cause: an entry said it was ready before its first dials ended, so that keys of other homes got 504; with three runs at a time this failed test_path. The forwarder dropped bytes in the middle of a stream, which TCP never does. Ports of test fleets came from the range that the kernel gives out itself; two of about twenty runs, three at a time, failed to start or to recover, which a port taken in between would explain, though no log shows it.

Change: readiness also waits, within the same 3 s, until each listed entry is linked or could not be dialled once. A cut direction holds its bytes until it heals. Ports come from below 32000 and are given out once.

The half-cut tests fail again with the greeting's confirmation or the silence timeout off.

--- a/sesameroad/entry/spread.py
+++ b/sesameroad/entry/spread.py
@@ -73,19 +73,24 @@
 
     @property
     def settled(self) -> bool:
-        """Whether the configuration is known to be the newest within reach."""
+        """Whether peers are linked and their newest configuration is in force.
+
+        An entry without links answers for no key of another home.
+        """
         if not self._settled:
             number = self._store.current.number
             states = [link.state for link in self._mesh.peers.values()]
-            self._settled = (
-                self._store.read_once
-                or self._clock.monotonic() - self._began > _SETTLE_TIMEOUT_S
-                or bool(states)
+            newest = self._store.read_once or (
+                bool(states)
                 and all(
                     state is not None and state.configuration_version <= number
                     for state in states
                 )
             )
+            waited_s = self._clock.monotonic() - self._began
+            self._settled = (
+                newest and self._mesh.explored or waited_s > _SETTLE_TIMEOUT_S
+            )
         return self._settled
 
     def push_configuration(self) -> None:
--- a/sesameroad/peering/mesh.py
+++ b/sesameroad/peering/mesh.py
@@ -56,6 +56,7 @@
         self._replaced: dict[str, collections.deque[str]] = {}
         self._wanted: dict[str, str] = {}
         self._dialling: dict[tuple[str, str], asyncio.Task[None]] = {}
+        self._tried: set[str] = set()
         self._serving: set[asyncio.Task[Any]] = set()
         self._server: grpc_server.Server | None = None
         self._stopped = False
@@ -70,6 +71,13 @@
         """Live streams by the peer's instance id."""
         return {name: link for name, link in self._links.items() if link.live}
 
+    @property
+    def explored(self) -> bool:
+        """Whether each listed entry is linked or could not be dialled once."""
+        return all(
+            name in self._links or name in self._tried for name in self._wanted
+        )
+
     def find(self, incarnation: str) -> links.Link | None:
         """Returns the stream to an incarnation, or None."""
         for link in self._links.values():
@@ -190,6 +198,7 @@
                 finally:
                     stream.cancel()
                     await asyncio.wait([stream])
+                self._tried.add(name)
                 if not stream.cancelled() and stream.result():
                     backoff_s = _REDIAL_MIN_S
                 await asyncio.sleep(backoff_s * random.uniform(0.5, 1.5))
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -23,6 +24,9 @@
 from standins import forwarder as forwarders
 
 _HOST = "127.0.0.1"
+# Below the range from which Linux takes ports of outgoing connections.
+_PORTS = (10_000, 32_000)
+_returned_ports: set[int] = set()
 _START_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 40.0
 _POLL_S = 0.05
@@ -33,10 +37,18 @@
 
 
 def free_port() -> int:
-    """Returns a port that the kernel gives out now."""
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        return probe.getsockname()[1]
+    """Returns a port that nothing listens on, and that was not returned before.
+
+    Ports that the kernel gives out itself are left alone: a connection of
+    another process could take one before the caller listens on it.
+    """
+    while True:
+        port = random.randrange(*_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((_HOST, port))
+            if port not in _returned_ports:
+                _returned_ports.add(port)
+                return port
 
 
 def default_document() -> document.Document:
--- a/standins/forwarder.py
+++ b/standins/forwarder.py
@@ -14,16 +14,16 @@
 
     NONE = "none"
     CUT = "cut"
-    DROP_REQUESTS = "drop-requests"
-    DROP_ANSWERS = "drop-answers"
+    HOLD_REQUESTS = "hold-requests"
+    HOLD_ANSWERS = "hold-answers"
 
 
 class Forwarder:
     """Forwards connections on a loopback port to another address.
 
-    While a direction is cut, its bytes vanish and connections stay open, as with
-    a switch that loses packets. New connections are accepted and then see the
-    same fault. The end of a connection passes in the directions that work.
+    While a direction is cut, its bytes and the end of a connection wait, and
+    pass when the fault ends, as TCP sends them again after a switch has lost
+    packets. New connections are accepted and then see the same fault.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -90,10 +90,10 @@
             )
             async with asyncio.TaskGroup() as group:
                 group.create_task(
-                    self._pump(reader, onward, Fault.DROP_REQUESTS)
+                    self._pump(reader, onward, Fault.HOLD_REQUESTS)
                 )
                 group.create_task(
-                    self._pump(answers, writer, Fault.DROP_ANSWERS)
+                    self._pump(answers, writer, Fault.HOLD_ANSWERS)
                 )
         for end in (writer, onward):
             if end is not None:
@@ -104,7 +104,7 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        drop: Fault,
+        held: Fault,
     ) -> None:
         """Copies one direction until its end."""
         while True:
@@ -114,13 +114,11 @@
                 chunk = b""
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
+            while self._fault in (Fault.CUT, held):
+                await self._fault_changed.wait()
             if not chunk:
-                while self._fault in (Fault.CUT, drop):
-                    await self._fault_changed.wait()
                 writer.close()
                 return
-            if self._fault in (Fault.CUT, drop):
-                continue
             self.forwarded_bytes += len(chunk)
             writer.write(chunk)
             with contextlib.suppress(OSError):
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -140,8 +140,8 @@
     async def test_half_cut_link_is_lost_on_both_sides(self):
         """Dials over a half-cut link must not make the peer seem live."""
         for fault in (
-            forwarders.Fault.DROP_ANSWERS,
-            forwarders.Fault.DROP_REQUESTS,
+            forwarders.Fault.HOLD_ANSWERS,
+            forwarders.Fault.HOLD_REQUESTS,
         ):
             a, b = _peers.Node("a"), _peers.Node("b")
             async with _peers.running(a, b):
--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -126,7 +126,7 @@
             near, far = (process.url for process in fleet.entries.values())
             await self._until_relayed(near, far)
             for link in fleet.peer_links.values():
-                link.fault = forwarders.Fault.DROP_ANSWERS
+                link.fault = forwarders.Fault.HOLD_ANSWERS
             # Silence counts as loss after 1.5 s, then the redial takes 1 s.
             await asyncio.sleep(3.0)
             for url, other in ((near, far), (far, near)):
@@ -150,11 +150,13 @@
             return answer.status, await answer.text()
 
     async def _until_relayed(self, url, home):
-        async with asyncio.timeout(5):
-            while True:
-                if (await self._relay(url, home))[0] == 200:
-                    return
-                await asyncio.sleep(0.1)
+        began = time.monotonic()
+        while True:
+            status, text = await self._relay(url, home)
+            if status == 200:
+                return
+            self.assertLess(time.monotonic() - began, 5, text)
+            await asyncio.sleep(0.1)
 
     async def test_two_operators_race(self):
         """Of two racing changes, one is in force everywhere and one is told."""
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -28,6 +28,7 @@
 
     def __init__(self, *names):
         self.sent = []
+        self.explored = True
         self.peers = {
             name: types.SimpleNamespace(
                 hello=messages.Hello(name, "dc1", name),
@@ -81,6 +82,9 @@
         self.assertFalse(self.spread.settled)
         update = messages.ConfigurationUpdate(self.version.to_json())
         self.spread.receive(self.b, update)
+        self.mesh.explored = False
+        self.assertFalse(self.spread.settled)
+        self.mesh.explored = True
         self.assertTrue(self.spread.settled)
 
     def test_entry_goes_on_with_the_fallback_after_a_bounded_time(self):
