Merge membership, configuration and peering; move slots of late endpoints

Cause: an allocation that came into force before the instance list was known had no limit for the endpoints that appeared later. Their fixed part could not be given up, so the steward never moved a slot of them. Ruled out: lost demand reports (they arrived), the width of the connection pool (8 of 8). Change: an endpoint that appears while an allocation is in force starts with an explicit limit. Operators' commands now change the stored configuration, leaving entries of any source get no slots, and an unsent spill is told apart by its error class.

--- a/sesameroad/entry/entry.py
+++ b/sesameroad/entry/entry.py
@@ -15,6 +15,7 @@
 from sesameroad.entry import intake as intakes
 from sesameroad.entry import observer as observers
 from sesameroad.entry import spill as spills
+from sesameroad.entry import spread as spreads
 from sesameroad.entry import view as views
 from sesameroad.entry import web as webs
 from sesameroad.membership import directory as directories
@@ -23,7 +24,6 @@
 from sesameroad.model import outcome as outcomes
 from sesameroad.model import work as works
 from sesameroad.operators import access as accesses
-from sesameroad.operators import edit as edits
 from sesameroad.operators import interpreter as interpreters
 from sesameroad.operators import inventory as inventories
 from sesameroad.ownership import claim as claims
@@ -78,8 +78,14 @@
         )
         table = tables.Table(self._platform)
         self._instances = instances.Instances(self._platform)
-        self._store = stores.Store(table=table, fallback=settings.fallback)
-        self._directory = directories.Directory(seeds=settings.peers)
+        self._store = stores.Store(
+            table=table,
+            fallback=settings.fallback,
+            accepted=self._configuration_accepted,
+        )
+        self._directory = directories.Directory(
+            seeds=settings.peers, clock=clock
+        )
         self._ledger = ledgers.Ledger(
             clock=clock,
             max_records=limits.max_records,
@@ -131,6 +137,15 @@
             heartbeat_s=timing.heartbeat_s,
             timeout_s=timing.peer_timeout_s,
         )
+        self._spread = spreads.Spread(
+            instance_id=settings.instance_id,
+            mesh=self._mesh,
+            store=self._store,
+            directory=self._directory,
+            clock=clock,
+            configuration_changed=self._configuration_changed,
+            members_changed=self._members_changed,
+        )
         self._feasibility = feasibilities.Feasibility()
         self._spill = spills.Spill(
             data_centre=settings.data_centre,
@@ -222,7 +237,7 @@
             ),
             inventory=self._inventory,
             configuration=self._store,
-            changer=edits.Unchangeable(),
+            changer=self._store,
         )
         self._web = webs.Web(
             intake=self._intake,
@@ -246,7 +261,11 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return not self._leaving and bool(tuple(self._pool.live))
+        return (
+            not self._leaving
+            and self._spread.settled
+            and bool(tuple(self._pool.live))
+        )
 
     async def start(self) -> None:
         """Starts all services."""
@@ -259,14 +278,14 @@
                     self._instances,
                     self._directory,
                     period_s=settings.timing.poll_s,
-                    changed=self._members_changed,
+                    changed=self._listing_changed,
                 )
             ),
             asyncio.create_task(
                 configuration_watcher.watch(
                     self._store,
                     period_s=settings.timing.poll_s,
-                    changed=self._configuration_changed,
+                    changed=self._configuration_accepted,
                 )
             ),
             asyncio.create_task(self._sharing.run(), name="sharing"),
@@ -292,6 +311,8 @@
     async def stop(self) -> None:
         """Stops gracefully: no request in flight is cut off."""
         self._leaving = self._view.leaving = True
+        self._mesh.beat()
+        self._members_changed()
         self._dispatcher.stop_accepting()
         try:
             async with asyncio.timeout(self._settings.timing.graceful_stop_s):
@@ -336,7 +357,7 @@
             case messages.Demand() | messages.Allocation():
                 self._sharing.receive(link.hello.instance_id, message)
             case _:
-                return
+                self._spread.receive(link, message)
 
     def _members_changed(self) -> None:
         data_centre = self._settings.data_centre
@@ -369,9 +390,25 @@
             live=live,
             reachable=[self._settings.instance_id, *neighbours],
             listed=[entry.id for entry in listed],
-            leaving=[entry.id for entry in listed if entry.leaving],
+            leaving=self._leaving_entries(),
         )
 
+    def _leaving_entries(self) -> list[str]:
+        """Returns entries that get no slots, as any source has named them."""
+        leaving = {
+            entry.id
+            for entry in self._directory.entries.values()
+            if entry.leaving or self._directory.is_leaving_entry(entry.id)
+        }
+        leaving |= {
+            link.hello.instance_id
+            for link in self._mesh.peers.values()
+            if link.leaving
+        }
+        if self._leaving:
+            leaving.add(self._settings.instance_id)
+        return sorted(leaving)
+
     def _send_to_neighbour(self, entry: str, message: messages.Message) -> bool:
         """Sends a message of the slots' division; returns whether it left."""
         link = self._mesh.peers.get(entry)
@@ -389,10 +426,18 @@
             return False
         return True
 
-    def _endpoint_leaving(self, endpoint_id: str) -> None:
-        self._directory.mark_leaving(endpoint_id)
+    def _listing_changed(self) -> None:
+        self._spread.listing_changed()
         self._members_changed()
 
+    def _endpoint_leaving(self, endpoint_id: str) -> None:
+        if self._spread.endpoint_leaving(endpoint_id):
+            self._members_changed()
+
+    def _configuration_accepted(self) -> None:
+        self._spread.push_configuration()
+        self._configuration_changed()
+
     def _configuration_changed(self) -> None:
         version = self._store.current
         self._inventory.changed(
--- a/sesameroad/entry/spill.py
+++ b/sesameroad/entry/spill.py
@@ -19,7 +19,6 @@
 _MAX_TARGETS = 2
 _RETRY_S = 1.0
 _REFUSAL_PAUSE_S = 1.0
-_NOT_QUEUED_STEP = "send to peer"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -161,9 +160,9 @@
                 ),
                 timeout_s=remaining_s + _REPLY_GRACE_S,
             )
+        except errors.PeerNotSentError:
+            return _NotSent()
         except errors.PeerError as error:
-            if error.step == _NOT_QUEUED_STEP:
-                return _NotSent()
             return _NoReply(str(error))
         match reply:
             case messages.RelayReply(outcome=outcome):
--- a/sesameroad/scheduling/allocation.py
+++ b/sesameroad/scheduling/allocation.py
@@ -141,6 +141,10 @@
         """Sets the endpoints whose slots are shared."""
         listed = tuple(live)
         self._endpoints.configure({e.id: e.slots for e in listed})
+        if self._valid:
+            # A new endpoint starts with the fixed part, which the steward can
+            # then move; without an entry here it could never be given up.
+            self._endpoints.granted = self._limits()
         self._capacity = sum(e.slots for e in listed)
         self._pools = {e.id: e.pool for e in listed}
         self._members = {}
@@ -165,9 +169,7 @@
         if granted.restart or granted.epoch != self._epoch + 1:
             return False
         if not self._valid:
-            self._endpoints.granted = {
-                name: self.limit(name) for name in self._endpoints.capacities
-            }
+            self._endpoints.granted = self._limits()
             self._teams.granted.clear()
             self._kinds.granted.clear()
         self._epoch = granted.epoch
@@ -286,6 +288,9 @@
         """Returns what is held of kind ceilings the steward has divided."""
         return self._held_quotas(self._kinds)
 
+    def _limits(self) -> dict[str, int]:
+        return {name: self.limit(name) for name in self._endpoints.capacities}
+
     def _held_quotas(self, division: Division) -> dict[str, demands.SlotCount]:
         """Returns quotas held that may differ from the fixed part.
 
--- a/tests/test_allocation.py
+++ b/tests/test_allocation.py
@@ -66,6 +66,20 @@
         self.assertTrue(self.allocation.apply(_granted(1, 1), now=0.0))
         self.assertFalse(self.allocation.valid)
 
+    def test_endpoint_that_appears_later_can_be_given_up(self):
+        """An allocation in force before the list is known has no entry for it."""
+        self.allocation.set_endpoints([])
+        empty = demands.Allocation(1, (), (), (), 1_500, session=1)
+        self.allocation.apply(empty, now=0.0)
+        endpoint = endpoints.Endpoint("e0", "", "dc1")
+        self.allocation.set_endpoints([endpoint])
+        none = demands.SlotCount(endpoint.pool, 0)
+        granted = demands.Allocation(
+            2, (), (), (), 1_500, pools=(none,), session=1
+        )
+        self.assertTrue(self.allocation.apply(granted, now=0.1))
+        self.assertEqual(self.allocation.limit("e0"), 0)
+
     def test_missing_allocation_asks_for_a_new_session(self):
         self.assertFalse(self.allocation.apply(_granted(2, 1), now=0.0))
 
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -20,7 +20,7 @@
 
 _NOT_RUN = outcomes.NotRun(outcomes.Cause.OVERLOAD, "")
 _COMPLETE = outcomes.Complete((b"{}",))
-_UNSENT = errors.PeerError("closed", step="send to peer")
+_UNSENT = errors.PeerNotSentError("closed", step="send to peer")
 _SILENT = errors.PeerError("no reply", step="ask peer")
 
 
@@ -123,8 +123,13 @@
         self._endpoints("dc1", "dc2")
         self.wait_s = 1.0
         for key, reply in (("a", _NOT_RUN), ("b", _UNSENT)):
-            outcome, record, _ = await self._place(fixtures.request(key), reply)
+            # A data centre that refused is left alone for a while.
+            self.spill = self._open_spill()
+            outcome, record, links = await self._place(
+                fixtures.request(key), reply
+            )
             self.assertIsNone(outcome)
+            self.assertEqual(len(links[0].asked), 1)
             self.assertTrue(record.untouched)
 
     async def test_idempotent_request_is_placed_again(self):
