Take work during the notice of a graceful stop; issue no keys then

Cause: an entry refused all new work as soon as it got SIGTERM, although the balancer sends callers to it until it has seen a failed readiness check, and it issued keys whose home was about to be gone. Change: timing.stop_notice_s (3 s): not ready, leaving for its peers, but still taking work. POST /v1/keys answers 503 not run while not ready.

--- a/sesameroad/entry/entry.py
+++ b/sesameroad/entry/entry.py
@@ -313,6 +313,8 @@
         self._leaving = self._view.leaving = True
         self._mesh.beat()
         self._members_changed()
+        # The balancer sends callers here until it has seen a failed check.
+        await asyncio.sleep(self._settings.timing.stop_notice_s)
         self._dispatcher.stop_accepting()
         try:
             async with asyncio.timeout(self._settings.timing.graceful_stop_s):
--- a/sesameroad/entry/service.py
+++ b/sesameroad/entry/service.py
@@ -29,7 +29,10 @@
 def run(settings: settings_module.Settings) -> None:
     """Runs an entry until SIGTERM or SIGINT."""
     service = EntryService(settings=settings)
-    timeout_s = settings.timing.graceful_stop_s + _SHUTDOWN_MARGIN_S
+    timing = settings.timing
+    timeout_s = (
+        timing.stop_notice_s + timing.graceful_stop_s + _SHUTDOWN_MARGIN_S
+    )
     with aiomisc.entrypoint(
         service, log_config=False, shutdown_timeout=timeout_s
     ) as loop:
--- a/sesameroad/entry/web.py
+++ b/sesameroad/entry/web.py
@@ -222,6 +222,15 @@
         body = _decode(await http.read() or b"{}", _KeysBody)
         if isinstance(body, web.Response):
             return body
+        if not self._ready():
+            # The home of a key should outlive it.
+            return problem.response(
+                outcomes.NotRun(
+                    outcomes.Cause.STOPPING,
+                    "this entry issues no keys now",
+                    0.0,
+                )
+            )
         issued = {"keys": self._intake.issue_keys(body.count)}
         return web.Response(
             body=msgspec.json.encode(issued), content_type=_JSON
--- a/sesameroad/settings/settings.py
+++ b/sesameroad/settings/settings.py
@@ -63,6 +63,8 @@
         platform_timeout_s: Timeout of one call to the platform.
         key_lifetime_s: Time from issue to expiry of a key.
         clock_skew_s: Largest difference between two entries' clocks.
+        stop_notice_s: Time at the start of a graceful stop in which new work is
+            still taken, until the balancer has seen that the entry is not ready.
         graceful_stop_s: Time that a graceful shutdown waits for work in flight.
         answer_grace_s: Time past the deadline that a send still waits for the
             endpoint's answer.
@@ -74,6 +76,7 @@
     platform_timeout_s: _PositiveSeconds = 2.0
     key_lifetime_s: _PositiveSeconds = 120.0
     clock_skew_s: _PositiveSeconds = 2.0
+    stop_notice_s: _PositiveSeconds = 3.0
     graceful_stop_s: _PositiveSeconds = 30.0
     answer_grace_s: _PositiveSeconds = 10.0
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -18,7 +18,9 @@
     """The endpoints' record of starts decides what ran."""
 
     async def asyncSetUp(self):
-        timing = settings_module.Timing(key_lifetime_s=4.0, clock_skew_s=0.5)
+        timing = settings_module.Timing(
+            key_lifetime_s=4.0, clock_skew_s=0.5, stop_notice_s=0.2
+        )
         opened = fleets.Fleet.open(
             data_centres=2, endpoints_each=1, timing=timing
         )
@@ -29,7 +31,7 @@
 
     async def _post(self, entry, key, *, tasks=0, sleep_ms=100):
         """Submits a request, or a job; returns the body, None if cut off."""
-        payload = {"sleep_ms": sleep_ms, "value": key}
+        payload = {"sleep_ms": sleep_ms, "value": key or ""}
         body = {"team": "storefront", "kind": "checkout"}
         if tasks:
             body["tasks"] = [{"payload": payload}] * tasks
@@ -37,7 +39,7 @@
             body["payload"] = payload
         path = "submissions" if tasks else "requests"
         url = f"{entry.url}/v1/{path}"
-        headers = {"Idempotency-Key": key}
+        headers = {"Idempotency-Key": key} if key else {}
         try:
             async with self.session.post(
                 url, json=body, headers=headers
@@ -46,6 +48,10 @@
         except aiohttp.ClientError:
             return None
 
+    async def _is_ready(self, entry):
+        async with self.session.get(f"{entry.url}/readyz") as answer:
+            return answer.status == 200
+
     async def _keys(self, entry, count=1):
         url = f"{entry.url}/v1/keys"
         async with self.session.post(url, json={"count": count}) as answer:
@@ -129,6 +135,20 @@
         self.assertEqual({body["outcome"] for body in bodies}, {"complete"})
         await self._assert_started_at_most_once()
 
+    async def test_stopping_entry_takes_work_until_it_has_been_noticed(self):
+        """A balancer that has not seen the failed check must cut no caller."""
+        self.first.signal(signal.SIGTERM)
+        async with asyncio.timeout(5):
+            while await self._is_ready(self.first):  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        body = await self._post(self.first, None, sleep_ms=50)
+        self.assertEqual(body["outcome"], "complete")
+        url = f"{self.first.url}/v1/keys"
+        async with self.session.post(url) as answer:
+            self.assertEqual(answer.status, 503, "its home would soon be gone")
+        stopped = asyncio.to_thread(self.first.popen.wait, 40)
+        self.assertEqual(await stopped, 0)
+
     async def test_graceful_stop_under_load_answers_every_request(self):
         """Each key has the same answer after the stop, at another entry."""
         chosen = [f"chosen{n}" for n in range(40)]
