Show the operators' race and the burn report in the demo

Cause: the demo showed neither of the operators' tools. Change: two commands on the same version at two entries, and the report.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -54,6 +54,26 @@
             content = await http.json(content_type=None)
         return Answer(http.status, content, time.monotonic() - began)
 
+    async def command(
+        self, url: str, text: str, *, token: str
+    ) -> dict[str, Any]:
+        """Gives an operator's command and returns the answer's body."""
+        async with self._session.post(
+            f"{url}/v1/operator/commands",
+            json={"command": text},
+            headers={"Authorization": f"Bearer {token}"},
+        ) as http:
+            return await http.json(content_type=None)
+
+    async def burn(self, url: str) -> list[dict[str, Any]]:
+        """Returns the rows of the service-level burn report."""
+        async with self._session.get(
+            f"{url}/v1/operator/burn",
+            headers={"Authorization": f"Bearer {fleets.OPERATIONS_TOKEN}"},
+        ) as http:
+            body = await http.json(content_type=None)
+        return body["rows"]
+
     async def take_key(self, url: str) -> str:
         """Takes a key whose home is the entry at a URL."""
         answer = await self.post(f"{url}/v1/keys", {"count": 1})
@@ -152,6 +172,36 @@
     print(f"the same job at {other.name}: {answer.summary}")
 
 
+async def _race_operators(caller: Caller, urls: list[str]) -> None:
+    """Both operators change the same version; one of them must be told."""
+    answers = await asyncio.gather(
+        caller.command(
+            urls[0],
+            "set kind lookup share 5 if version 0",
+            token=fleets.PRODUCT_TOKEN,
+        ),
+        caller.command(
+            urls[1],
+            "set team estates quota 150 if version 0",
+            token=fleets.OPERATIONS_TOKEN,
+        ),
+    )
+    for name, answer in zip(("product", "operations"), answers, strict=True):
+        text = f"refused: {answer['detail']}" if "detail" in answer else "done"
+        print(f"{name} operator: {text}")
+
+
+async def _report_burn(caller: Caller, url: str) -> None:
+    print("service-level burn report:")
+    for row in await caller.burn(url):
+        rates = " ".join(f"{k}={v}" for k, v in row["rates"].items())
+        print(
+            f"  {row['scope']} {row['name']}: {row['answers']} answers,"
+            f" {row['bad']} bad, burn {rates}, alert {row['alert']},"
+            f" causes {row['causes']}"
+        )
+
+
 async def main() -> None:
     """Runs the demo."""
     async with (
@@ -165,7 +215,9 @@
         await _serve_checkout(caller, urls)
         await _serve_submission(caller, urls[0])
         await _show_refusals(caller, urls[0])
+        await _race_operators(caller, urls)
         await _kill_entry(caller, fleet)
+        await _report_burn(caller, urls[0])
         starts = await fleet.starts()
         twice = sum(1 for count in starts.values() if count > 1)
         print(f"endpoints ran {len(starts)} tasks, {twice} of them twice")
