Restart failed background loops; close every part at a stop

One that raised ended unnoticed, and the entry kept its last view for good. A failing step of the graceful stop left later parts open, and the drained names of the fallback configuration were not applied at start. Change: entry/supervisor.py starts a failed loop again and logs it; the stop runs every step and raises an exception group; entry/members.py takes the handling of membership out of entry.py; the configuration applies at start.

--- a/sesameroad/entry/entry.py
+++ b/sesameroad/entry/entry.py
@@ -1,21 +1,24 @@
 """Wires the parts of an entry instance together."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 from typing import Self
 
 from aiohttp import web
 
-from sesameroad import errors
 from sesameroad.configuration import store as stores
 from sesameroad.configuration import watcher as configuration_watcher
 from sesameroad.entry import console as consoles
 from sesameroad.entry import dispatcher as dispatchers
 from sesameroad.entry import fleet as fleets
 from sesameroad.entry import intake as intakes
+from sesameroad.entry import members
 from sesameroad.entry import observer as observers
 from sesameroad.entry import spill as spills
 from sesameroad.entry import spread as spreads
+from sesameroad.entry import supervisor as supervisors
 from sesameroad.entry import view as views
 from sesameroad.entry import web as webs
 from sesameroad.membership import directory as directories
@@ -71,7 +74,7 @@
         self._settings = settings
         self._incarnation = keys.new_incarnation()
         self._leaving = False
-        self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = supervisors.Supervisor()
         self._runner: web.AppRunner | None = None
         self._platform = clients.Client.open(
             settings.platform_url, timeout_s=timing.platform_timeout_s
@@ -181,6 +184,16 @@
             clock=clock,
             leaving=self._endpoint_leaving,
         )
+        self._members = members.Members(
+            settings=settings,
+            directory=self._directory,
+            store=self._store,
+            mesh=self._mesh,
+            pool=self._pool,
+            sharing=self._sharing,
+            feasibility=self._feasibility,
+            is_leaving=lambda: self._leaving,
+        )
         self._intake = intakes.Intake(
             incarnation=self._incarnation,
             issuer=keys.Issuer.from_secret(
@@ -271,26 +284,27 @@
         """Starts all services."""
         settings = self._settings
         await self._mesh.start(settings.peer.host, settings.peer.port)
-        self._members_changed()
-        self._tasks = [
-            asyncio.create_task(
-                membership_watcher.watch(
-                    self._instances,
-                    self._directory,
-                    period_s=settings.timing.poll_s,
-                    changed=self._listing_changed,
-                )
+        self._apply_configuration()
+        period_s = settings.timing.poll_s
+        self._supervisor.run(
+            "watch members",
+            lambda: membership_watcher.watch(
+                self._instances,
+                self._directory,
+                period_s=period_s,
+                changed=self._listing_changed,
             ),
-            asyncio.create_task(
-                configuration_watcher.watch(
-                    self._store,
-                    period_s=settings.timing.poll_s,
-                    changed=self._configuration_accepted,
-                )
+        )
+        self._supervisor.run(
+            "watch configuration",
+            lambda: configuration_watcher.watch(
+                self._store,
+                period_s=period_s,
+                changed=self._configuration_accepted,
             ),
-            asyncio.create_task(self._sharing.run(), name="sharing"),
-            asyncio.create_task(self._sweep()),
-        ]
+        )
+        self._supervisor.run("share slots", self._sharing.run)
+        self._supervisor.run("sweep", self._sweep)
         application = self._web.application(
             max_body_bytes=settings.limits.max_body_bytes
         )
@@ -326,19 +340,40 @@
                 in_flight=self._dispatcher.in_flight,
             )
         self._dispatcher.end()
-        await self._intake.drain()
-        await self._handoffs.write(self._incarnation, self._ledger)
+        await self._close()
+        log.event("entry stopped", step="stop")
+
+    async def _close(self) -> None:
+        """Closes all parts; one that fails does not keep the others open.
+
+        Raises:
+            ExceptionGroup: If any part failed to close.
+        """
+        steps: list[Callable[[], Awaitable[None]]] = [
+            self._intake.drain,
+            lambda: self._handoffs.write(self._incarnation, self._ledger),
+            self._supervisor.stop,
+            self._close_connections,
+            self._mesh.stop,
+            self._sender.close,
+            self._platform.close,
+        ]
         if self._runner is not None:
-            await self._runner.cleanup()
-        for task in self._tasks:
-            task.cancel()
+            # Callers still read their answers until here.
+            steps.insert(2, self._runner.cleanup)
+        failures: list[Exception] = []
+        for step in steps:
+            try:
+                await step()
+            except Exception as error:  # noqa: BLE001
+                failures.append(error)
+        if failures:
+            raise ExceptionGroup("graceful stop", failures)
+
+    async def _close_connections(self) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_CLOSE_S):
                 await self._pool.close()
-        await self._mesh.stop()
-        await self._sender.close()
-        await self._platform.close()
-        log.event("entry stopped", step="stop")
 
     def _heartbeat(self) -> messages.Heartbeat:
         return messages.Heartbeat(
@@ -362,71 +397,10 @@
                 self._spread.receive(link, message)
 
     def _members_changed(self) -> None:
-        data_centre = self._settings.data_centre
-        self._mesh.update(self._directory.entries.values())
-        listed_endpoints = self._directory.listing.endpoints
-        self._feasibility.update(
-            listed_endpoints,
-            (
-                endpoint
-                for name in {e.data_centre for e in listed_endpoints}
-                for endpoint in self._directory.live_endpoints(name)
-            ),
-        )
-        # Entries of the settings count until the platform's list is known.
-        known = (
-            self._directory.listing.entries or self._directory.entries.values()
-        )
-        listed = [entry for entry in known if entry.data_centre == data_centre]
-        neighbours = [
-            link.hello.instance_id
-            for link in self._mesh.peers.values()
-            if link.hello.data_centre == data_centre
-        ]
-        live = self._directory.live_endpoints(data_centre)
-        self._pool.set_entries(max(len(listed), 1 + len(neighbours)))
-        self._pool.update(live)
-        self._sharing.configure(
-            data_centre=data_centre,
-            content=self._store.current.document,
-            live=live,
-            reachable=[self._settings.instance_id, *neighbours],
-            listed=[entry.id for entry in listed],
-            leaving=self._leaving_entries(),
-        )
-
-    def _leaving_entries(self) -> list[str]:
-        """Returns entries that get no slots, as any source has named them."""
-        leaving = {
-            entry.id
-            for entry in self._directory.entries.values()
-            if entry.leaving or self._directory.is_leaving_entry(entry.id)
-        }
-        leaving |= {
-            link.hello.instance_id
-            for link in self._mesh.peers.values()
-            if link.leaving
-        }
-        if self._leaving:
-            leaving.add(self._settings.instance_id)
-        return sorted(leaving)
+        self._members.apply()
 
     def _send_to_neighbour(self, entry: str, message: messages.Message) -> bool:
-        """Sends a message of the slots' division; returns whether it left."""
-        link = self._mesh.peers.get(entry)
-        if link is None:
-            return False
-        try:
-            link.send(message)
-        except errors.PeerError as error:
-            log.problem(
-                "message to a peer dropped",
-                step=error.step,
-                peer=error.peer,
-                error=str(error),
-            )
-            return False
-        return True
+        return members.send_to_neighbour(self._mesh, entry, message)
 
     def _listing_changed(self) -> None:
         self._spread.listing_changed()
@@ -450,7 +424,10 @@
                 "summary": version.summary,
             }
         )
-        content = version.document
+        self._apply_configuration()
+
+    def _apply_configuration(self) -> None:
+        content = self._store.current.document
         self._budget.configure(content.operations.retry_percent)
         self._spill.configure(content.operations.spill_wait_ms)
         self._policy.configure(content)
--- /dev/null
+++ b/sesameroad/entry/members.py
@@ -0,0 +1,128 @@
+"""Applies the live view of the fleet to the parts that depend on it."""
+
+from collections.abc import Callable
+
+from sesameroad import errors
+from sesameroad.configuration import store as stores
+from sesameroad.membership import directory as directories
+from sesameroad.peering import mesh as meshes
+from sesameroad.peering import message as messages
+from sesameroad.routing import feasibility as feasibilities
+from sesameroad.routing import pool as pools
+from sesameroad.scheduling import sharing as sharings
+from sesameroad.settings import settings as settings_module
+from sesameroad.telemetry import log
+
+
+class Members:
+    """Tells streams, connections and the division of slots who is live."""
+
+    __slots__ = (
+        "_data_centre",
+        "_directory",
+        "_feasibility",
+        "_instance_id",
+        "_is_leaving",
+        "_mesh",
+        "_pool",
+        "_sharing",
+        "_store",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.Settings,
+        directory: directories.Directory,
+        store: stores.Store,
+        mesh: meshes.Mesh,
+        pool: pools.Pool,
+        sharing: sharings.Sharing,
+        feasibility: feasibilities.Feasibility,
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        self._instance_id = settings.instance_id
+        self._data_centre = settings.data_centre
+        self._directory = directory
+        self._store = store
+        self._mesh = mesh
+        self._pool = pool
+        self._sharing = sharing
+        self._feasibility = feasibility
+        self._is_leaving = is_leaving
+
+    def apply(self) -> None:
+        """Takes the present view into account everywhere."""
+        directory = self._directory
+        self._mesh.update(directory.entries.values())
+        listed_endpoints = directory.listing.endpoints
+        self._feasibility.update(
+            listed_endpoints,
+            (
+                endpoint
+                for name in {e.data_centre for e in listed_endpoints}
+                for endpoint in directory.live_endpoints(name)
+            ),
+        )
+        # Entries of the settings count until the platform's list is known.
+        known = directory.listing.entries or directory.entries.values()
+        listed = [
+            entry.id
+            for entry in known
+            if entry.data_centre == self._data_centre
+        ]
+        reachable = [self._instance_id, *self._neighbours()]
+        live = directory.live_endpoints(self._data_centre)
+        self._pool.set_entries(max(len(listed), len(reachable)))
+        self._pool.update(live)
+        self._sharing.configure(
+            data_centre=self._data_centre,
+            content=self._store.current.document,
+            live=live,
+            reachable=reachable,
+            listed=listed,
+            leaving=self._leaving_entries(),
+        )
+
+    def _neighbours(self) -> list[str]:
+        return [
+            link.hello.instance_id
+            for link in self._mesh.peers.values()
+            if link.hello.data_centre == self._data_centre
+        ]
+
+    def _leaving_entries(self) -> list[str]:
+        """Returns entries that any source has named as leaving."""
+        leaving = {
+            entry.id
+            for entry in self._directory.entries.values()
+            if self._directory.is_leaving_entry(entry.id)
+        }
+        leaving |= {
+            link.hello.instance_id
+            for link in self._mesh.peers.values()
+            if link.leaving
+        }
+        if self._is_leaving():
+            leaving.add(self._instance_id)
+        return sorted(leaving)
+
+
+def send_to_neighbour(
+    mesh: meshes.Mesh, entry: str, message: messages.Message
+) -> bool:
+    """Sends a message of the slots' division; returns whether it left."""
+    link = mesh.peers.get(entry)
+    if link is None:
+        return False
+    try:
+        link.send(message)
+    except errors.PeerError as error:
+        log.problem(
+            "message to a peer dropped",
+            step=error.step,
+            peer=error.peer,
+            error=str(error),
+        )
+        return False
+    return True
