Hedge stragglers only while no other task waits

Cause: second sends went to the front of the queue also when tasks waited, so at high load they took slots from first sends. Change: the pool asks for hedges only while the queue is empty.

--- a/benchmarks/policy_fleet.py
+++ b/benchmarks/policy_fleet.py
@@ -6,6 +6,7 @@
 import enum
 
 from benchmarks import policy_loop
+from sesameroad import errors
 from sesameroad.configuration import document
 from sesameroad.entry import dispatcher as dispatchers
 from sesameroad.model import demand as demands
@@ -125,7 +126,10 @@
         fleet = self._fleet
         if self._clock.wall_ms() >= item.work.deadline_ms:
             return results.Withheld("deadline passed before the send")
-        self._ledger.start(item.record, item.index)
+        try:
+            self._ledger.start(item.record, item.index)
+        except errors.StartRefusedError as error:
+            return results.Withheld(str(error))
         # The payload is dropped when the work ends, which may be before the run.
         run_s = float(item.task.payload)
         fleet.report.sends += 1
--- a/sesameroad/routing/pool.py
+++ b/sesameroad/routing/pool.py
@@ -227,7 +227,12 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(_TICK_S)
-            for item in self._hedger.due(self._clock.monotonic()):
-                self._matcher.submit(item, front=True)
-            if self._matcher.waiting and self._health.restricted:
+            if not self._matcher.waiting:
+                self._hedge()
+            elif self._health.restricted:
                 self._matcher.match()
+
+    def _hedge(self) -> None:
+        """Sends stragglers a second time; only while no other task waits."""
+        for item in self._hedger.due(self._clock.monotonic()):
+            self._matcher.submit(item, front=True)
