--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -44,8 +44,9 @@
 class Entry:
     """An intake, its home and its streams, which tests cut."""
 
-    def __init__(self, fleet, incarnation, table, objects):
-        self.home = _harness.Home([_harness.Sent(_harness.ANSWERED, 0.2)])
+    def __init__(self, fleet, incarnation, table, objects, **options):
+        sends = [_harness.Sent(_harness.ANSWERED, 0.2)]
+        self.home = _harness.Home(sends, **options)
         self.incarnation = incarnation
         self.home.ledger._incarnation = incarnation
         self.fault = None
