--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import os
 import pathlib
 import resource
@@ -28,6 +29,23 @@
 _TICKS = os.sysconf("SC_CLK_TCK")
 
 
+@dataclasses.dataclass(slots=True)
+class Costs:
+    """What one entry and a bare client spend.
+
+    Attributes:
+        bare: Microseconds of processor time a POST of the client, by round.
+        task: The same a task of a submission at the entry.
+        request: The same a request at the entry.
+        held_bytes: Resident bytes for each task queued or being run.
+    """
+
+    bare: list[float]
+    task: list[float]
+    request: list[float]
+    held_bytes: float
+
+
 def _processor_s(pid: int) -> float:
     fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
     return sum(int(field) for field in fields.split()[11:13]) / _TICKS
@@ -124,39 +142,45 @@
     return (during - before) * 1_024 / (_HELD_SUBMISSIONS * _TASKS)
 
 
-async def main() -> None:
-    """Measures and prints medians and ratios."""
+async def measure(
+    *, endpoints: int = _ENDPOINTS, rounds: int = _ROUNDS
+) -> Costs:
+    """Measures an entry with some endpoints, each of 8 connections."""
     async with (
-        fleets.Fleet.open(data_centres=1, endpoints_each=_ENDPOINTS) as fleet,
+        fleets.Fleet.open(data_centres=1, endpoints_each=endpoints) as fleet,
         aiohttp.ClientSession() as session,
     ):
         entry = next(iter(fleet.entries.values()))
         urls = [process.url for process in fleet.endpoints.values()]
         # First, since memory freed by the rounds would be used again.
         held = await _held_bytes(session, entry)
-        rows: dict[str, list[float]] = {"bare": [], "task": [], "request": []}
-        for round_number in range(_ROUNDS + 1):
+        costs = Costs([], [], [], held)
+        for round_number in range(rounds + 1):
             bare = await _bare(urls, _SUBMISSIONS * _TASKS)
             task = await _submissions(session, entry)
             request = await _requests(session, entry)
             if round_number == 0:
                 continue  # Warms up connections and code on both sides.
-            rows["bare"].append(bare)
-            rows["task"].append(task)
-            rows["request"].append(request)
-        median = {name: statistics.median(v) for name, v in rows.items()}
-        print(f"bare POST: {median['bare']:.0f} us (median of {_ROUNDS})")
-        for name in ("task", "request"):
-            ratios = [
-                a / b for a, b in zip(rows[name], rows["bare"], strict=True)
-            ]
-            print(
-                f"{name}: {median[name]:.0f} us,"
-                f" {statistics.median(ratios):.2f} times the bare POST"
-                f" ({min(ratios):.2f} to {max(ratios):.2f}),"
-                f" {min(rows[name]) / min(rows['bare']):.2f} of the minima"
-            )
-        print(f"memory of a task queued or in flight: {held:.0f} bytes")
+            costs.bare.append(bare)
+            costs.task.append(task)
+            costs.request.append(request)
+        return costs
+
+
+async def main() -> None:
+    """Measures and prints medians and ratios."""
+    costs = await measure()
+    bare = statistics.median(costs.bare)
+    print(f"bare POST: {bare:.0f} us (median of {_ROUNDS})")
+    for name, spent in (("task", costs.task), ("request", costs.request)):
+        ratios = [a / b for a, b in zip(spent, costs.bare, strict=True)]
+        print(
+            f"{name}: {statistics.median(spent):.0f} us,"
+            f" {statistics.median(ratios):.2f} times the bare POST"
+            f" ({min(ratios):.2f} to {max(ratios):.2f}),"
+            f" {min(spent) / min(costs.bare):.2f} of the minima"
+        )
+    print(f"memory of a task queued or in flight: {costs.held_bytes:.0f} bytes")
 
 
 if __name__ == "__main__":
