Match a submission once, and stop early without an idle connection

Cause: a submission of 1,100 tasks called match() for each of them, and each release looked for a task to hand over although no connection was idle. The name of an endpoint's pool was formatted for each change of its slots, the only lane that is available was ranked and sorted, and counters looked up each name three times, which hashes the task's need each time.

Change: Matcher.submit_all queues all tasks of a work and matches once; match() checks for an idle connection before each step; the matcher keeps the pool of each endpoint; a single available lane is not ranked; counters are updated with two look-ups.

--- a/sesameroad/entry/dispatcher.py
+++ b/sesameroad/entry/dispatcher.py
@@ -325,8 +325,7 @@
             for index in range(len(record.work.tasks))
         ]
         self._queued[record.work.key] = queued
-        for item in queued:
-            self._matcher.submit(item)
+        self._matcher.submit_all(queued)
 
     async def _await_outcome(
         self, record: ledgers.Record, deadline_ms: int
--- a/sesameroad/scheduling/matcher.py
+++ b/sesameroad/scheduling/matcher.py
@@ -34,9 +34,10 @@
     at the others.
     """
 
-    __slots__ = ("_by_used", "_places", "members", "sample")
+    __slots__ = ("_by_used", "_places", "members", "number", "sample")
 
-    def __init__(self, sample: endpoints.Endpoint) -> None:
+    def __init__(self, number: int, sample: endpoints.Endpoint) -> None:
+        self.number = number
         self.sample = sample
         self.members: set[str] = set()
         self._by_used: dict[int, dict[str, None]] = {}
@@ -80,6 +81,7 @@
         "_observe",
         "_order",
         "_policy",
+        "_pool_of",
         "_pools",
         "_queue",
         "_rank",
@@ -103,6 +105,7 @@
         self._endpoints: dict[str, endpoints.Endpoint] = {}
         self._idle: dict[str, collections.deque[_Waiter]] = {}
         self._pools: dict[int, Pool] = {}
+        self._pool_of: dict[str, Pool] = {}
         self._numbers: dict[str, int] = {}
         self._order: list[Pool] = []
         self._fits: dict[tuple[str, needs.Need], frozenset[int]] = {}
@@ -143,6 +146,14 @@
         self._queue.push(item, now=self._clock.monotonic(), front=front)
         self.match()
 
+    def submit_all(self, submitted: Iterable[items.Item]) -> None:
+        """Queues tasks, and hands them over as far as connections are idle."""
+        now = self._clock.monotonic()
+        for item in submitted:
+            if not item.withdrawn:
+                self._queue.push(item, now=now)
+        self.match()
+
     def withdraw(self, withdrawn: Iterable[items.Item]) -> None:
         """Takes tasks out of the queue; those handed over run on."""
         for item in withdrawn:
@@ -154,8 +165,9 @@
         self._idle.setdefault(endpoint.id, collections.deque())
         number = self._numbers.setdefault(endpoint.pool, len(self._numbers))
         if number not in self._pools:
-            self._pools[number] = Pool(endpoint)
+            self._pools[number] = Pool(number, endpoint)
             self._regroup()
+        self._pool_of[endpoint.id] = self._pools[number]
         self._pools[number].members.add(endpoint.id)
         self._allocation.set_endpoints(self._endpoints.values())
         self.match()
@@ -164,12 +176,11 @@
         """Hands no more tasks to an endpoint; idle connections get None."""
         endpoint = self._endpoints.pop(endpoint_id, None)
         if endpoint is not None:
-            number = self._numbers[endpoint.pool]
-            pool = self._pools[number]
+            pool = self._pool_of.pop(endpoint_id)
             pool.place(endpoint_id, None)
             pool.members.discard(endpoint_id)
             if not pool.members:
-                del self._pools[number]
+                del self._pools[pool.number]
                 self._regroup()
             self._allocation.set_endpoints(self._endpoints.values())
         for waiter in self._idle.pop(endpoint_id, ()):
@@ -219,7 +230,11 @@
                 self._place(endpoint_id)
             self._queue.refresh()
         held_back: set[queues.Lane] = set()
-        while len(self._queue) and self._hand_over_one(held_back):
+        while (
+            len(self._queue)
+            and self._any_available()
+            and self._hand_over_one(held_back)
+        ):
             pass
         self._changed()
 
@@ -229,8 +244,6 @@
         Args:
             held_back: Lanes whose next task no endpoint may get now; grows.
         """
-        if not any(pool.available for pool in self._order):
-            return False
         now = self._clock.monotonic()
         chosen = self._policy.choose(
             self._queue,
@@ -265,7 +278,7 @@
     def _best_endpoint(self, lane: queues.Lane, item: items.Item) -> str | None:
         """Returns the endpoint of lowest rank, None if all are excluded."""
         for pool in self._order:
-            if self._numbers[pool.sample.pool] not in lane.fit:
+            if pool.number not in lane.fit:
                 continue
             best = None
             best_rank = 0.0
@@ -289,6 +302,9 @@
         self._queue.offer(item.work.team)
         self._place(endpoint_id)
 
+    def _any_available(self) -> bool:
+        return any(pool.available for pool in self._order)
+
     def _available(self, lane: queues.Lane) -> bool:
         pools = self._pools
         return any(pools[number].available for number in lane.fit)
@@ -299,7 +315,7 @@
         if endpoint is None:
             return
         takes = self._idle[endpoint_id] and self._allocation.has_free(endpoint)
-        self._pools[self._numbers[endpoint.pool]].place(
+        self._pool_of[endpoint_id].place(
             endpoint_id, self._allocation.used(endpoint_id) if takes else None
         )
 
--- a/sesameroad/scheduling/policy.py
+++ b/sesameroad/scheduling/policy.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from typing import TypeVar
 
 from sesameroad.configuration import document
 from sesameroad.model import need as needs
@@ -12,6 +13,8 @@
 # all of them and hold the kind's share. Past this time it goes first.
 _STARVED_S = 2.0
 
+_Name = TypeVar("_Name")
+
 
 class Policy:
     """Picks the next lane and team: guaranteed shares, then urgency."""
@@ -57,12 +60,8 @@
     def ended(self, kind: str, team: str, need: needs.Need) -> None:
         """Counts a task as no longer running."""
         self._kinds[kind] -= 1
-        self._needs[kind, need] -= 1
-        if not self._needs[kind, need]:
-            del self._needs[kind, need]
-        self._pairs[kind, team] -= 1
-        if not self._pairs[kind, team]:
-            del self._pairs[kind, team]
+        _count_out(self._needs, (kind, need))
+        _count_out(self._pairs, (kind, team))
         self._allocation.ended(kind, team)
 
     def running(self, kind: str) -> int:
@@ -113,14 +112,14 @@
             now: Monotonic seconds.
             pools: Number of pools, to tell lanes that do not fit all of them.
         """
-        ranked = sorted(
-            (
-                (self._rank(lane, now, pools), number, lane)
-                for number, lane in enumerate(queue.lanes)
-                if available(lane) and not self._at_ceiling(lane.kind)
-            ),
-        )
-        for _, _, lane in ranked:
+        lanes = [
+            lane
+            for lane in queue.lanes
+            if available(lane) and not self._at_ceiling(lane.kind)
+        ]
+        if len(lanes) > 1:
+            lanes.sort(key=lambda lane: self._rank(lane, now, pools))
+        for lane in lanes:
             team = queue.peek(lane, self.blocked)
             if team is not None:
                 return lane, team
@@ -137,3 +136,11 @@
         starved = len(lane.fit) < pools and now - lane.since > _STARVED_S
         sated = self._kinds[lane.kind] >= self.guarantee(lane.kind)
         return (not starved, sated, kind.urgency, lane.since)
+
+
+def _count_out(counts: collections.Counter[_Name], name: _Name) -> None:
+    left = counts[name] - 1
+    if left:
+        counts[name] = left
+    else:
+        del counts[name]
--- a/sesameroad/scheduling/queue.py
+++ b/sesameroad/scheduling/queue.py
@@ -251,10 +251,14 @@
             self._waiting_teams[work.kind] += change
         self._size += change
         self._kinds[work.kind] += change
-        for counter, name in (
-            (self._teams, pair),
-            (self._demand, (work.kind, work.team, item.need)),
-        ):
-            counter[name] += change
-            if not counter[name]:
-                del counter[name]
+        waiting = before + change
+        if waiting:
+            self._teams[pair] = waiting
+        else:
+            self._teams.pop(pair, None)
+        name = (work.kind, work.team, item.need)
+        waiting = self._demand[name] + change
+        if waiting:
+            self._demand[name] = waiting
+        else:
+            del self._demand[name]
