Compute the parts of the queue at a new configuration only

Cause: each admission summed the shares of all kinds and built the table of reserved parts again, although both change with the configuration only. Change: Admission.configure computes the table; a test of the hand-over of whole submissions is added (it fails if withdrawn tasks are queued).

--- a/sesameroad/scheduling/admission.py
+++ b/sesameroad/scheduling/admission.py
@@ -58,6 +58,7 @@
         "_max_queued",
         "_policy",
         "_queue",
+        "_reserved",
         "_runs",
     )
 
@@ -70,7 +71,6 @@
         policy: policies.Policy,
         allocation: allocations.Allocation,
     ) -> None:
-        self._document = content
         self._max_queued = max_queued
         self._queue = queue
         self._policy = policy
@@ -78,10 +78,17 @@
         self._runs: collections.defaultdict[str, RunTimes] = (
             collections.defaultdict(RunTimes)
         )
+        self.configure(content)
 
     def configure(self, content: document.Document) -> None:
         """Applies a new configuration."""
         self._document = content
+        kinds = content.product.kinds
+        weights = sum(kind.share for kind in kinds.values()) or 1.0
+        self._reserved = {
+            name: self._max_queued * _RESERVED * kind.share / weights
+            for name, kind in kinds.items()
+        }
 
     def observe(self, kind: str, seconds: float) -> None:
         """Notes the run time of a task."""
@@ -131,12 +138,7 @@
         count = len(work.tasks)
         if len(self._queue) + count > self._max_queued:
             return _not_run(outcomes.Cause.OVERLOAD, "the queue is full")
-        kinds = self._document.product.kinds
-        weights = sum(kind.share for kind in kinds.values()) or 1.0
-        reserved = {
-            name: self._max_queued * _RESERVED * kind.share / weights
-            for name, kind in kinds.items()
-        }
+        reserved = self._reserved
         own = reserved.get(work.kind, 0.0)
         waiting = self._queue.of_kind(work.kind)
         common = self._max_queued * (1 - _RESERVED) - sum(
--- a/tests/test_matcher.py
+++ b/tests/test_matcher.py
@@ -155,6 +155,27 @@
 
         policy_loop.run(main())
 
+    def test_submission_reaches_each_idle_connection(self):
+        """A single match must use all connections, and skip what is withdrawn."""
+
+        async def main():
+            bench = Bench()
+            bench.matcher.open(_LIVE["gpu"])
+            takes = [asyncio.create_task(bench.take("gpu")) for _ in range(2)]
+            await asyncio.sleep(0)
+            work = works.Submission(
+                "key", "blue", "call", 2**60, (works.Task(b"", _NOTHING),) * 4
+            )
+            record = ledgers.Record.from_work(work, digest="", expiry_ms=2**60)
+            tasks = [items.Item(record, index, 0.0) for index in range(4)]
+            tasks[0].withdrawn = True
+            bench.matcher.submit_all(tasks)
+            await asyncio.gather(*takes)
+            self.assertEqual(bench.handed, tasks[1:3])
+            self.assertEqual(bench.matcher.waiting, 1)
+
+        policy_loop.run(main())
+
 
 class PolicyTest(unittest.TestCase):
     """Guards the order of kinds and teams."""
