Report retries and their endpoints in the benchmark of faults

Change: the benchmark prints retries, those answered, and those that went to an endpoint tried before.

--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -67,6 +67,9 @@
 
     def __init__(self, ledger: ledgers.Ledger, fault: Fault) -> None:
         self.sends = 0
+        self.retries = 0
+        self.retries_answered = 0
+        self.retries_same = 0
         self._ledger = ledger
         self._fault = fault
         self._random = random.Random(_SEED)
@@ -79,6 +82,14 @@
         except errors.StartRefusedError as error:
             return results.Withheld(str(error))
         self.sends += 1
+        result = await self._answer(endpoint)
+        if item.attempts:
+            self.retries += 1
+            self.retries_answered += isinstance(result, results.Answered)
+            self.retries_same += endpoint.id in item.tried
+        return result
+
+    async def _answer(self, endpoint: endpoints.Endpoint) -> results.Result:
         fault = self._fault
         seconds = _RUN_S * self._random.uniform(0.5, 1.5)
         if int(endpoint.id) < fault.affected:
@@ -188,7 +199,10 @@
     return (
         f"{', '.join(parts)}, p50 {times[len(times) // 2] * 1e3:.0f} ms,"
         f" p99 {times[len(times) * 99 // 100] * 1e3:.0f} ms,"
-        f" sends per request {simulation.sends / number:.3f}"
+        f" sends per request {simulation.sends / number:.3f},"
+        f" retries {simulation.retries}"
+        f" ({simulation.retries_answered} answered,"
+        f" {simulation.retries_same} to an endpoint tried before)"
     )
 
 
