Poll the configuration row with an entity tag

The watcher read the whole row each second. At 320 teams and a full history that is more than the control traffic budgeted for a node.

Table.read_if_changed gets GET /table/v1/rows/{name} with If-None-Match, as the instance list is polled already. The store keeps the tag only of a row that it could decode, so a lost answer or an invalid row is read again. Changes still read and write the whole row.

Ruled out: naming the row's version in the poll. A table that lost rows uses a row version again for another change, and the poll would then never see it. A separate version row would need two rows written in one step, but each write of a call stands alone.

With the tag left out of the request the new test fails.

--- a/sesameroad/configuration/store.py
+++ b/sesameroad/configuration/store.py
@@ -20,7 +20,14 @@
 class Store:
     """Keeps the newest version known; never goes back to an older one."""
 
-    __slots__ = ("_accepted", "_current", "_read_once", "_table", "_warned")
+    __slots__ = (
+        "_accepted",
+        "_current",
+        "_etag",
+        "_read_once",
+        "_table",
+        "_warned",
+    )
 
     def __init__(
         self,
@@ -39,6 +46,7 @@
         self._table = table
         self._current = document.fallback_version(fallback)
         self._accepted = accepted
+        self._etag = ""
         self._read_once = False
         self._warned = ""
 
@@ -77,13 +85,27 @@
     async def refresh(self) -> bool:
         """Reads the row; returns whether a newer version came into force.
 
+        The row is sent only if it differs from the last one read here. The
+        entity tag covers its content: a table that lost rows may use the same
+        row version again for another change.
+
         Raises:
             PlatformError: If the platform fails or does not answer.
             ConfigurationError: If the row holds no valid version.
         """
-        _, version = await self._read()
+        answer = await self._table.read_if_changed(
+            ROW, self._etag, step="read configuration"
+        )
+        newer = False
+        if answer is not None:
+            row, etag = answer
+            version = _decode(row)
+            newer = version is not None and self.apply(version)
+            # Kept only now, so that a row that cannot be decoded is read and
+            # reported again.
+            self._etag = etag
         self._read_once = True
-        return version is not None and self.apply(version)
+        return newer
 
     async def change(
         self,
@@ -222,15 +244,19 @@
 
     async def _read(self) -> tuple[tables.Row, document.Version | None]:
         row = await self._read_row()
-        if row.version == tables.ABSENT:
-            return row, None
-        return row, document.Version.from_json(row.value.encode())
+        return row, _decode(row)
 
     async def _read_row(self) -> tables.Row:
         rows = await self._table.read([ROW], step="read configuration")
         return rows[0]
 
 
+def _decode(row: tables.Row) -> document.Version | None:
+    if row.version == tables.ABSENT:
+        return None
+    return document.Version.from_json(row.value.encode())
+
+
 def _conflict(winner: document.Change) -> errors.ConflictError:
     return errors.ConflictError(
         f"version {winner.number} by {winner.author} came first:"
--- a/sesameroad/platform/table.py
+++ b/sesameroad/platform/table.py
@@ -59,6 +59,29 @@
         )
         return _decode(body, list[Row], step)
 
+    async def read_if_changed(
+        self, name: str, etag: str, *, step: str
+    ) -> tuple[Row, str] | None:
+        """Reads a row unless it still has an entity tag.
+
+        Args:
+            name: Name of the row.
+            etag: Tag of the row as it was read before, or empty.
+            step: What the row is read for.
+
+        Returns:
+            The row and its tag, or None if the tag is still right.
+
+        Raises:
+            PlatformError: If the platform fails or does not answer.
+        """
+        answer = await self._client.get_if_changed(
+            f"/table/v1/rows/{name}", etag, step=step
+        )
+        if answer is None:
+            return None
+        return _decode(answer[0], Row, step), answer[1]
+
     async def write(
         self, writes: Sequence[Write], *, step: str
     ) -> list[WriteResult]:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -58,6 +58,7 @@
         application.add_routes(
             [
                 web.post("/table/v1/reads", self._read),
+                web.get("/table/v1/rows/{name:.+}", self._read_row),
                 web.post("/table/v1/writes", self._write),
                 web.get("/instances/v1", self._list),
                 web.get("/objects/v1/{name:.+}", self._get_object),
@@ -107,6 +108,12 @@
             ]
         )
 
+    async def _read_row(self, request: web.Request) -> web.Response:
+        self.read_calls += 1
+        name = request.match_info["name"]
+        row = self.rows.get(name, tables.Row(name, tables.ABSENT))
+        return _tagged(request, row)
+
     async def _write(self, request: web.Request) -> web.Response:
         self.write_calls += 1
         body = msgspec.json.decode(await request.read(), type=_Writes)
@@ -114,13 +121,7 @@
         return _json([self.apply(write) for write in body.writes])
 
     async def _list(self, request: web.Request) -> web.Response:
-        body = msgspec.json.encode(self.listing)
-        headers = {"ETag": f'"{xxhash.xxh3_64_hexdigest(body)}"'}
-        if request.headers.get("If-None-Match") == headers["ETag"]:
-            return web.Response(status=304, headers=headers)
-        return web.Response(
-            body=body, content_type="application/json", headers=headers
-        )
+        return _tagged(request, self.listing)
 
     async def _get_object(self, request: web.Request) -> web.Response:
         body = self.objects.get(request.match_info["name"])
@@ -149,6 +150,17 @@
     )
 
 
+def _tagged(request: web.Request, value: Any) -> web.Response:
+    """Returns a value, or 304 if the request names its entity tag."""
+    body = msgspec.json.encode(value)
+    headers = {"ETag": f'"{xxhash.xxh3_64_hexdigest(body)}"'}
+    if request.headers.get("If-None-Match") == headers["ETag"]:
+        return web.Response(status=304, headers=headers)
+    return web.Response(
+        body=body, content_type="application/json", headers=headers
+    )
+
+
 def main(_: list[str]) -> None:
     """Serves the stand-in until it is terminated."""
     platform = Platform()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,17 +1,26 @@
 """Changes of the configuration, under a failing table."""
 
 import asyncio
+import contextlib
 import dataclasses
 import unittest
 from unittest import mock
 
+from aiohttp import test_utils
 import hypothesis
 from hypothesis import strategies as st
 
 from sesameroad import errors
 from sesameroad.configuration import document
 from sesameroad.configuration import store as stores
+from sesameroad.platform import client as clients
 from sesameroad.platform import table as tables
+from standins import forwarder
+from standins import platform as platforms
+
+# Control traffic of a node in a second, which is also the time between polls.
+_BUDGET_BYTES = 5_000
+_POLLS = 5
 
 _FALLBACK = document.Document(
     product=document.Product(kinds={"lookup": document.Kind()}),
@@ -59,6 +68,11 @@
     async def read(self, names, *, step):
         return await self._call(lambda: self.row)
 
+    async def read_if_changed(self, name, etag, *, step):
+        [row] = await self.read([name], step=step)
+        tag = repr(row)
+        return None if tag == etag else (row, tag)
+
     async def write(self, writes, *, step):
         return await self._call(lambda: self._apply(writes[0]))
 
@@ -66,7 +80,11 @@
 def _quota(value):
     def edit(content):
         operations = dataclasses.replace(
-            content.operations, team_quotas={"storefront": value}
+            content.operations,
+            team_quotas={
+                "storefront": value,
+                **{f"team{n}": 5 for n in range(value // 320 * 320)},
+            },
         )
         return dataclasses.replace(content, operations=operations)
 
@@ -199,6 +217,45 @@
             version.document.operations.team_quotas["storefront"], 8
         )
 
+    async def test_poll_of_an_unchanged_row_stays_within_the_budget(self):
+        """Whole rows of 320 teams would use up the control traffic of a node.
+
+        Lost and refused answers must not make a poll miss what came after.
+        """
+        platform = platforms.Platform(write_s=0)
+        async with test_utils.TestServer(platform.application()) as server:
+            link = await forwarder.Forwarder.open(f"127.0.0.1:{server.port}")
+            self.addAsyncCleanup(link.close)
+            client = clients.Client.open(f"http://{link.address}", timeout_s=1)
+            self.addAsyncCleanup(client.close)
+            store = _store(tables.Table(client))
+            self.assertFalse(await store.refresh())
+            writer = _store(tables.Table(client))
+            for count in range(document.MAX_HISTORY + 1):
+                await _change(writer, document.Role.OPERATIONS, 320 + count)
+            self.assertTrue(await store.refresh())
+            before = link.forwarded_bytes
+            for _ in range(_POLLS):
+                self.assertFalse(await store.refresh())
+            each = (link.forwarded_bytes - before) / _POLLS
+            self.assertLess(each, _BUDGET_BYTES / 10)
+            for fault in (platforms.Fault.DOWN, platforms.Fault.LOSE_ANSWERS):
+                last = await _change(writer, document.Role.PRODUCT, 2.0)
+                platform.fault = fault
+                with contextlib.suppress(errors.PlatformError):
+                    await store.refresh()
+                platform.fault = platforms.Fault.NONE
+                await store.refresh()
+                self.assertEqual(store.current, last)
+            # A table that lost rows uses the same row version again.
+            row = platform.rows[stores.ROW]
+            last = dataclasses.replace(last, number=99, change_id="other")
+            platform.rows[stores.ROW] = dataclasses.replace(
+                row, value=last.to_json().decode()
+            )
+            self.assertTrue(await store.refresh())
+            self.assertEqual(store.current, last)
+
     def test_documents_are_checked_with_the_field_named(self):
         for text, field in (
             ('{"product":{"kinds":{"a":{"urgency":-1}}}}', "urgency"),
