End work refused by full endpoints at its deadline only

Cause: while two stewards grant the same slots after a cut, endpoints refuse what is over their slots. Ten refusals passed within about a second and ended work as not run. A task that had been refused was also kept from the endpoints that refused it as long as any other endpoint was live, even if this entry held no slot there. Change: only failed connects have a bound of 10; refusals are paced by the back-off of the endpoint and ended by the deadline. An endpoint where a task failed before ranks last for it instead of being excluded.

--- a/sesameroad/routing/health.py
+++ b/sesameroad/routing/health.py
@@ -25,6 +25,7 @@
 _PROBE_PATIENCE_S = 1.0
 _SMOOTHING = 0.1
 _FAILURE_PENALTY = 4.0
+_TRIED_PENALTY = 1_000.0
 # Below this ratio to the run time of its kind an endpoint is not a straggler, and
 # the number of tasks in flight alone decides.
 _STRAGGLER_RATIO = 1.5
@@ -134,9 +135,11 @@
             return used + 1.0
         if state.blocked_until and not self._unblocked(state, item, used):
             return None
-        if endpoint.id in item.tried and self._has_untried(item):
-            return None
-        return (used + 1) * state.weight
+        rank = (used + 1) * state.weight
+        if endpoint.id in item.tried:
+            # Not excluded: this entry may hold no slot of any other endpoint.
+            return rank * _TRIED_PENALTY
+        return rank
 
     def observe(
         self,
@@ -191,16 +194,6 @@
             state.blocked_until = 0.0
         return True
 
-    def _has_untried(self, item: items.Item) -> bool:
-        now = self._clock.monotonic()
-        return any(
-            state.endpoint.id not in item.tried
-            and state.ejected_at is None
-            and now >= state.blocked_until
-            and state.endpoint.accepts(item.work.kind, item.need)
-            for state in self._states.values()
-        )
-
     def _succeeded(
         self, state: _State, item: items.Item, sent_at: float
     ) -> None:
--- a/sesameroad/routing/pool.py
+++ b/sesameroad/routing/pool.py
@@ -184,7 +184,9 @@
         self, endpoint: endpoints.Endpoint, item: items.Item
     ) -> None:
         began = self._clock.monotonic()
-        if not (item.attempts or item.refusals or item.hedge):
+        if not (
+            item.attempts or item.refusals or item.unreachable or item.hedge
+        ):
             self._budget.deposit()
         self._hedger.began(item, endpoint.id, began)
         result: results.Result = results.Lost("given up at shutdown")
--- a/sesameroad/routing/retry.py
+++ b/sesameroad/routing/retry.py
@@ -9,9 +9,10 @@
 from sesameroad.scheduling import item as items
 
 MAX_ATTEMPTS = 4
-# Nothing ran, so a refusal costs one message; the back-off of an endpoint that
-# refuses keeps these attempts apart.
-MAX_REFUSALS = 10
+# Endpoints that cannot be connected to are gone or cut off. A full endpoint is
+# no reason to end work: its back-off keeps the attempts apart, and the deadline
+# ends them.
+MAX_UNREACHABLE = 10
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -51,8 +52,12 @@
 def note(item: items.Item, endpoint_id: str, result: results.Result) -> None:
     """Records on a task what one send to an endpoint did."""
     match result:
-        case results.Refused() | results.NeverSent():
+        case results.Refused():
             item.refusals += 1
+            return
+        case results.NeverSent():
+            item.unreachable += 1
+            return
         case results.RanAndFailed() | results.Lost():
             item.attempts += 1
             item.may_have_run = True
@@ -69,16 +74,18 @@
     match result:
         case results.Answered(body=body):
             return Keep(body)
-        case results.Refused() | results.NeverSent():
+        case results.Refused():
             # An earlier send of an idempotent request may have run.
+            return Again(nothing_ran=not item.may_have_run)
+        case results.NeverSent():
             nothing_ran = not item.may_have_run
-            if item.refusals < MAX_REFUSALS:
+            if item.unreachable < MAX_UNREACHABLE:
                 return Again(nothing_ran=nothing_ran)
             return Stop(
                 _refusal(
                     item,
                     outcomes.Cause.RETRIES_EXHAUSTED,
-                    f"refused {item.refusals} times",
+                    f"{item.unreachable} endpoints could not be reached",
                 ),
                 nothing_ran=nothing_ran,
             )
--- a/sesameroad/scheduling/item.py
+++ b/sesameroad/scheduling/item.py
@@ -17,7 +17,8 @@
         enqueued_at: Monotonic seconds when it was first queued.
         attempts: Sends that may have run.
         withdrawn: Whether it must not be handed to a connection any more.
-        refusals: Sends of which certainly nothing ran.
+        refusals: Sends that an endpoint refused because it was full or leaving.
+        unreachable: Sends of which no byte left.
         tried: Endpoints where a send failed, was refused or was lost.
         may_have_run: Whether any send so far may have run, or a hedge is out.
         hedge: Whether it repeats a task that is still being run elsewhere.
@@ -32,6 +33,7 @@
     attempts: int = 0
     withdrawn: bool = False
     refusals: int = 0
+    unreachable: int = 0
     tried: tuple[str, ...] = ()
     may_have_run: bool = False
     hedge: bool = False
