Keep exact slot targets while a task waits

Fixed targets left tasks waiting for ever after a cut: the health of endpoints sends a refused task only to one it has not tried, and an entry whose slots stay where they are may hold none there.

--- a/sesameroad/scheduling/steward.py
+++ b/sesameroad/scheduling/steward.py
@@ -22,8 +22,9 @@
 # Demand of the recent past decides who gets spare slots, so that an entry with
 # bursts finds some free without a message.
 _PEAK_DECAY_S = 1.0
-# Slots move when an entry has less than this part of its spare ones left. Exact
-# targets change with each task, and each change costs messages of two entries.
+# While no kind waits, slots move when an entry has less than this part of its
+# spare ones left. Exact targets change with each task and cost messages. Where a
+# task waits, a fixed target can leave it with slots that it may not use.
 _LEAST_SPARE = 0.5
 # Guarantees follow demand, which changes with each task. While no kind waits for
 # slots they need not be sent more often than this.
@@ -216,12 +217,7 @@
         kinds = self._divide_quotas(
             active, _KINDS, operations.kind_ceilings, now
         )
-        waiting = any(
-            lane.queued
-            for view in active.values()
-            for (kind, _, _), lane in view.lanes.items()
-            if kind
-        )
+        waiting = _kind_waits(active)
         messages = {}
         for entry, view in active.items():
             limits = (raised[entry], teams[entry], kinds[entry])
@@ -365,9 +361,15 @@
             sent = {
                 entry: view.pools.get(name, 0) for entry, view in active.items()
             }
-            if sum(sent.values()) != slots or any(
-                sent[entry] < amount + (shares[entry] - amount) * _LEAST_SPARE
-                for entry, amount in wanted[name].items()
+            waiting = _kind_waits(active)
+            if (
+                waiting
+                or sum(sent.values()) != slots
+                or any(
+                    sent[entry]
+                    < amount + (shares[entry] - amount) * _LEAST_SPARE
+                    for entry, amount in wanted[name].items()
+                )
             ):
                 sent = division.apportion(slots, shares)
             for entry, count in sent.items():
@@ -531,6 +533,16 @@
         )
 
 
+def _kind_waits(active: Mapping[str, View]) -> bool:
+    """Returns whether a task of any kind waits for a slot."""
+    return any(
+        lane.queued
+        for view in active.values()
+        for (kind, _, _), lane in view.lanes.items()
+        if kind
+    )
+
+
 def _guarantees(
     own: Mapping[str, Mapping[str, float]],
     wants: Mapping[str, float],
