--- a/benchmarks/answers.py
+++ b/benchmarks/answers.py
@@ -1,5 +1,6 @@
 """Measures what counting, remembering and logging one answer costs."""
 
+import contextlib
 import os
 import time
 
@@ -36,8 +37,10 @@
     log.configure(instance_id="benchmark", data_centre="benchmark")
     with open(os.devnull, "w", encoding="utf-8") as discarded:
         # Lines are made, since that is part of the cost, but not shown.
-        logging.get_absl_handler().python_handler.stream = discarded
-        _measure(_observer())
+        handler = logging.get_absl_handler().python_handler
+        handler.stream = discarded
+        with contextlib.redirect_stderr(discarded):
+            _measure(_observer())
 
 
 def _measure(observer: observers.Observer) -> None:
