--- a/sesameroad/routing/health.py
+++ b/sesameroad/routing/health.py
@@ -100,10 +100,6 @@
         """Whether an endpoint becomes eligible again by time alone."""
         return any(s.blocked_until for s in self._states.values())
 
-    def run_seconds(self, kind: str) -> float | None:
-        """Returns the moving average run time of a kind, None if unknown."""
-        return self._kind_seconds.get(kind)
-
     def open(self, endpoint: endpoints.Endpoint) -> None:
         """Starts to observe an endpoint; a new URL starts afresh."""
         known = self._states.get(endpoint.id)
--- a/sesameroad/routing/pool.py
+++ b/sesameroad/routing/pool.py
@@ -7,7 +7,6 @@
 
 from sesameroad.model import clock as clocks
 from sesameroad.model import endpoint as endpoints
-from sesameroad.model import need as needs
 from sesameroad.routing import budget as budgets
 from sesameroad.routing import health as healths
 from sesameroad.routing import hedge as hedges
@@ -84,12 +83,6 @@
         """Endpoints that get new work."""
         return [served.endpoint for served in self._served.values()]
 
-    def accepts(self, kind: str, need: needs.Need) -> bool:
-        """Returns whether any live endpoint can run such a task."""
-        return any(
-            s.endpoint.accepts(kind, need) for s in self._served.values()
-        )
-
     def set_entries(self, count: int) -> None:
         """Sets how many entries of the data centre share the connections."""
         if count != self._entries:
--- a/sesameroad/scheduling/allocation.py
+++ b/sesameroad/scheduling/allocation.py
@@ -206,10 +206,6 @@
             return 0
         return max(1, self._part(self._endpoints, endpoint_id))
 
-    def share(self, endpoint: endpoints.Endpoint) -> int:
-        """Returns how many slots of an endpoint this entry may use."""
-        return self.limit(endpoint.id)
-
     def team_limit(self, team: str) -> int:
         """Returns how many slots a team may use at this entry."""
         return self._quota(self._teams, team)
--- a/sesameroad/scheduling/item.py
+++ b/sesameroad/scheduling/item.py
@@ -19,7 +19,7 @@
         withdrawn: Whether it must not be handed to a connection any more.
         refusals: Sends that an endpoint refused because it was full or leaving.
         unreachable: Sends of which no byte left.
-        tried: Endpoints where a send failed, was refused or was lost.
+        tried: Endpoints where a send failed or was lost.
         may_have_run: Whether any send so far may have run, or a hedge is out.
         hedge: Whether it repeats a task that is still being run elsewhere.
         queued: Whether it waits in the queue now.
