--- a/sesameroad/command_line/main.py
+++ b/sesameroad/command_line/main.py
@@ -11,6 +11,7 @@
 from sesameroad.command_line import entry
 from sesameroad.command_line import exits
 from sesameroad.command_line import keys
+from sesameroad.command_line import serve
 
 _COMMANDS = {
     "entry": entry,
@@ -18,6 +19,7 @@
     "command": command,
     "burn": burn,
     "keys": keys,
+    "serve": serve,
 }
 _HELP = {"help", "-h", "--help", "-help", "--helpfull"}
 
--- /dev/null
+++ b/sesameroad/jobs/active.py
@@ -0,0 +1,137 @@
+"""A job at the steward that runs it."""
+
+import asyncio
+import collections
+from typing import Protocol
+
+from sesameroad.leasing import run as runs
+from sesameroad.model import job as jobs
+from sesameroad.model import outcome as outcomes
+
+
+class Home(Protocol):
+    """The instance whose caller waits for a job."""
+
+    @property
+    def id(self) -> str:
+        """Instance id."""
+
+    @property
+    def live(self) -> bool:
+        """Whether the instance was heard in time."""
+
+
+class Active:
+    """One job: its waiting tasks, its runs and who waits for it.
+
+    Attributes:
+        arrived_at: Time of its arrival at this steward.
+        started: Whether any task was ever sent to an endpoint.
+        moved: Whether an earlier steward may have started tasks of it.
+        closing: Whether its outcome is settled and its runs are being stopped.
+        done: Tasks that have ended well.
+        waiting: Indices of tasks that wait for room.
+        runs: Runs that have not ended, by index.
+        sends: Runs ordered so far.
+    """
+
+    __slots__ = (
+        "_failures",
+        "_job",
+        "_numbers",
+        "_waiters",
+        "arrived_at",
+        "closing",
+        "done",
+        "first_sent_at",
+        "moved",
+        "runs",
+        "sends",
+        "started",
+        "waiting",
+    )
+
+    def __init__(self, job: jobs.Job, *, now: float, moved: bool) -> None:
+        self._job = job
+        self._failures: collections.Counter[int] = collections.Counter()
+        self._numbers: dict[int, int] = {}
+        self._waiters: dict[str, tuple[Home, asyncio.Future[outcomes.Outcome]]]
+        self._waiters = {}
+        self.arrived_at = now
+        self.first_sent_at = 0.0
+        self.started = False
+        self.moved = moved
+        self.closing = False
+        self.done = 0
+        self.waiting: collections.deque[int] = collections.deque(
+            range(job.count)
+        )
+        self.runs: dict[int, runs.Run] = {}
+        self.sends = 0
+
+    @property
+    def job(self) -> jobs.Job:
+        """The job as its caller submitted it."""
+        return self._job
+
+    @property
+    def homes(self) -> list[str]:
+        """Ids of the instances that wait for it."""
+        return list(self._waiters)
+
+    @property
+    def wanted(self) -> bool:
+        """Whether anybody who is alive waits for it."""
+        return any(home.live for home, _ in self._waiters.values())
+
+    @property
+    def latest_start(self) -> float:
+        """Time at which the last task must start for an answer in time."""
+        return self._job.objective_at - self._job.estimate_s
+
+    def join(self, home: Home) -> asyncio.Future[outcomes.Outcome]:
+        """Adds an instance that waits; it replaces its earlier attempt."""
+        previous = self._waiters.get(home.id)
+        if previous is not None and not previous[1].done():
+            previous[1].set_result(
+                outcomes.Unknown(
+                    outcomes.Cause.CANCELLED, "replaced by a later attempt"
+                )
+            )
+        future: asyncio.Future[outcomes.Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiters[home.id] = (home, future)
+        return future
+
+    def leave(self, home_id: str) -> None:
+        """Removes an instance that no longer waits."""
+        waiter = self._waiters.pop(home_id, None)
+        if waiter is not None and not waiter[1].done():
+            waiter[1].set_result(
+                outcomes.Unknown(outcomes.Cause.CANCELLED, "cancelled")
+            )
+
+    def settle(self, outcome: outcomes.Outcome) -> None:
+        """Answers everybody who waits."""
+        self.closing = True
+        self.waiting.clear()
+        for _, future in self._waiters.values():
+            if not future.done():
+                future.set_result(outcome)
+        self._waiters.clear()
+
+    def next_number(self, index: int) -> int:
+        """Returns the number of the next run of a task."""
+        number = self._numbers.get(index, 0) + 1
+        self._numbers[index] = number
+        return number
+
+    def number_above(self, index: int, number: int) -> None:
+        """Makes later runs of a task have a higher number than this one."""
+        self._numbers[index] = max(self._numbers.get(index, 0), number)
+
+    def fail(self, index: int) -> bool:
+        """Counts a failed run; returns whether the task may run again."""
+        self._failures[index] += 1
+        return self._failures[index] < self._job.max_attempts
--- /dev/null
+++ b/sesameroad/jobs/backlog.py
@@ -0,0 +1,53 @@
+"""Jobs with tasks that wait for room, in the order in which they get it."""
+
+from collections.abc import Iterator
+
+from sesameroad.jobs import active as actives
+
+
+class Backlog:
+    """Orders waiting jobs by the time at which they must start.
+
+    Short jobs have little slack and come first; a long job is not starved,
+    because its own latest start comes. A job that cannot be in time any more
+    goes behind all that still can, or one late job would make the next one late.
+    """
+
+    __slots__ = ("_jobs",)
+
+    def __init__(self) -> None:
+        self._jobs: dict[str, actives.Active] = {}
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def __iter__(self) -> Iterator[actives.Active]:
+        return iter(list(self._jobs.values()))
+
+    def add(self, active: actives.Active) -> None:
+        """Adds a job that has waiting tasks."""
+        self._jobs[active.job.key] = active
+
+    def discard(self, active: actives.Active) -> None:
+        """Removes a job that has no waiting tasks."""
+        if self._jobs.get(active.job.key) is active:
+            del self._jobs[active.job.key]
+
+    def ordered(self, now: float) -> list[actives.Active]:
+        """Returns the jobs, the first to get room first."""
+        if len(self._jobs) < 2:  # noqa: PLR2004
+            return list(self._jobs.values())
+        return sorted(self._jobs.values(), key=lambda a: _rank(a, now))
+
+    def core_seconds(self, before: float) -> float:
+        """Returns the declared work of jobs that must start before a time."""
+        return sum(
+            len(active.waiting) * active.job.need.cores * active.job.estimate_s
+            for active in self._jobs.values()
+            if active.latest_start <= before
+        )
+
+
+def _rank(active: actives.Active, now: float) -> tuple[bool, float, int]:
+    late = active.latest_start < now
+    return late, active.latest_start, active.job.priority
--- /dev/null
+++ b/sesameroad/leasing/__init__.py
@@ -0,0 +1,1 @@
+"""Runs of tasks on endpoints, under leases that one steward renews."""
--- a/sesameroad/model/clock.py
+++ b/sesameroad/model/clock.py
@@ -3,6 +3,16 @@
 import time
 
 
+def elapsed_s() -> float:
+    """Returns seconds of a clock that also counts while the host is suspended.
+
+    Leases and silences are measured with it: the ordinary steady clock stands
+    still during a suspension, so that what was granted before it would still
+    look valid afterwards.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Clock:
     """Reads wall and monotonic time."""
 
@@ -13,5 +23,5 @@
         return time.time_ns() // 1_000_000
 
     def monotonic(self) -> float:
-        """Returns seconds of a clock that never goes back."""
-        return time.monotonic()
+        """Returns seconds of a clock that never goes back or stands still."""
+        return elapsed_s()
--- a/sesameroad/model/endpoint.py
+++ b/sesameroad/model/endpoint.py
@@ -20,6 +20,8 @@
         kinds: Kinds of work it accepts; empty means every kind.
         offer: Resources it offers to one task.
         leaving: Whether it must get no new work.
+        labels: Properties that work may require, for example the rack.
+        born_ms: Wall time of its start, which tells one life from the next.
     """
 
     id: str
@@ -32,6 +34,8 @@
     kinds: tuple[str, ...] = ()
     offer: needs.Need = needs.Need(cores=1.0, memory_mb=1024, accelerators=0)
     leaving: bool = False
+    labels: tuple[str, ...] = ()
+    born_ms: int = 0
 
     @property
     def pool(self) -> str:
@@ -47,3 +51,13 @@
         if self.kinds and kind not in self.kinds:
             return False
         return wanted.fits(self.offer)
+
+
+def renew(endpoint: Endpoint, born_ms: int) -> Endpoint:
+    """Returns the next life of an endpoint."""
+    return dataclasses.replace(endpoint, born_ms=born_ms)
+
+
+def leave(endpoint: Endpoint) -> Endpoint:
+    """Returns the endpoint as one that must get no new work."""
+    return dataclasses.replace(endpoint, leaving=True)
--- a/sesameroad/model/outcome.py
+++ b/sesameroad/model/outcome.py
@@ -25,6 +25,10 @@
     TASK_FAILED = "task-failed"
     CANCELLED = "cancelled"
     STOPPING = "stopping"
+    NOT_STEWARD = "not-steward"
+    STEWARD_LOST = "steward-lost"
+    NO_CONFIGURATION = "no-configuration"
+    UNSUPPORTED = "unsupported"
     INVALID = "invalid"
     NOT_FOUND = "not-found"
 
--- /dev/null
+++ b/sesameroad/node/node.py
@@ -0,0 +1,520 @@
+"""Wires the parts of an instance on the platform together."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Self
+
+from aiohttp import web
+import msgspec
+
+from sesameroad import errors
+from sesameroad.entry import supervisor as supervisors
+from sesameroad.jobs import catalogue as catalogues
+from sesameroad.jobs import home as homes
+from sesameroad.model import clock as clocks
+from sesameroad.model import endpoint as endpoints
+from sesameroad.model import job as jobs
+from sesameroad.model import outcome as outcomes
+from sesameroad.node import listing as listings
+from sesameroad.node import roster as rosters
+from sesameroad.node import routes
+from sesameroad.node import stewards as steward_module
+from sesameroad.ownership import key as keys
+from sesameroad.peering import link as links
+from sesameroad.peering import mesh as meshes
+from sesameroad.peering import message as messages
+from sesameroad.platform import client as clients
+from sesameroad.platform import configuration
+from sesameroad.platform import endpoints as endpoint_rows
+from sesameroad.platform import front as fronts
+from sesameroad.platform import orders
+from sesameroad.platform import rows as row_module
+from sesameroad.settings import node as settings_module
+from sesameroad.telemetry import log
+
+_TICK_S = 0.05
+# An announcement counts as fresh for this many periods, so that one lost write
+# does not make a live instance look dead.
+_FRESH_PERIODS = 2.5
+# Time that peers have to read a new configuration from the store themselves
+# before it is sent to them.
+_PASS_ON_S = 1.0
+# Time after which an instance that cannot reach the others acts on its own.
+_SETTLE_S = 1.5
+_RETRY_S = 0.2
+_STOP_STEP_S = 0.05
+
+
+class Node:
+    """One instance, from its settings to its graceful shutdown."""
+
+    def __init__(
+        self, settings: settings_module.Node, *, clock: clocks.Clock
+    ) -> None:
+        timing = settings.timing
+        self._settings = settings
+        self._clock = clock
+        self._leaving = False
+        self._started_at = clock.monotonic()
+        self._supervisor = supervisors.Supervisor()
+        self._runners: list[web.ServerRunner] = []
+        self._offers: set[asyncio.Task[None]] = set()
+        self._running: dict[str, asyncio.Task[outcomes.Outcome]] = {}
+        self._client = clients.Client.open(
+            f"http://{settings.platform}", timeout_s=timing.platform_timeout_s
+        )
+        self._rows = row_module.Rows(self._client)
+        self._orders = orders.Orders.open()
+        self._catalogue = catalogues.Catalogue.empty()
+        self._configuration_text = b""
+        self._configured_at = 0.0
+        self._listing = listings.Listing(clock=clock)
+        self._list_now = asyncio.Event()
+        self._roster = rosters.Roster(
+            clock=clock, fresh_s=timing.announce_period_s * _FRESH_PERIODS
+        )
+        self._beat = 0
+        self._mesh = meshes.Mesh(
+            hello=messages.Hello(
+                settings.instance_id,
+                settings.data_centre,
+                keys.new_incarnation(),
+            ),
+            heartbeat=self._heartbeat,
+            receive=self._receive,
+            changed=self._members_changed,
+            heartbeat_s=timing.heartbeat_s,
+            timeout_s=timing.peer_timeout_s,
+        )
+        self._self_home = routes.SelfHome(settings.instance_id)
+        self._stewards = steward_module.Stewards(
+            settings=settings,
+            mesh=self._mesh,
+            roster=self._roster,
+            listing=self._listing,
+            orders_=self._orders,
+            clock=clock,
+            changed=self._stewards_changed,
+        )
+        self._home = homes.Home(routes=self._route, clock=clock)
+        self._front = fronts.Front(self, clock=clock)
+
+    @classmethod
+    def from_settings(cls, settings: settings_module.Node) -> Self:
+        """Returns an instance that is not started yet."""
+        return cls(settings, clock=clocks.Clock())
+
+    @property
+    def catalogue(self) -> catalogues.Catalogue:
+        """Configuration in force."""
+        return self._catalogue
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the instance is about to stop."""
+        return self._leaving
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return (
+            not self._leaving
+            and self._catalogue.version > 0
+            and self._stewards.reachable
+        )
+
+    async def start(self) -> None:
+        """Starts all services."""
+        settings = self._settings
+        await self._mesh.start(*settings_module.host_port(settings.peer))
+        for name, loop in (
+            ("watch configuration", self._watch_configuration),
+            ("watch endpoints", self._watch_endpoints),
+            ("announce", self._announce),
+            ("choose stewards", self._choose_stewards),
+        ):
+            self._supervisor.run(name, loop)
+        await self._serve(settings.ready, self._handle_ready)
+        await self._serve(settings.web, self._front.handle)
+        log.event(
+            "instance started",
+            step="start",
+            data_centres=sorted(settings.data_centres),
+        )
+
+    async def stop(self) -> None:
+        """Stops gracefully: no request in flight is cut off."""
+        log.event("instance stops", step="stop", in_flight=len(self._running))
+        timing = self._settings.timing
+        began = self._clock.monotonic()
+        self._leaving = True
+        self._stewards.leave()
+        self._mesh.beat()
+        # The balancer sends callers here until it has seen two failed checks.
+        await asyncio.sleep(timing.stop_notice_s)
+        while self._running:
+            if self._clock.monotonic() - began > timing.graceful_stop_s:
+                log.problem(
+                    "jobs are still in flight at the end of the graceful stop",
+                    step="stop",
+                    in_flight=len(self._running),
+                )
+                break
+            await asyncio.sleep(_STOP_STEP_S)
+        await self._close()
+
+    async def run(self, job: jobs.Job) -> outcomes.Outcome:
+        """Runs a job for a caller; cancelling the call ends it."""
+        began = self._clock.monotonic()
+        earlier = self._running.get(job.key)
+        if earlier is not None:
+            # The caller has sent it again while its first attempt runs here.
+            return await asyncio.shield(earlier)
+        task = asyncio.create_task(self._home.run(job))
+        self._running[job.key] = task
+        outcome: outcomes.Outcome | None = None
+        try:
+            outcome = await task
+        finally:
+            self._running.pop(job.key, None)
+            self._log_answer(job, outcome, began)
+        return outcome
+
+    def is_running(self, key: str) -> bool:
+        """Returns whether a job is being run for a caller here."""
+        return key in self._running
+
+    def cancel(self, key: str) -> bool:
+        """Ends a job; returns whether it was known here."""
+        task = self._running.get(key)
+        if task is None:
+            return False
+        task.cancel()
+        return True
+
+    def pending(self, queue: str) -> int:
+        """Returns the number of jobs without a started task."""
+        return self._stewards.pending(queue)
+
+    def reload(self) -> None:
+        """Notes that the settings file has changed.
+
+        Nothing in it may change while the process lives but the addresses of
+        others, which come from the store.
+        """
+        log.event("settings file read again", step="reload")
+
+    def _route(self, job: jobs.Job, only: str) -> homes.Route | None:
+        return self._stewards.route(job, only, home=self._self_home)
+
+    def _log_answer(
+        self, job: jobs.Job, outcome: outcomes.Outcome | None, began: float
+    ) -> None:
+        match outcome:
+            case None:
+                label, cause = "caller left", ""
+            case outcomes.Complete():
+                label, cause = outcomes.label(outcome), ""
+            case _:
+                label = outcomes.label(outcome)
+                cause = f"{outcome.cause.value}: {outcome.detail}"
+        log.event(
+            "caller answered",
+            step="answer",
+            request=job.key,
+            queue=job.queue,
+            outcome=label,
+            cause=cause,
+            tasks=job.count,
+            estimate_ms=int(job.estimate_s * 1_000),
+            objective_ms=int((job.objective_at - began) * 1_000),
+            deadline_ms=int((job.deadline_at - began) * 1_000),
+            took_ms=int((self._clock.monotonic() - began) * 1_000),
+            configuration=self._catalogue.version,
+        )
+
+    # Peers.
+
+    def _heartbeat(self) -> messages.Heartbeat:
+        return messages.Heartbeat(
+            configuration_version=self._catalogue.version,
+            listing_version=0,
+            leaving=self._leaving,
+            claims=self._stewards.claims(),
+        )
+
+    def _receive(self, link: links.Link, message: messages.Message) -> None:
+        match message:
+            case messages.Heartbeat():
+                self._pass_configuration_on(link, message)
+                self._stewards.evaluate()
+            case messages.JobOffer():
+                task = asyncio.create_task(self._serve_offer(link, message))
+                self._offers.add(task)
+                task.add_done_callback(self._offers.discard)
+            case messages.JobCancel(key=key):
+                self._stewards.cancel(key, link.hello.instance_id)
+            case messages.ConfigurationUpdate(version=text):
+                self._configure(text, source=link.hello.instance_id)
+            case _:
+                log.problem(
+                    "message of a kind that instances here do not send",
+                    step="receive",
+                    peer=link.hello.instance_id,
+                    message=type(message).__name__,
+                )
+
+    async def _serve_offer(
+        self, link: links.Link, offer: messages.JobOffer
+    ) -> None:
+        outcome = await self._stewards.submit(
+            offer.data_centre,
+            offer.job,
+            routes.PeerHome(link),
+            moved=offer.moved,
+        )
+        try:
+            link.send(messages.RelayReply(offer.id, outcome))
+        except errors.PeerNotSentError as error:
+            log.problem(
+                "answer of a job was not delivered to its home",
+                step="answer home",
+                peer=error.peer,
+                request=offer.job.key,
+                error=str(error),
+            )
+
+    def _pass_configuration_on(
+        self, link: links.Link, heartbeat: messages.Heartbeat
+    ) -> None:
+        version = self._catalogue.version
+        if (
+            heartbeat.configuration_version < version
+            and link.offered_configuration < version
+            and self._clock.monotonic() - self._configured_at > _PASS_ON_S
+        ):
+            link.offered_configuration = version
+            self._mesh.send(
+                link, messages.ConfigurationUpdate(self._configuration_text)
+            )
+
+    def _members_changed(self) -> None:
+        log.event(
+            "streams to peers changed",
+            step="members",
+            peers=sorted(self._mesh.peers),
+        )
+        self._stewards.evaluate()
+
+    def _stewards_changed(self) -> None:
+        self._list_now.set()
+        self._mesh.beat()
+
+    async def _choose_stewards(self) -> None:
+        while True:
+            settled = self._clock.monotonic() - self._started_at > _SETTLE_S
+            if settled or (self._mesh.explored and self._roster.instances):
+                self._stewards.settle()
+            self._stewards.evaluate()
+            await asyncio.sleep(_TICK_S)
+
+    # The platform.
+
+    async def _watch_configuration(self) -> None:
+        """Follows the operator's table; each change is applied at once."""
+        step = "watch configuration"
+        after: int | None = None
+        failing = False
+        while True:
+            try:
+                if after is None:
+                    snapshot = await self._rows.read(
+                        configuration.TABLE, step=step
+                    )
+                else:
+                    snapshot = await self._rows.changes(
+                        configuration.TABLE,
+                        after=after,
+                        wait_s=self._settings.timing.configuration_wait_s,
+                        step=step,
+                    )
+            except errors.PlatformError as error:
+                if not failing:
+                    log.problem(
+                        "the store does not answer",
+                        step=step,
+                        peer=error.peer,
+                        error=str(error),
+                    )
+                failing = True
+                await asyncio.sleep(_RETRY_S)
+                continue
+            if failing:
+                log.event("the store answers again", step=step)
+            failing = False
+            after = snapshot.version
+            for row in snapshot.rows:
+                if row.key == configuration.KEY and not row.removed:
+                    self._configure(row.value, source="platform")
+
+    def _configure(self, text: bytes, *, source: str) -> None:
+        try:
+            catalogue = configuration.decode(text)
+        except errors.ConfigurationError as error:
+            log.problem(
+                "the configuration cannot be read; the last one stays in force",
+                step=error.step,
+                peer=source,
+                error=str(error),
+            )
+            return
+        if catalogue.version <= self._catalogue.version:
+            return
+        self._catalogue = catalogue
+        self._configuration_text = text
+        self._configured_at = self._clock.monotonic()
+        log.event(
+            "configuration in force",
+            step="configure",
+            peer=source,
+            version=catalogue.version,
+            queues=len(catalogue.queues),
+        )
+
+    async def _watch_endpoints(self) -> None:
+        step = "watch endpoints"
+        timing = self._settings.timing
+        while True:
+            period_s = (
+                timing.list_period_s
+                if self._stewards.held
+                else timing.idle_list_period_s
+            )
+            try:
+                snapshot = await self._rows.read(endpoint_rows.TABLE, step=step)
+                self._apply_listing(snapshot, period_s)
+            except errors.PlatformError as error:
+                log.problem(
+                    "the list of endpoints cannot be read",
+                    step=step,
+                    peer=error.peer,
+                    error=str(error),
+                )
+                period_s = _RETRY_S
+            self._list_now.clear()
+            try:
+                async with asyncio.timeout(period_s):
+                    await self._list_now.wait()
+            except TimeoutError:
+                continue
+
+    def _apply_listing(
+        self, snapshot: row_module.Snapshot, period_s: float
+    ) -> None:
+        before = {e.id: e.leaving for e in self._listing.live}
+        listed: list[endpoints.Endpoint] = []
+        for row in snapshot.rows:
+            endpoint = endpoint_rows.decode(row)
+            if endpoint is not None:
+                listed.append(endpoint)
+        self._listing.apply(listed, period_s=period_s)
+        after = {e.id: e.leaving for e in self._listing.live}
+        if after != before:
+            log.event(
+                "endpoints changed",
+                step="watch endpoints",
+                added=sorted(after.keys() - before.keys()),
+                gone=sorted(before.keys() - after.keys()),
+                leaving=sorted(name for name, left in after.items() if left),
+            )
+        self._stewards.update_endpoints()
+
+    async def _announce(self) -> None:
+        """Writes this instance's row and reads those of the others."""
+        step = "announce"
+        while True:
+            try:
+                await self._rows.put(
+                    rosters.TABLE,
+                    self._settings.instance_id,
+                    msgspec.json.encode(self._announcement()),
+                    step=step,
+                )
+                snapshot = await self._rows.read(rosters.TABLE, step=step)
+                for row in snapshot.rows:
+                    self._roster.read(
+                        row.key, version=row.version, value=row.value
+                    )
+                self._roster.keep({row.key for row in snapshot.rows})
+                self._mesh.update(self._roster.instances)
+            except errors.PlatformError as error:
+                log.problem(
+                    "this instance's row cannot be written or read",
+                    step=step,
+                    peer=error.peer,
+                    error=str(error),
+                )
+            period_s = self._settings.timing.announce_period_s
+            if len(self._roster.instances) <= 1:
+                # The others start at the same time.
+                period_s = _RETRY_S
+            await asyncio.sleep(period_s)
+
+    def _announcement(self) -> rosters.Announcement:
+        self._beat += 1
+        return rosters.Announcement(
+            data_centre=self._settings.data_centre,
+            address=self._settings.peer,
+            beat=self._beat,
+            tokens={
+                claim.data_centre: claim.token
+                for claim in self._stewards.claims()
+            },
+        )
+
+    # HTTP.
+
+    async def _serve(
+        self,
+        address: str,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> None:
+        server = web.Server(
+            handler,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=self._catalogue.limits.idle_timeout_s,
+        )
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, *settings_module.host_port(address)).start()
+
+    async def _handle_ready(self, http: web.BaseRequest) -> web.Response:
+        del http  # Only one question is asked at this address.
+        return web.Response(status=200 if self.ready else 503)
+
+    async def _close(self) -> None:
+        """Closes all parts; one that fails does not keep the others open.
+
+        Raises:
+            ExceptionGroup: If any part failed to close.
+        """
+        steps: list[Callable[[], Awaitable[None]]] = [
+            *(runner.cleanup for runner in self._runners),
+            self._supervisor.stop,
+            self._stewards.close,
+            self._mesh.stop,
+            self._orders.close,
+            self._client.close,
+        ]
+        failures: list[Exception] = []
+        for step in steps:
+            try:
+                await step()
+            except Exception as error:  # noqa: BLE001
+                failures.append(error)
+        log.event("instance stopped", step="stop")
+        if failures:
+            raise ExceptionGroup("graceful stop", failures)
--- /dev/null
+++ b/sesameroad/node/service.py
@@ -0,0 +1,41 @@
+"""The daemon of an instance on the platform, as an aiomisc service."""
+
+import asyncio
+import signal
+from typing import Any
+
+import aiomisc
+
+from sesameroad.node import node as nodes
+from sesameroad.settings import node as settings_module
+
+# aiomisc cancels a service that stops for longer; callers' jobs go first.
+_SHUTDOWN_MARGIN_S = 5.0
+
+
+class NodeService(aiomisc.Service):
+    """Starts an instance, and stops it gracefully on SIGTERM."""
+
+    settings: settings_module.Node
+
+    async def start(self) -> None:
+        """Starts the instance."""
+        self._node = nodes.Node.from_settings(self.settings)
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGHUP, self._node.reload
+        )
+        await self._node.start()
+
+    async def stop(self, exception: Exception | None = None) -> Any:
+        """Stops the instance gracefully."""
+        await self._node.stop()
+
+
+def run(settings: settings_module.Node) -> None:
+    """Runs an instance until SIGTERM or SIGINT."""
+    service = NodeService(settings=settings)
+    timeout_s = settings.timing.graceful_stop_s + _SHUTDOWN_MARGIN_S
+    with aiomisc.entrypoint(
+        service, log_config=False, shutdown_timeout=timeout_s
+    ) as loop:
+        loop.run_forever()
--- /dev/null
+++ b/sesameroad/node/stewards.py
@@ -0,0 +1,358 @@
+"""The stewards of all data centres, as this instance sees and serves them."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from sesameroad.jobs import active as actives
+from sesameroad.jobs import home as homes
+from sesameroad.jobs import scheduler as schedulers
+from sesameroad.jobs import stewardship
+from sesameroad.leasing import order as orders
+from sesameroad.model import clock as clocks
+from sesameroad.model import job as jobs
+from sesameroad.model import outcome as outcomes
+from sesameroad.node import listing as listings
+from sesameroad.node import roster as rosters
+from sesameroad.node import routes
+from sesameroad.peering import link as links
+from sesameroad.peering import mesh as meshes
+from sesameroad.peering import message as messages
+from sesameroad.settings import node as settings_module
+from sesameroad.telemetry import log
+
+# Time without a steward after which an instance of another data centre takes
+# the endpoints: a cut looks the same, and its own instances then go on.
+_FOREIGN_PAUSE_S = 3.0
+# Pause after endpoints refused this instance for a higher token, in which the
+# other steward shows itself; longer where this instance sees no peer.
+_FENCED_PAUSE_S = 1.0
+_ISOLATED_PAUSE_S = 3.0
+# Steps by which a token is raised that endpoints refuse before any accepts it:
+# the time of day of the earlier steward may have been ahead by seconds.
+_RAISE_STEPS = 64 * 256
+# A job goes to another data centre if it waits this much less there.
+_SPILL_MARGIN_S = 0.03
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Steward:
+    """A claim and where it was seen; no link for this instance's own."""
+
+    claim: messages.Claim
+    link: links.Link | None
+
+
+@dataclasses.dataclass(slots=True)
+class _Held:
+    scheduler: schedulers.Scheduler
+    task: asyncio.Task[None]
+
+
+class Stewards:
+    """Claims and resigns stewardships, and finds the way to each steward."""
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.Node,
+        mesh: meshes.Mesh,
+        roster: rosters.Roster,
+        listing: listings.Listing,
+        orders_: orders.Orders,
+        clock: clocks.Clock,
+        changed: Callable[[], None],
+    ) -> None:
+        self._settings = settings
+        self._mesh = mesh
+        self._roster = roster
+        self._listing = listing
+        self._orders = orders_
+        self._clock = clock
+        self._changed = changed
+        self._held: dict[str, _Held] = {}
+        self._closing: set[asyncio.Task[None]] = set()
+        self._vacant_since: dict[str, float] = {}
+        self._barred_until: dict[str, float] = {}
+        self._tokens: dict[str, int] = {}
+        self._settled = False
+        self._leaving = False
+
+    @property
+    def held(self) -> bool:
+        """Whether this instance is the steward of any data centre."""
+        return bool(self._held)
+
+    @property
+    def reachable(self) -> bool:
+        """Whether any steward can be asked."""
+        return bool(self._stewards())
+
+    def settle(self) -> None:
+        """Notes that the other instances were heard, if there are any."""
+        self._settled = True
+
+    def leave(self) -> None:
+        """Resigns everything; this instance claims nothing any more."""
+        self._leaving = True
+        for data_centre in list(self._held):
+            self._resign(data_centre, "this instance stops")
+
+    async def close(self) -> None:
+        """Waits until all stewardships have ended."""
+        self.leave()
+        if self._closing:
+            await asyncio.wait(self._closing)
+
+    def claims(self) -> tuple[messages.Claim, ...]:
+        """Returns what this instance tells its peers."""
+        return tuple(
+            messages.Claim(
+                data_centre,
+                held.scheduler.token,
+                int(held.scheduler.free_cores * 1_000),
+                int(min(held.scheduler.wait_s, 60.0) * 1_000),
+            )
+            for data_centre, held in self._held.items()
+        )
+
+    def pending(self, queue: str) -> int:
+        """Returns the jobs of a queue here without a started task."""
+        return sum(
+            held.scheduler.pending.get(queue, 0) for held in self._held.values()
+        )
+
+    def route(
+        self, job: jobs.Job, only: str, *, home: routes.SelfHome
+    ) -> homes.Route | None:
+        """Returns the way to the best steward for a job, or None.
+
+        Args:
+            job: The job.
+            only: The only data centre allowed, empty for any.
+            home: This instance as the home of the job.
+        """
+        stewards = self._stewards()
+        chosen = stewards.get(only) if only else self._choose(job, stewards)
+        if chosen is None:
+            return None
+        data_centre = chosen.claim.data_centre
+        if chosen.link is None:
+            return routes.LocalRoute(self._held[data_centre].scheduler, home)
+        return routes.PeerRoute(chosen.link, data_centre, clock=self._clock)
+
+    async def submit(
+        self,
+        data_centre: str,
+        job: jobs.Job,
+        home: actives.Home,
+        *,
+        moved: bool,
+    ) -> outcomes.Outcome:
+        """Runs a job of a peer, if this instance is the steward."""
+        held = self._held.get(data_centre)
+        if held is None:
+            return outcomes.NotRun(
+                outcomes.Cause.NOT_STEWARD, f"no steward of {data_centre} here"
+            )
+        return await held.scheduler.submit(job, home, moved=moved)
+
+    def cancel(self, key: str, home_id: str) -> None:
+        """Ends a job of a peer."""
+        for held in self._held.values():
+            held.scheduler.cancel(key, home_id)
+
+    def update_endpoints(self) -> None:
+        """Takes a new list of endpoints into use."""
+        for data_centre, held in self._held.items():
+            held.scheduler.update(self._listing.of(data_centre))
+
+    def evaluate(self) -> None:
+        """Claims data centres without a steward, and resigns to better ones."""
+        if self._leaving:
+            return
+        now = self._clock.monotonic()
+        stewards = self._stewards()
+        for data_centre in self._settings.data_centres:
+            steward = stewards.get(data_centre)
+            if steward is not None:
+                self._tokens[data_centre] = max(
+                    self._tokens.get(data_centre, 0), steward.claim.token
+                )
+            if data_centre in self._held:
+                self._vacant_since.pop(data_centre, None)
+                self._consider_resigning(data_centre, steward)
+            elif steward is not None:
+                self._vacant_since.pop(data_centre, None)
+            elif self._may_claim(data_centre, now):
+                self._claim(data_centre)
+
+    def _stewards(self) -> dict[str, _Steward]:
+        """Returns the steward with the highest token of each data centre."""
+        found: dict[str, _Steward] = {}
+        own = [_Steward(claim, None) for claim in self.claims()]
+        peers = [
+            _Steward(claim, link)
+            for link in self._mesh.peers.values()
+            if link.state is not None and not link.leaving
+            for claim in link.state.claims
+        ]
+        for steward in own + peers:
+            known = found.get(steward.claim.data_centre)
+            if known is None or steward.claim.token > known.claim.token:
+                found[steward.claim.data_centre] = steward
+        return found
+
+    def _choose(
+        self, job: jobs.Job, stewards: dict[str, _Steward]
+    ) -> _Steward | None:
+        own = stewards.get(self._settings.data_centre)
+        wanted = job.count * job.need.cores * 1_000
+        if own is not None and (
+            own.claim.free_millicores >= wanted or own.claim.wait_ms <= 0
+        ):
+            return own
+        best = min(
+            stewards.values(),
+            key=lambda s: (s.claim.wait_ms, -s.claim.free_millicores),
+            default=None,
+        )
+        if own is None or best is None:
+            return best
+        margin_ms = _SPILL_MARGIN_S * 1_000
+        return (
+            best if best.claim.wait_ms + margin_ms < own.claim.wait_ms else own
+        )
+
+    def _members(self) -> list[stewardship.Member]:
+        settings = self._settings
+        return [
+            stewardship.Member(
+                settings.instance_id, settings.data_centre, self._leaving
+            ),
+            *(
+                stewardship.Member(
+                    link.hello.instance_id, link.hello.data_centre, link.leaving
+                )
+                for link in self._mesh.peers.values()
+            ),
+        ]
+
+    def _is_isolated(self) -> bool:
+        """Whether the others live, but only the store shows it."""
+        if self._mesh.peers:
+            return False
+        mates = [
+            name
+            for name, other in self._roster.fresh().items()
+            if other.data_centre == self._settings.data_centre
+            and name != self._settings.instance_id
+        ]
+        return bool(mates)
+
+    def _may_claim(self, data_centre: str, now: float) -> bool:
+        settings = self._settings
+        members = self._members()
+        first = stewardship.candidate(data_centre, members)
+        if not self._settled or first != settings.instance_id:
+            self._vacant_since.pop(data_centre, None)
+            return False
+        if now < self._barred_until.get(data_centre, 0.0):
+            return False
+        since = self._vacant_since.setdefault(data_centre, now)
+        if data_centre != settings.data_centre:
+            pause_s = _FOREIGN_PAUSE_S
+        elif any(
+            member.leaving and member.data_centre == data_centre
+            for member in members
+        ):
+            # The steward resigned on purpose.
+            pause_s = 0.0
+        else:
+            pause_s = settings.timing.claim_pause_s
+        return now - since >= pause_s and not self._is_isolated()
+
+    def _claim(self, data_centre: str) -> None:
+        token = stewardship.new_token(
+            self._settings.instance_id,
+            wall_ms=self._clock.wall_ms(),
+            above=[self._tokens.get(data_centre, 0)],
+        )
+        self._tokens[data_centre] = token
+        scheduler = schedulers.Scheduler(
+            data_centre=data_centre,
+            token=token,
+            orders_=self._orders,
+            lease_s=self._settings.max_lease_ms / 1_000,
+            clock=self._clock,
+            lost=self._fenced,
+        )
+        task = asyncio.create_task(
+            scheduler.run(), name=f"steward of {data_centre}"
+        )
+        self._held[data_centre] = _Held(scheduler, task)
+        scheduler.update(self._listing.of(data_centre))
+        log.event(
+            "stewardship claimed",
+            step="steward",
+            steward_of=data_centre,
+            token=token,
+            peers=sorted(self._mesh.peers),
+            endpoints=len(self._listing.of(data_centre)),
+        )
+        self._changed()
+
+    def _consider_resigning(
+        self, data_centre: str, steward: _Steward | None
+    ) -> None:
+        if steward is not None and steward.link is not None:
+            peer = steward.link.hello.instance_id
+            self._resign(data_centre, f"{peer} has a higher token")
+            return
+        if data_centre == self._settings.data_centre:
+            return
+        local = any(
+            member.data_centre == data_centre and not member.leaving
+            for member in self._members()
+        )
+        if local:
+            self._resign(data_centre, "an instance of the data centre is back")
+
+    def _resign(self, data_centre: str, cause: str) -> None:
+        held = self._held.pop(data_centre)
+        held.task.cancel()
+        self._closing.add(held.task)
+        held.task.add_done_callback(self._closing.discard)
+        log.event(
+            "stewardship resigned",
+            step="steward",
+            steward_of=data_centre,
+            token=held.scheduler.token,
+            cause=cause,
+        )
+        self._changed()
+
+    def _fenced(self, data_centre: str) -> None:
+        """Answers a refusal for a higher token."""
+        held = self._held.get(data_centre)
+        if held is None:
+            return
+        token = held.scheduler.token
+        if not held.scheduler.established:
+            # Endpoints remember a steward whose time of day was ahead.
+            raised = stewardship.new_token(
+                self._settings.instance_id,
+                wall_ms=self._clock.wall_ms(),
+                above=[token + _RAISE_STEPS],
+            )
+            self._tokens[data_centre] = raised
+            held.scheduler.raise_token(raised)
+            self._changed()
+            return
+        alone = not self._mesh.peers
+        pause_s = _ISOLATED_PAUSE_S if alone else _FENCED_PAUSE_S
+        self._barred_until[data_centre] = self._clock.monotonic() + pause_s
+        self._tokens[data_centre] = max(
+            self._tokens.get(data_centre, 0), token + _RAISE_STEPS
+        )
+        self._resign(data_centre, "an endpoint has seen a higher token")
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterable
 
 from sesameroad import errors
+from sesameroad.model import clock as clocks
 from sesameroad.model import demand as demands
+from sesameroad.model import job as jobs
 from sesameroad.model import need as needs
 from sesameroad.model import outcome as outcomes
 from sesameroad.model import work as works
@@ -43,6 +45,15 @@
                     configuration_version=message.configuration_version,
                     listing_version=message.listing_version,
                     leaving=message.leaving,
+                    claims=[
+                        peer_pb2.Claim(
+                            data_centre=claim.data_centre,
+                            token=claim.token,
+                            free_millicores=claim.free_millicores,
+                            wait_ms=claim.wait_ms,
+                        )
+                        for claim in message.claims
+                    ],
                 )
             )
         case messages.Demand():
@@ -122,6 +133,10 @@
                     id=message.id, command=message.command
                 )
             )
+        case messages.JobOffer():
+            return peer_pb2.Item(job_offer=_encode_offer(message))
+        case messages.JobCancel():
+            return peer_pb2.Item(job_cancel=peer_pb2.JobCancel(key=message.key))
         case messages.FleetReply():
             return peer_pb2.Item(
                 fleet_reply=peer_pb2.FleetReply(
@@ -151,6 +166,15 @@
                 item.heartbeat.configuration_version,
                 item.heartbeat.listing_version,
                 item.heartbeat.leaving,
+                tuple(
+                    messages.Claim(
+                        claim.data_centre,
+                        claim.token,
+                        claim.free_millicores,
+                        claim.wait_ms,
+                    )
+                    for claim in item.heartbeat.claims
+                ),
             )
         case "demand":
             return messages.Demand(
@@ -219,6 +243,10 @@
             return messages.FleetReply(
                 item.fleet_reply.id, item.fleet_reply.result
             )
+        case "job_offer":
+            return _decode_offer(item.job_offer)
+        case "job_cancel":
+            return messages.JobCancel(item.job_cancel.key)
         case other:
             raise errors.PeerError(f"unknown message {other}", step="decode")
 
@@ -299,6 +327,55 @@
     )
 
 
+def _encode_offer(message: messages.JobOffer) -> peer_pb2.JobOffer:
+    job = message.job
+    now = clocks.elapsed_s()
+    return peer_pb2.JobOffer(
+        id=message.id,
+        data_centre=message.data_centre,
+        key=job.key,
+        queue=job.queue,
+        service=job.service,
+        spec=job.spec,
+        count=job.count,
+        cores=job.need.cores,
+        memory_mb=job.need.memory_mb,
+        accelerators=job.need.accelerators,
+        estimate_ms=int(job.estimate_s * 1_000),
+        priority=job.priority,
+        max_attempts=job.max_attempts,
+        required_label=job.required_label,
+        preferred_label=job.preferred_label,
+        per_endpoint=job.per_endpoint,
+        objective_ms=int((job.objective_at - now) * 1_000),
+        deadline_ms=int((job.deadline_at - now) * 1_000),
+        moved=message.moved,
+    )
+
+
+def _decode_offer(offer: peer_pb2.JobOffer) -> messages.JobOffer:
+    if not offer.count:
+        raise errors.PeerError("offered job without tasks", step="decode")
+    now = clocks.elapsed_s()
+    job = jobs.Job(
+        key=offer.key,
+        queue=offer.queue,
+        service=offer.service,
+        spec=offer.spec,
+        count=offer.count,
+        need=needs.Need(offer.cores, offer.memory_mb, offer.accelerators),
+        estimate_s=offer.estimate_ms / 1_000,
+        priority=offer.priority,
+        max_attempts=offer.max_attempts,
+        required_label=offer.required_label,
+        preferred_label=offer.preferred_label,
+        per_endpoint=offer.per_endpoint,
+        objective_at=now + offer.objective_ms / 1_000,
+        deadline_at=now + offer.deadline_ms / 1_000,
+    )
+    return messages.JobOffer(offer.id, offer.data_centre, job, offer.moved)
+
+
 def _encode_outcome(outcome: outcomes.Outcome) -> peer_pb2.Outcome:
     match outcome:
         case outcomes.Complete():
--- a/sesameroad/peering/link.py
+++ b/sesameroad/peering/link.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 import dataclasses
 import itertools
-import time
 from typing import Protocol
 
 from sesameroad import errors
+from sesameroad.model import clock as clocks
 from sesameroad.peering import codec
 from sesameroad.peering import message as messages
 from sesameroad.peering import peer_pb2
@@ -115,7 +115,7 @@
         self._wake = asyncio.Event()
         self._ids = itertools.count(1)
         self._pending: dict[int, asyncio.Future[messages.Reply]] = {}
-        self._heard_at = time.monotonic()
+        self._heard_at = clocks.elapsed_s()
         self._close_reason = "stream closed"
         self._closed = asyncio.Event()
         self.state: messages.Heartbeat | None = None
@@ -145,7 +145,7 @@
         The clock is read here because a process that was paused runs other code
         before the reader notices the silence.
         """
-        silent_s = time.monotonic() - self._heard_at
+        silent_s = clocks.elapsed_s() - self._heard_at
         return not self._closed.is_set() and silent_s < self._timeout_s
 
     def send(self, message: messages.Message) -> None:
@@ -266,7 +266,7 @@
             self._take(receive, envelope)
 
     def _take(self, receive: Receive, envelope: peer_pb2.Envelope) -> None:
-        self._heard_at = time.monotonic()
+        self._heard_at = clocks.elapsed_s()
         for item in envelope.items:
             try:
                 message = codec.decode_item(item)
@@ -296,7 +296,7 @@
             items = self._next_items()
             # Heartbeats are due on time also when other messages are flowing:
             # they carry the versions that the peer compares with its own.
-            now = time.monotonic()
+            now = clocks.elapsed_s()
             if self._heartbeat_due or now >= next_heartbeat:
                 items.append(codec.encode_item(self._heartbeat()))
                 self._heartbeat_due = False
@@ -306,7 +306,7 @@
                 await asyncio.sleep(0)
                 continue
             try:
-                async with asyncio.timeout(next_heartbeat - time.monotonic()):
+                async with asyncio.timeout(next_heartbeat - clocks.elapsed_s()):
                     await self._wake.wait()
             except TimeoutError:
                 continue
--- a/sesameroad/peering/message.py
+++ b/sesameroad/peering/message.py
@@ -4,6 +4,7 @@
 import enum
 
 from sesameroad.model import demand as demands
+from sesameroad.model import job as jobs
 from sesameroad.model import outcome as outcomes
 from sesameroad.model import work as works
 
@@ -17,6 +18,23 @@
     incarnation: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Claim:
+    """Says that the sender is the steward of the endpoints of a data centre.
+
+    Attributes:
+        data_centre: Data centre of the endpoints.
+        token: Fencing token of its orders; of two stewards the higher counts.
+        free_millicores: Processor time that no task uses.
+        wait_ms: Time that a new job waits there for its first task.
+    """
+
+    data_centre: str
+    token: int
+    free_millicores: int = 0
+    wait_ms: int = 0
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Heartbeat:
     """Sent in every heartbeat period by both sides."""
@@ -24,6 +42,7 @@
     configuration_version: int
     listing_version: int
     leaving: bool
+    claims: tuple[Claim, ...] = ()
 
 
 Demand = demands.Demand
@@ -116,7 +135,33 @@
     result: bytes
 
 
-Question = RelayRequest | StatusQuery | FleetQuery
+@dataclasses.dataclass(slots=True, frozen=True)
+class JobOffer:
+    """A job for the steward of a data centre; the answer is a RelayReply.
+
+    Times of the job count from its arrival, because clocks differ.
+
+    Attributes:
+        id: Number of the question on its stream.
+        data_centre: Data centre of the steward.
+        job: The job.
+        moved: Whether an earlier steward may have started tasks of it.
+    """
+
+    id: int
+    data_centre: str
+    job: jobs.Job
+    moved: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class JobCancel:
+    """Ends a job that was offered on this stream."""
+
+    key: str
+
+
+Question = RelayRequest | StatusQuery | FleetQuery | JobOffer
 Reply = RelayReply | FleetReply
 Message = (
     Hello
@@ -125,6 +170,7 @@
     | Allocation
     | ConfigurationUpdate
     | EndpointUpdate
+    | JobCancel
     | Question
     | Reply
 )
--- a/sesameroad/platform/client.py
+++ b/sesameroad/platform/client.py
@@ -1,5 +1,6 @@
 """HTTP session to the platform."""
 
+import dataclasses
 from typing import Any
 from typing import Self
 
@@ -13,17 +14,32 @@
 _FIRST_ERROR_STATUS = 400
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Answer:
+    """An answer of the platform, of any status.
+
+    Attributes:
+        status: HTTP status.
+        body: Body.
+        etag: Entity tag, empty if none.
+    """
+
+    status: int
+    body: bytes
+    etag: str = ""
+
+
 class Client:
     """Calls the platform; every failure is a PlatformError."""
 
-    __slots__ = ("_base_url", "_session", "_timeout")
+    __slots__ = ("_base_url", "_session", "_timeout_s")
 
     def __init__(
         self, *, session: aiohttp.ClientSession, base_url: str, timeout_s: float
     ) -> None:
         self._session = session
         self._base_url = base_url
-        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._timeout_s = timeout_s
 
     @classmethod
     def open(cls, base_url: str, *, timeout_s: float) -> Self:
@@ -44,8 +60,10 @@
         Raises:
             PlatformError: If the platform fails or does not answer.
         """
-        answer = await self._call("GET", path, None, step)
-        return None if answer is None else answer[0]
+        answer = await self.call("GET", path, step=step)
+        if answer.status == _NOT_FOUND:
+            return None
+        return _checked(answer, step).body
 
     async def get_if_changed(
         self, path: str, etag: str, *, step: str
@@ -60,10 +78,13 @@
                 have the resource.
         """
         headers = {"If-None-Match": etag} if etag else {}
-        answer = await self._call("GET", path, None, step, headers)
-        if answer is None:
+        answer = await self.call("GET", path, step=step, headers=headers)
+        if answer.status == _NOT_FOUND:
             raise errors.PlatformError("not found", step=step, peer=_PEER)
-        return None if answer[1] == etag != "" else answer
+        _checked(answer, step)
+        if answer.etag == etag != "":
+            return None
+        return answer.body, answer.etag
 
     async def post(self, path: str, body: Any, *, step: str) -> bytes:
         """Posts a JSON body and returns the answer's body.
@@ -71,8 +92,10 @@
         Raises:
             PlatformError: If the platform fails or does not answer.
         """
-        answer = await self._call("POST", path, msgspec.json.encode(body), step)
-        return answer[0] if answer is not None else b""
+        answer = await self.call(
+            "POST", path, body=msgspec.json.encode(body), step=step
+        )
+        return _checked(answer, step).body
 
     async def put(self, path: str, body: bytes, *, step: str) -> None:
         """Writes a resource.
@@ -80,34 +103,46 @@
         Raises:
             PlatformError: If the platform fails or does not answer.
         """
-        await self._call("PUT", path, body, step)
+        _checked(await self.call("PUT", path, body=body, step=step), step)
 
-    async def _call(
+    async def call(
         self,
         method: str,
         path: str,
-        body: bytes | None,
+        *,
         step: str,
+        body: bytes | None = None,
         headers: dict[str, str] | None = None,
-    ) -> tuple[bytes, str] | None:
-        """Returns the body and the entity tag, None if there is no resource."""
+        timeout_s: float | None = None,
+    ) -> Answer:
+        """Sends a request and returns the answer, whatever its status.
+
+        Raises:
+            PlatformError: If no whole answer came in time.
+        """
+        if timeout_s is None:
+            timeout_s = self._timeout_s
         try:
             async with self._session.request(
                 method,
                 self._base_url + path,
                 data=body,
                 headers=headers,
-                timeout=self._timeout,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                answer = await response.read()
+                text = await response.read()
+                return Answer(
+                    response.status, text, response.headers.get("ETag", "")
+                )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise errors.PlatformError(
                 f"{type(error).__name__}: {error}", step=step, peer=_PEER
             ) from error
-        if response.status == _NOT_FOUND:
-            return None
-        if response.status >= _FIRST_ERROR_STATUS:
-            raise errors.PlatformError(
-                f"status {response.status}", step=step, peer=_PEER
-            )
-        return answer, response.headers.get("ETag", "")
+
+
+def _checked(answer: Answer, step: str) -> Answer:
+    if answer.status >= _FIRST_ERROR_STATUS:
+        raise errors.PlatformError(
+            f"status {answer.status}", step=step, peer=_PEER
+        )
+    return answer
--- /dev/null
+++ b/sesameroad/platform/configuration.py
@@ -0,0 +1,68 @@
+"""Decodes the operator's configuration."""
+
+import msgspec
+
+from sesameroad import errors
+from sesameroad.jobs import catalogue as catalogues
+
+TABLE = "op"
+KEY = "config"
+_MS = 1_000
+_DEFAULTS = catalogues.Limits()
+
+
+class _Route(msgspec.Struct, rename="kebab"):
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    # Time beyond the stretched work in which the answer is still in time.
+    target_latency_ms: float = 0
+
+
+class _Limits(msgspec.Struct, rename="kebab"):
+    max_body_bytes: int = _DEFAULTS.max_body_bytes
+    idle_timeout_ms: float = _DEFAULTS.idle_timeout_s * _MS
+
+
+class _Document(msgspec.Struct, rename="kebab"):
+    version: int
+    routes: list[_Route] = msgspec.field(default_factory=list)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def decode(text: bytes) -> catalogues.Catalogue:
+    """Returns the catalogue of a configuration document.
+
+    Raises:
+        ConfigurationError: If the document cannot be read.
+    """
+    try:
+        document = msgspec.json.decode(text, type=_Document)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.ConfigurationError(
+            str(error), step="read configuration", peer="platform"
+        ) from error
+    return catalogues.Catalogue(
+        version=document.version,
+        queues=[
+            catalogues.Queue(
+                name=route.name,
+                host=route.host,
+                prefix=route.path_prefix,
+                service=route.service,
+                priority=route.priority,
+                max_attempts=max(1, route.max_attempts),
+                stretch=route.stretch,
+                allowance_s=route.target_latency_ms / _MS,
+            )
+            for route in document.routes
+        ],
+        limits=catalogues.Limits(
+            max_body_bytes=document.limits.max_body_bytes,
+            idle_timeout_s=document.limits.idle_timeout_ms / _MS,
+        ),
+    )
--- /dev/null
+++ b/sesameroad/settings/node.py
@@ -0,0 +1,117 @@
+"""Settings of an instance that runs on the platform."""
+
+import dataclasses
+import pathlib
+from typing import Annotated
+from typing import Self
+
+import msgspec
+
+from sesameroad import errors
+
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_HostPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+_PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
+_PositiveMs = Annotated[int, msgspec.Meta(ge=1)]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Timing:
+    """Periods and timeouts, in seconds.
+
+    Attributes:
+        heartbeat_s: Period of heartbeats on a peer stream.
+        peer_timeout_s: Silence after which a peer counts as lost. The runs of
+            a lost instance must have ended before its callers send their jobs
+            again, 1.3 s later.
+        claim_pause_s: Time without a steward before the next one claims its
+            endpoints, so that a stream that is dialled again is no succession.
+        platform_timeout_s: Timeout of one call to the store.
+        configuration_wait_s: Time that the store holds a request for changes
+            of the configuration.
+        list_period_s: Period of reads of the endpoints by a steward.
+        idle_list_period_s: The same by other instances.
+        announce_period_s: Period of writes of this instance's own row.
+        stop_notice_s: Time at the start of a graceful stop in which new callers
+            are still served, until the balancer has seen two failed checks.
+        graceful_stop_s: Longest graceful stop.
+    """
+
+    heartbeat_s: _PositiveSeconds = 0.25
+    peer_timeout_s: _PositiveSeconds = 0.75
+    claim_pause_s: _PositiveSeconds = 0.15
+    platform_timeout_s: _PositiveSeconds = 1.0
+    configuration_wait_s: _PositiveSeconds = 1.0
+    list_period_s: _PositiveSeconds = 0.8
+    idle_list_period_s: _PositiveSeconds = 4.0
+    announce_period_s: _PositiveSeconds = 2.0
+    stop_notice_s: _PositiveSeconds = 2.5
+    graceful_stop_s: _PositiveSeconds = 5.3
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Node:
+    """Settings of one instance.
+
+    Attributes:
+        instance_id: Name of this instance, unique in the fleet.
+        data_centre: Data centre where it runs.
+        data_centres: Region of each data centre.
+        web: Address for callers.
+        ready: Address of the readiness check.
+        peer: Address of the peer service.
+        metrics: Address of the metrics.
+        platform: Address of the store.
+        max_lease_ms: Longest lease that an endpoint grants.
+        timing: Periods and timeouts.
+    """
+
+    instance_id: _Name
+    data_centre: _Name
+    data_centres: dict[_Name, str]
+    web: _HostPort
+    ready: _HostPort
+    peer: _HostPort
+    metrics: _HostPort
+    platform: _HostPort
+    max_lease_ms: _PositiveMs
+    timing: Timing = Timing()
+
+    @classmethod
+    def from_json(cls, text: bytes, *, source: str = "") -> Self:
+        """Decodes and checks settings; unknown fields are ignored.
+
+        A newer platform may add fields, and a rolling change of the settings
+        must not stop instances of the release before it.
+
+        Raises:
+            SettingsError: If a field is missing or out of range; the message
+                names it.
+        """
+        try:
+            return msgspec.json.decode(text, type=cls)
+        except msgspec.MsgspecError as error:
+            raise errors.SettingsError(
+                str(error), step="read settings", peer=source
+            ) from error
+
+    @classmethod
+    def from_file(cls, path: str) -> Self:
+        """Reads settings from a file.
+
+        Raises:
+            SettingsError: If the file cannot be read or is invalid.
+        """
+        try:
+            text = pathlib.Path(path).read_bytes()
+        except OSError as error:
+            raise errors.SettingsError(
+                str(error), step="read settings", peer=path
+            ) from error
+        return cls.from_json(text, source=path)
+
+
+def host_port(address: str) -> tuple[str, int]:
+    """Splits an address of the settings."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/sesameroad/telemetry/log.py
+++ b/sesameroad/telemetry/log.py
@@ -1,6 +1,7 @@
 """Structured logs: one JSON object a line, through absl.logging."""
 
 import collections
+from typing import TextIO
 
 from absl import logging
 from pythonjsonlogger import json as json_formatter
@@ -9,12 +10,15 @@
 _RENAMED = {"asctime": "time", "levelname": "level", "name": "logger"}
 
 
-def configure(*, instance_id: str, data_centre: str) -> None:
-    """Writes all logs as JSON lines to standard error.
+def configure(
+    *, instance_id: str, data_centre: str, stream: TextIO | None = None
+) -> None:
+    """Writes all logs as JSON lines.
 
     Args:
         instance_id: Instance that each line names.
         data_centre: Data centre that each line names.
+        stream: Where to write; the default is standard error.
     """
     formatter = json_formatter.JsonFormatter(
         _FIELDS,
@@ -22,7 +26,10 @@
         static_fields={"instance": instance_id, "data_centre": data_centre},
     )
     logging.use_absl_handler()
-    logging.get_absl_handler().setFormatter(formatter)
+    handler = logging.get_absl_handler()
+    handler.setFormatter(formatter)
+    if stream is not None:
+        handler.python_handler.stream = stream
     logging.set_verbosity(logging.INFO)
 
 
