--- a/standins/worker.py
+++ b/standins/worker.py
@@ -79,7 +79,7 @@
         ledger: Ledger,
         clock: clocks.Clock,
         lease_s: float = 1.0,
-        run_s: Callable[[str], float] = lambda spec: float(spec),
+        run_s: Callable[[str], float] = float,
     ) -> None:
         self.endpoint = endpoint
         self.fault = Fault()
--- a/tests/_virtual.py
+++ b/tests/_virtual.py
@@ -55,7 +55,7 @@
 class VirtualTimeTest(unittest.TestCase):
     """Runs each test method that is a coroutine function in virtual time."""
 
-    def _callTestMethod(self, method):
+    def _callTestMethod(self, method):  # noqa: N802
         result = method()
         if asyncio.iscoroutine(result):
             run(result)
--- /dev/null
+++ b/tests/test_platform_decoding.py
@@ -0,0 +1,165 @@
+"""Decoding of what the platform, the operator and endpoints write."""
+
+import base64
+import json
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sesameroad import errors
+from sesameroad.leasing import order as orders
+from sesameroad.platform import configuration
+from sesameroad.platform import endpoints
+from sesameroad.platform import orders as order_module
+from sesameroad.platform import rows
+
+_ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "dc1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "capacity": {"cpu": 16_000, "mem-mb": 32_768, "gpu": 1},
+    "labels": ["a", "r1-3"],
+    "born": 1_780_000_000_123,
+    "seq": 4,
+}
+
+
+def _row(value: bytes) -> rows.Row:
+    return rows.Row("i-1", 7, value)
+
+
+class EndpointTest(unittest.TestCase):
+
+    def test_fields_and_units(self):
+        endpoint = endpoints.decode(_row(json.dumps(_ENTRY).encode()))
+        self.assertEqual(endpoint.id, "i-1")
+        self.assertEqual(endpoint.url, "http://10.0.0.1:80")
+        self.assertEqual(endpoint.offer.cores, 16.0)
+        self.assertEqual(endpoint.offer.accelerators, 1)
+        self.assertEqual(endpoint.labels, ("a", "r1-3"))
+        self.assertEqual(endpoint.born_ms, 1_780_000_000_123)
+        self.assertFalse(endpoint.leaving)
+
+    def test_draining_endpoint_is_leaving(self):
+        entry = {**_ENTRY, "state": "draining", "remaining-ms": 900}
+        self.assertTrue(
+            endpoints.decode(_row(json.dumps(entry).encode())).leaving
+        )
+
+    def test_entries_of_other_writers_name_no_endpoint(self):
+        """A half-written entry must not become an endpoint without room."""
+        for change in (
+            {"state": "asleep"},
+            {"state": 3},
+            {"service": None},
+            {"address": "nowhere"},
+            {"address": ":"},
+            {"capacity": "much"},
+            {"labels": [1]},
+        ):
+            text = json.dumps({**_ENTRY, **change}).encode()
+            self.assertIsNone(endpoints.decode(_row(text)), change)
+        for missing in ("service", "address", "zone", "state"):
+            entry = {k: v for k, v in _ENTRY.items() if k != missing}
+            text = json.dumps(entry).encode()
+            self.assertIsNone(endpoints.decode(_row(text)), missing)
+
+    @hypothesis.given(strategies.binary())
+    def test_any_bytes_are_survived(self, value):
+        endpoints.decode(_row(value))
+
+
+class ConfigurationTest(unittest.TestCase):
+
+    def test_longest_prefix_of_the_host_wins(self):
+        document = {
+            "version": 7,
+            "routes": [
+                _route("short", "a.example", "/a/"),
+                _route("long", "a.example", "/a/b/"),
+                _route("other", "b.example", "/a/"),
+            ],
+            "services": [],
+            "limits": {"max-body-bytes": 5, "idle-timeout-ms": 2_000},
+        }
+        catalogue = configuration.decode(json.dumps(document).encode())
+        self.assertEqual(catalogue.version, 7)
+        self.assertEqual(catalogue.find("a.example", "/a/b/c").name, "long")
+        self.assertEqual(catalogue.find("A.example:80", "/a/c").name, "short")
+        self.assertEqual(catalogue.find("b.example", "/a/b/c").name, "other")
+        self.assertIsNone(catalogue.find("c.example", "/a/b/c"))
+        self.assertIsNone(catalogue.find("a.example", "/c"))
+        self.assertEqual(catalogue.limits.max_body_bytes, 5)
+        self.assertEqual(catalogue.limits.idle_timeout_s, 2.0)
+
+    def test_unreadable_document_is_an_error(self):
+        for text in (b"", b"{}", b'{"version":"x"}', b"\xff"):
+            with self.assertRaises(errors.ConfigurationError):
+                configuration.decode(text)
+
+
+def _route(name, host, prefix):
+    return {
+        "name": name,
+        "host": host,
+        "path-prefix": prefix,
+        "service": "s",
+        "kind": "unsafe",
+        "timeout-ms": 1500,
+        "target-latency-ms": 60,
+        "priority": 1,
+        "max-attempts": 4,
+        "stretch": 1.6,
+    }
+
+
+class ListsTest(unittest.TestCase):
+
+    def test_lists_of_an_endpoint(self):
+        text = json.dumps(
+            {
+                "clock-ms": 482_113,
+                "born": 5,
+                "running": [["k.0.0.1", 2, "", 41, 900]],
+                "ended": [
+                    [58, "k.0.0.0", 1, "done", ""],
+                    [59, "k.0.0.2", 1, "alone", ""],
+                ],
+            }
+        ).encode()
+        report = order_module._report(text)
+        self.assertEqual(
+            report,
+            orders.Report(
+                482_113,
+                5,
+                (orders.RunningTask("k.0.0.1", 2, 41),),
+                (
+                    orders.End(58, "k.0.0.0", 1, orders.Ending.DONE),
+                    orders.End(59, "k.0.0.2", 1, orders.Ending.OTHER),
+                ),
+            ),
+        )
+
+    def test_unreadable_lists_count_as_no_answer(self):
+        """An empty report would declare every run there lost."""
+        for text in (b"", b"{}", b'{"clock-ms":1,"running":[[1]],"ended":[]}'):
+            self.assertIsInstance(order_module._report(text), orders.NoAnswer)
+
+
+class RowsTest(unittest.TestCase):
+
+    def test_value_that_is_no_base64_is_empty(self):
+        page = rows._Rows(
+            rows=[
+                rows._Row("a", 1, base64.b64encode(b"x").decode()),
+                rows._Row("b", 2, "%%%"),
+            ],
+            ver=2,
+        )
+        self.assertEqual([row.value for row in rows._rows(page)], [b"x", b""])
