--- a/sesameroad/command_line/serve.py
+++ b/sesameroad/command_line/serve.py
@@ -15,6 +15,7 @@
 from sesameroad.node import service
 from sesameroad.settings import node as settings_module
 from sesameroad.telemetry import log
+from sesameroad.telemetry import sink as sinks
 
 _PATH_VARIABLE = "SESAMEROAD_SETTINGS"
 
@@ -39,10 +40,14 @@
     except errors.SettingsError as error:
         print(f"sesameroad: {error}", file=sys.stderr)
         return exits.USAGE
+    sink = sinks.Sink(sys.stdout.fileno())
     log.configure(
         instance_id=settings.instance_id,
         data_centre=settings.data_centre,
-        stream=sys.stdout,
+        stream=sink,
     )
-    service.run(settings)
+    try:
+        service.run(settings)
+    finally:
+        sink.drain()
     return exits.OK
--- a/sesameroad/telemetry/log.py
+++ b/sesameroad/telemetry/log.py
@@ -1,17 +1,18 @@
 """Structured logs: one JSON object a line, through absl.logging."""
 
 import collections
-from typing import TextIO
 
 from absl import logging
 from pythonjsonlogger import json as json_formatter
 
+from sesameroad.telemetry import sink as sinks
+
 _FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 _RENAMED = {"asctime": "time", "levelname": "level", "name": "logger"}
 
 
 def configure(
-    *, instance_id: str, data_centre: str, stream: TextIO | None = None
+    *, instance_id: str, data_centre: str, stream: sinks.Sink | None = None
 ) -> None:
     """Writes all logs as JSON lines.
 
--- /dev/null
+++ b/tests/test_sink.py
@@ -0,0 +1,59 @@
+"""Logs to a pipe that nobody reads."""
+
+import asyncio
+import json
+import os
+import unittest
+
+from sesameroad.telemetry import sink as sinks
+from tests import _virtual
+
+
+class SinkTest(unittest.TestCase):
+
+    def setUp(self):
+        self.reader, writer = os.pipe()
+        self.sink = sinks.Sink(writer, max_bytes=200_000)
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+
+    def test_full_pipe_neither_blocks_nor_grows_without_bound(self):
+        """A stopped log reader must not stop the dispatcher."""
+        for number in range(10_000):
+            self.sink.write(f'{{"line": {number}}}{" " * 60}\n')
+            self.sink.flush()
+        self.assertGreater(self.sink.dropped, 0)
+        self.assertLessEqual(self.sink._size, 200_000)
+
+    def test_dropped_lines_are_counted_and_said(self):
+        for number in range(10_000):
+            self.sink.write(f'{{"line": {number}}}{" " * 60}\n')
+            self.sink.flush()
+        dropped = self.sink.dropped
+        text = b""
+        while self.sink._lines:
+            text += os.read(self.reader, 1 << 20)
+            self.sink.drain()
+        self.sink.write('{"line": "last"}\n')
+        self.sink.drain()
+        text += os.read(self.reader, 1 << 20)
+        lines = [json.loads(line) for line in text.decode().splitlines()]
+        self.assertEqual(
+            lines[-2], {"message": "log lines dropped", "count": dropped}
+        )
+        self.assertEqual(len(lines) - 2 + dropped, 10_000)
+
+
+class DelayTest(_virtual.VirtualTimeTest):
+
+    async def test_lines_are_written_together(self):
+        reader, writer = os.pipe()
+        sink = sinks.Sink(writer)
+        for _ in range(3):
+            sink.write("x\n")
+            sink.flush()
+        self.assertTrue(sink._lines)
+        await asyncio.sleep(0.1)
+        self.assertEqual(os.read(reader, 100), b"x\nx\nx\n")
+        os.close(reader)
+        os.close(writer)
