--- a/sesameroad/jobs/active.py
+++ b/sesameroad/jobs/active.py
@@ -63,9 +63,7 @@
         self.moved = moved
         self.closing = False
         self.done = 0
-        self.waiting: collections.deque[int] = collections.deque(
-            range(job.count)
-        )
+        self.waiting: collections.deque[int] = collections.deque(job.indices)
         self.runs: dict[int, runs.Run] = {}
         self.sends = 0
 
--- a/sesameroad/jobs/admission.py
+++ b/sesameroad/jobs/admission.py
@@ -1,4 +1,4 @@
-"""Refuses jobs that cannot be answered before their callers leave."""
+"""Refuses jobs whose answers would come too late to be of use."""
 
 import math
 
@@ -29,7 +29,7 @@
     def wait_s(self, before: float) -> float:
         """Returns how long a task waits that must start at a given time."""
         cores = sum(
-            holding.endpoint.offer.cores
+            holding.endpoint.offer.cores / max(1.0, holding.slowness)
             for holding in self._holdings.values()
             if holding.silent_since is None and not holding.endpoint.leaving
         )
@@ -50,10 +50,12 @@
                 outcomes.Cause.NO_ENDPOINT, "no endpoint is known", _MIN_RETRY_S
             )
         wait_s = self.wait_s(active.latest_start)
-        if now + wait_s + job.estimate_s <= job.deadline_at:
+        if now + wait_s + job.estimate_s <= min(
+            job.expires_at, job.deadline_at
+        ):
             return None
         return outcomes.NotRun(
             outcomes.Cause.OVERLOAD,
-            f"expected to wait {wait_s:.2f} s, too long for the deadline",
+            f"expected to wait {wait_s:.2f} s, longer than is of use",
             max(_MIN_RETRY_S, min(wait_s, 10.0)),
         )
--- a/sesameroad/jobs/backlog.py
+++ b/sesameroad/jobs/backlog.py
@@ -6,11 +6,13 @@
 
 
 class Backlog:
-    """Orders waiting jobs by the time at which they must start.
+    """Orders waiting jobs by urgency, then by the time they must start.
 
-    Short jobs have little slack and come first; a long job is not starved,
-    because its own latest start comes. A job that cannot be in time any more
-    goes behind all that still can, or one late job would make the next one late.
+    Of equally urgent jobs those come first that have tasks done or running: a
+    job counts only when it is whole, and its work so far is lost otherwise.
+
+    A job that cannot be in time any more goes behind all that still can, or one
+    late job would make the next one late. Of the late jobs those come first that have tasks done or running already.
     """
 
     __slots__ = ("_jobs",)
@@ -26,12 +28,12 @@
 
     def add(self, active: actives.Active) -> None:
         """Adds a job that has waiting tasks."""
-        self._jobs[active.job.key] = active
+        self._jobs[active.job.name] = active
 
     def discard(self, active: actives.Active) -> None:
         """Removes a job that has no waiting tasks."""
-        if self._jobs.get(active.job.key) is active:
-            del self._jobs[active.job.key]
+        if self._jobs.get(active.job.name) is active:
+            del self._jobs[active.job.name]
 
     def ordered(self, now: float) -> list[actives.Active]:
         """Returns the jobs, the first to get room first."""
@@ -48,6 +50,12 @@
         )
 
 
-def _rank(active: actives.Active, now: float) -> tuple[bool, float, int]:
-    late = active.latest_start < now
-    return late, active.latest_start, active.job.priority
+def _rank(active: actives.Active, now: float) -> tuple[int, int, bool, float]:
+    job = active.job
+    if active.latest_start >= now:
+        standing = 0
+    elif now + job.estimate_s >= job.expires_at:
+        standing = 3
+    else:
+        standing = 1 if active.started else 2
+    return standing, job.priority, not active.started, active.latest_start
--- a/sesameroad/jobs/home.py
+++ b/sesameroad/jobs/home.py
@@ -1,11 +1,12 @@
-"""Takes a job from its caller to a steward and brings the outcome back."""
+"""Takes a job from its caller to stewards and brings the outcome back."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 from typing import Protocol
 
 from sesameroad import errors
+from sesameroad.jobs import division
 from sesameroad.model import clock as clocks
 from sesameroad.model import job as jobs
 from sesameroad.model import outcome as outcomes
@@ -24,11 +25,9 @@
 class Route(Protocol):
     """A steward that can be asked."""
 
-    @property
-    def data_centre(self) -> str:
-        """Data centre of its endpoints."""
-
-    async def submit(self, job: jobs.Job, *, moved: bool) -> outcomes.Outcome:
+    async def submit(
+        self, job: jobs.Job, *, moved: bool, lent: bool
+    ) -> outcomes.Outcome:
         """Runs a job.
 
         Raises:
@@ -36,97 +35,178 @@
             PeerError: If it may have got the job, and no answer came.
         """
 
-    def cancel(self, key: str) -> None:
+    def cancel(self, name: str) -> None:
         """Ends a job there."""
 
 
+class Stewards(Protocol):
+    """The stewards that can be asked now."""
+
+    def offers(self) -> Iterable[division.Offer]:
+        """Returns what each has to offer."""
+
+    def route(self, data_centre: str) -> Route | None:
+        """Returns the way to the steward of a data centre, or None."""
+
+    def expect(self, data_centre: str, job: jobs.Job) -> None:
+        """Notes that a job is on its way there."""
+
+    def refused(self, data_centre: str) -> None:
+        """Notes that there is no room after all."""
+
+
 @dataclasses.dataclass(slots=True)
-class _Attempt:
-    """Where a job was sent so far."""
+class _Part:
+    """Tasks that stay in one data centre once they may have started.
+
+    Attributes:
+        job: The tasks.
+        data_centre: Where they are offered.
+        lent: Whether they are there only for lack of room in their own.
+        moved: Whether an earlier steward may have started them.
+        lost_at: Time at which a steward was lost, 0 if none was.
+    """
 
-    data_centre: str = ""
+    job: jobs.Job
+    data_centre: str
+    lent: bool
+    moved: bool = False
     lost_at: float = 0.0
 
-    @property
-    def sent(self) -> bool:
-        """Whether any task may have been started."""
-        return bool(self.data_centre)
-
 
 class Home:
-    """Finds a steward for each job, and another one when it is lost.
+    """Divides each job among data centres, and follows each part to its end.
 
-    A job that may have started stays in the data centre of its first steward:
-    the next steward there finds its runs, while one elsewhere could start a
+    A part that may have started stays in its data centre when the steward there
+    is lost: the next one finds its runs, while a steward elsewhere could start a
     task that still runs.
     """
 
-    __slots__ = ("_clock", "_routes")
+    __slots__ = ("_clock", "_data_centre", "_stewards")
 
     def __init__(
-        self,
-        *,
-        routes: Callable[[jobs.Job, str], Route | None],
-        clock: clocks.Clock,
+        self, *, data_centre: str, stewards: Stewards, clock: clocks.Clock
     ) -> None:
         """Creates a home.
 
         Args:
-            routes: Returns the best steward for a job; the second argument
-                names the only data centre allowed, empty for any.
+            data_centre: Data centre of this instance.
+            stewards: The stewards that can be asked.
             clock: Time source.
         """
-        self._routes = routes
+        self._data_centre = data_centre
+        self._stewards = stewards
         self._clock = clock
 
     async def run(self, job: jobs.Job) -> outcomes.Outcome:
         """Returns the outcome of a job; cancelling the call ends the job."""
-        attempt = _Attempt()
+        parts = await self._divide(job)
+        if not parts:
+            return outcomes.NotRun(
+                outcomes.Cause.NO_ENDPOINT,
+                "no steward was found",
+                _RETRY_AFTER_S,
+            )
+        if len(parts) == 1:
+            return await self._follow(parts[0])
+        tasks = [asyncio.create_task(self._follow(part)) for part in parts]
+        try:
+            return await self._gather(tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _divide(self, job: jobs.Job) -> list[_Part]:
+        """Divides a job as soon as any steward can be asked."""
+        began = self._clock.monotonic()
+        limit_s = max(_MIN_SEARCH_S, (job.objective_at - began) * _SEARCH_SHARE)
+        while True:
+            divided = division.divide(
+                job, self._stewards.offers(), own=self._data_centre
+            )
+            if divided or self._clock.monotonic() - began > limit_s:
+                break
+            await asyncio.sleep(_RETRY_S)
+        for data_centre, part in divided:
+            self._stewards.expect(data_centre, part)
+        return [
+            _Part(part, data_centre, lent=number > 0)
+            for number, (data_centre, part) in enumerate(divided)
+        ]
+
+    async def _gather(
+        self, tasks: list[asyncio.Task[outcomes.Outcome]]
+    ) -> outcomes.Outcome:
+        """Returns the outcome of all parts; the first failure decides.
+
+        A part that was refused did not run, but another part may have.
+        """
+        for following in asyncio.as_completed(tasks):
+            outcome = await following
+            match outcome:
+                case outcomes.Complete():
+                    continue
+                case outcomes.NotRun():
+                    return outcomes.Unknown(outcome.cause, outcome.detail)
+                case _:
+                    return outcome
+        return outcomes.Complete(())
+
+    async def _follow(self, part: _Part) -> outcomes.Outcome:
+        """Returns the outcome of a part, from however many stewards it takes."""
         began = self._clock.monotonic()
-        search_s = max(
-            _MIN_SEARCH_S, (job.objective_at - began) * _SEARCH_SHARE
+        limit_s = max(
+            _MIN_SEARCH_S, (part.job.objective_at - began) * _SEARCH_SHARE
         )
         while True:
             now = self._clock.monotonic()
-            if now >= job.deadline_at:
-                return _give_up(attempt, outcomes.Cause.DEADLINE)
-            route = self._routes(job, attempt.data_centre)
+            if now >= part.job.deadline_at:
+                return _give_up(part, outcomes.Cause.DEADLINE)
+            route = self._stewards.route(part.data_centre)
             if route is not None:
-                outcome = await self._ask(route, job, attempt)
+                outcome = await self._ask(route, part)
                 if outcome is not None:
                     return outcome
+            elif not part.moved and part.data_centre != self._data_centre:
+                part.data_centre = self._data_centre
             now = self._clock.monotonic()
-            since, limit_s = (
-                (attempt.lost_at, _SUCCESSION_S)
-                if attempt.sent
-                else (began, search_s)
+            since, allowed_s = (
+                (part.lost_at, _SUCCESSION_S)
+                if part.moved
+                else (began, limit_s)
             )
-            if now - since > limit_s:
-                return _give_up(attempt, outcomes.Cause.NO_ENDPOINT)
+            if now - since > allowed_s:
+                return _give_up(part, outcomes.Cause.NO_ENDPOINT)
             await asyncio.sleep(_RETRY_S)
 
-    async def _ask(
-        self, route: Route, job: jobs.Job, attempt: _Attempt
-    ) -> outcomes.Outcome | None:
+    async def _ask(self, route: Route, part: _Part) -> outcomes.Outcome | None:
         """Returns the outcome, or None if another steward must be asked."""
-        moved = attempt.sent
+        moved = part.moved
         try:
-            outcome = await route.submit(job, moved=moved)
+            outcome = await route.submit(
+                part.job, moved=moved, lent=part.lent and not moved
+            )
         except asyncio.CancelledError:
-            route.cancel(job.key)
+            route.cancel(part.job.name)
             raise
         except errors.PeerNotSentError:
             return None
         except errors.PeerError:
-            attempt.data_centre = route.data_centre
-            attempt.lost_at = self._clock.monotonic()
+            part.moved = True
+            part.lost_at = self._clock.monotonic()
             return None
         match outcome:
+            case outcomes.NotRun(cause=outcomes.Cause.NO_ROOM) if not moved:
+                # The room went to others meanwhile; it waits at home instead.
+                self._stewards.refused(part.data_centre)
+                part.data_centre = self._data_centre
+                part.lent = False
+                return await self._ask_again(part)
             case outcomes.NotRun(cause=outcomes.Cause.NOT_STEWARD):
                 return None
             case outcomes.Unknown(cause=outcomes.Cause.STEWARD_LOST):
-                attempt.data_centre = route.data_centre
-                attempt.lost_at = self._clock.monotonic()
+                part.moved = True
+                part.lost_at = self._clock.monotonic()
                 return None
             case outcomes.NotRun() if moved:
                 # An earlier steward may have started tasks.
@@ -134,8 +214,12 @@
             case _:
                 return outcome
 
+    async def _ask_again(self, part: _Part) -> outcomes.Outcome | None:
+        route = self._stewards.route(part.data_centre)
+        return None if route is None else await self._ask(route, part)
+
 
-def _give_up(attempt: _Attempt, cause: outcomes.Cause) -> outcomes.Outcome:
-    if attempt.sent:
+def _give_up(part: _Part, cause: outcomes.Cause) -> outcomes.Outcome:
+    if part.moved:
         return outcomes.Unknown(cause, "its steward was lost")
     return outcomes.NotRun(cause, "no steward was found", _RETRY_AFTER_S)
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -24,10 +24,12 @@
 # Time in which homes claim the runs of an earlier steward; they hear of the new
 # one within a heartbeat.
 _FOREIGN_S = 0.5
-# A run that takes longer than this ratio to its declared time, and this time
-# more, is stopped and started elsewhere. Declared times are off by about half.
-_STRAGGLER_RATIO = 4.0
-_STRAGGLER_S = 0.3
+# A run whose progress has not changed for this long, and for half of its declared
+# time, stands still. It is stopped and started elsewhere.
+_HANG_S = 0.4
+_HANG_RATIO = 0.5
+# Least need that is divided by: a task may need no cores at all.
+_MIN_CORES = 0.001
 # Waiting jobs that are tried in one pass after the first one without room.
 _MAX_MISSES = 16
 
@@ -157,28 +159,42 @@
         self._wake.set()
 
     async def submit(
-        self, job: jobs.Job, home: actives.Home, *, moved: bool = False
+        self,
+        job: jobs.Job,
+        home: actives.Home,
+        *,
+        moved: bool = False,
+        lent: bool = False,
     ) -> outcomes.Outcome:
-        """Runs a job and returns its outcome.
+        """Runs a job, or a part of one, and returns its outcome.
 
         Args:
             job: The job.
             home: Instance whose caller waits.
             moved: Whether an earlier steward may have started tasks of it.
+            lent: Whether to refuse it unless there is room at once.
         """
         if self._stopped:
             return _not_steward(self._data_centre)
         now = self._clock.monotonic()
-        active = self._active.get(job.key)
+        active = self._active.get(job.name)
+        if active is not None and active.job.indices != job.indices:
+            # An earlier attempt of the caller was divided in another way.
+            self._finish(active, _replaced())
+            active = None
+        if active is None and lent and not self._has_room(job, now):
+            return outcomes.NotRun(
+                outcomes.Cause.NO_ROOM, f"no room in {self._data_centre}"
+            )
         if active is None:
             active = actives.Active(job, now=now, moved=moved)
             self._adopt(active)
-            if not active.runs and not active.done:
+            if not (active.runs or active.done or job.committed):
                 refusal = self._admission.refusal(active, now)
                 if refusal is not None:
                     self._log_end(active, refusal)
                     return refusal
-            self._active[job.key] = active
+            self._active[job.name] = active
             self._backlog.add(active)
             self._wake.set()
         future = active.join(home)
@@ -186,9 +202,9 @@
             self._finish(active, outcomes.Complete(()))
         return await future
 
-    def cancel(self, key: str, home_id: str) -> None:
+    def cancel(self, name: str, home_id: str) -> None:
         """Ends a job that an instance no longer waits for."""
-        active = self._active.get(key)
+        active = self._active.get(name)
         if active is None:
             return
         active.leave(home_id)
@@ -290,6 +306,10 @@
         if report.ended:
             holding.seen = max(holding.seen, report.ended[-1].number)
         listed = {entry.task: entry.run for entry in report.running}
+        for entry in report.running:
+            run = holding.runs.get(entry.task)
+            if run is not None and run.number == entry.run and run.sent_at:
+                holding.progress(run, entry.percent, now)
         if first:
             self._survey(holding, listed)
         for task in list(holding.foreign):
@@ -330,16 +350,21 @@
     def _place(self) -> None:
         now = self._clock.monotonic()
         misses = 0
+        if not len(self._backlog):
+            return
         barrier = self._is_survey_complete(now)
+        usual = placement.median_slowness(self._holdings.values())
         for active in self._backlog.ordered(now):
             if active.moved and not barrier:
                 continue
-            if not self._place_job(active, now):
+            if not self._place_job(active, now, usual):
                 misses += 1
                 if misses > _MAX_MISSES:
                     return
 
-    def _place_job(self, active: actives.Active, now: float) -> bool:
+    def _place_job(
+        self, active: actives.Active, now: float, usual: float
+    ) -> bool:
         """Places tasks of a job; returns whether none is left waiting."""
         blocked: list[int] = []
         while active.waiting:
@@ -349,7 +374,9 @@
                 # A run of an earlier attempt is being stopped.
                 blocked.append(active.waiting.popleft())
                 continue
-            holding = placement.choose(active, self._holdings.values(), now)
+            holding = placement.choose(
+                active, self._holdings.values(), now, usual=usual
+            )
             if holding is None:
                 active.waiting.extend(blocked)
                 return False
@@ -367,10 +394,29 @@
         job = active.job
         run = _new_run(active, index, active.next_number(index))
         run.spec = job.spec
+        self._take(active, index, holding, run)
+        holding.orders.put_nowait(runs.StartOrder(run))
+
+    def _take(
+        self,
+        active: actives.Active,
+        index: int,
+        holding: holdings.Holding,
+        run: runs.Run,
+    ) -> None:
+        """Takes a run into all books."""
         active.runs[index] = run
         self._live[run.task] = (holding, run)
         holding.add(run)
-        holding.orders.put_nowait(runs.StartOrder(run))
+
+    def _has_room(self, job: jobs.Job, now: float) -> bool:
+        """Returns whether all tasks of a job may start at once."""
+        room = sum(
+            int(holding.free.cores / max(job.need.cores, _MIN_CORES))
+            for holding in self._holdings.values()
+            if holding.open(now)
+        )
+        return len(self._backlog) == 0 and room >= job.count
 
     def _is_survey_complete(self, now: float) -> bool:
         """Whether no run of an earlier steward can be unknown here."""
@@ -468,13 +514,13 @@
         if active is not None:
             del active.runs[run.index]
             if active.closing and not active.runs:
-                self._closing.pop(run.key, None)
+                self._closing.pop(run.job, None)
         self._wake.set()
 
     def _owner(self, run: runs.Run) -> actives.Active | None:
         """Returns the job that a run belongs to; a later attempt is another."""
         for books in (self._active, self._closing):
-            active = books.get(run.key)
+            active = books.get(run.job)
             if active is not None and active.runs.get(run.index) is run:
                 return active
         return None
@@ -494,7 +540,7 @@
     ) -> None:
         """Answers a job and stops what still runs of it."""
         self._log_end(active, outcome)
-        self._active.pop(active.job.key, None)
+        self._active.pop(active.job.name, None)
         self._backlog.discard(active)
         active.settle(outcome)
         for run in list(active.runs.values()):
@@ -504,7 +550,7 @@
             else:
                 self._stop_run(holding, run)
         if active.runs:
-            self._closing[active.job.key] = active
+            self._closing[active.job.name] = active
 
     def _log_end(
         self, active: actives.Active, outcome: outcomes.Outcome
@@ -540,7 +586,7 @@
                 self._check(active, now)
             for holding in list(self._holdings.values()):
                 self._stop_foreign(holding, now)
-                self._stop_stragglers(holding, now)
+                self._stop_hanging(holding, now)
                 if holding.endpoint.id in self._unlisted and not holding.runs:
                     self._release(holding.endpoint.id)
             if now - self._since > _FOREIGN_S:
@@ -558,29 +604,30 @@
             )
         elif now >= active.job.deadline_at:
             self._finish(active, _expired(active))
-        elif not active.started and not active.moved:
+        elif not (active.started or active.moved or active.job.committed):
             refusal = self._admission.refusal(active, now)
             if refusal is not None:
                 self._finish(active, refusal)
 
-    def _stop_stragglers(self, holding: holdings.Holding, now: float) -> None:
+    def _stop_hanging(self, holding: holdings.Holding, now: float) -> None:
         for run in list(holding.runs.values()):
-            limit_s = _STRAGGLER_RATIO * run.estimate_s + _STRAGGLER_S
+            limit_s = max(_HANG_S, _HANG_RATIO * run.estimate_s)
             if (
                 run.state is runs.State.RUNNING
-                and run.sent_at
-                and now - run.sent_at > limit_s
+                and run.progressed_at
+                and now - run.progressed_at > limit_s
             ):
                 log.problem(
-                    "run stopped because it takes too long",
+                    "run stopped because it makes no progress",
                     step="run",
                     peer=holding.endpoint.id,
                     request=run.key,
                     task=run.task,
                     run=run.number,
+                    percent=run.percent,
                     estimate_ms=int(run.estimate_s * 1_000),
                 )
-                holding.pause(now)
+                holding.hang(now)
                 self._stop_run(holding, run)
 
     # Runs of an earlier steward.
@@ -615,9 +662,7 @@
                 run = _new_run(active, index, number)
                 run.state = runs.State.RUNNING
                 run.sent_at = run.confirmed_at = self._clock.monotonic()
-                active.runs[index] = run
-                self._live[task] = (holding, run)
-                holding.add(run)
+                self._take(active, index, holding, run)
                 break
 
     def _stop_foreign(self, holding: holdings.Holding, now: float) -> None:
@@ -696,6 +741,7 @@
         task=job.task(index),
         number=number,
         key=job.key,
+        job=job.name,
         index=index,
         cores=job.need.cores,
         memory_mb=job.need.memory_mb,
@@ -705,6 +751,12 @@
     )
 
 
+def _replaced() -> outcomes.Unknown:
+    return outcomes.Unknown(
+        outcomes.Cause.CANCELLED, "replaced by a later attempt"
+    )
+
+
 def _not_steward(data_centre: str) -> outcomes.NotRun:
     return outcomes.NotRun(
         outcomes.Cause.NOT_STEWARD, f"no steward of {data_centre} here"
--- a/sesameroad/leasing/holding.py
+++ b/sesameroad/leasing/holding.py
@@ -1,6 +1,7 @@
 """What a steward knows of one endpoint that it holds."""
 
 import asyncio
+import math
 
 from sesameroad.leasing import lease as leases
 from sesameroad.leasing import run as run_module
@@ -10,11 +11,16 @@
 # Pause after an endpoint did nothing on an order, doubled each time in a row.
 _FIRST_PAUSE_S = 0.05
 _MAX_PAUSE_S = 2.0
-# Weight of one run in the moving average of an endpoint's speed.
-_SPEED_SMOOTHING = 0.1
+# Weight of one run in the moving average of an endpoint's speed: declared times
+# are off by half, and an endpoint that turned slow must show within a few runs.
+_SPEED_SMOOTHING = 0.2
 # Bounds of one measurement, so that a single odd run moves the average little.
-_MIN_RATIO = 0.25
-_MAX_RATIO = 4.0
+_MIN_RATIO = 0.4
+_MAX_RATIO = 8.0
+# Progress in percent from which a run tells its speed before its end.
+_TELLING_PERCENT = 10
+# Least pause after runs stood still.
+_HANG_PAUSE_S = 1.0
 # Cores are sums of decimal fractions.
 _TOLERANCE = 1e-6
 
@@ -41,7 +47,7 @@
         "_pause_s",
         "_paused_until",
         "_runs",
-        "_slowness",
+        "_log_slowness",
         "_wake",
         "acknowledged",
         "endpoint",
@@ -68,7 +74,7 @@
         self._cores = 0.0
         self._memory_mb = 0
         self._accelerators = 0
-        self._slowness = 1.0
+        self._log_slowness = 0.0
         self._pause_s = 0.0
         self._paused_until = 0.0
         self._wake = asyncio.Event()
@@ -81,7 +87,7 @@
     @property
     def slowness(self) -> float:
         """Run time relative to the declared one, as a moving average."""
-        return self._slowness
+        return math.exp(self._log_slowness)
 
     @property
     def free(self) -> needs.Need:
@@ -139,9 +145,28 @@
         self._pause_s = 0.0
         if run.estimate_s <= 0 or run.sent_at <= 0:
             return
-        ratio = (now - run.sent_at) / run.estimate_s
-        ratio = min(max(ratio, _MIN_RATIO), _MAX_RATIO)
-        self._slowness += (ratio - self._slowness) * _SPEED_SMOOTHING
+        self._measure((now - run.sent_at) / run.estimate_s)
+
+    def progress(self, run: run_module.Run, percent: int, now: float) -> None:
+        """Takes the progress of a run from a report."""
+        if percent == run.percent and run.progressed_at:
+            return
+        run.percent = percent
+        run.progressed_at = now
+        if percent < _TELLING_PERCENT or run.estimate_s <= 0:
+            return
+        ratio = (now - run.sent_at) * 100 / percent / run.estimate_s
+        if ratio > self.slowness:
+            self._measure(ratio)
+
+    def hang(self, now: float) -> None:
+        """Notes that a run stands still: others would, too."""
+        self._pause_s = max(self._pause_s, _HANG_PAUSE_S / 2)
+        self.pause(now)
+
+    def _measure(self, ratio: float) -> None:
+        ratio = math.log(min(max(ratio, _MIN_RATIO), _MAX_RATIO))
+        self._log_slowness += (ratio - self._log_slowness) * _SPEED_SMOOTHING
 
     def wake(self) -> None:
         """Lets the task that looks check whether a look is due."""
--- a/sesameroad/leasing/run.py
+++ b/sesameroad/leasing/run.py
@@ -25,6 +25,7 @@
         task: Name of the task.
         number: Number of the start, from 1.
         key: Job that the task belongs to.
+        job: Name under which its steward keeps the job, or the part of it.
         index: Place of the task in its job.
         cores: Processor cores that it takes.
         memory_mb: Memory that it takes.
@@ -36,11 +37,14 @@
             requested later must show the run, or the run is gone.
         sent_at: Time at which the start left, 0 before.
         stop_sent: Whether a stop is queued or was answered.
+        percent: Progress at the last report.
+        progressed_at: Time at which the progress was last seen to change.
     """
 
     task: str
     number: int
     key: str
+    job: str
     index: int
     cores: float
     memory_mb: int
@@ -51,6 +55,8 @@
     confirmed_at: float = 0.0
     sent_at: float = 0.0
     stop_sent: bool = False
+    percent: int = 0
+    progressed_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sesameroad/model/job.py
+++ b/sesameroad/model/job.py
@@ -14,7 +14,8 @@
         queue: Name of the queue.
         service: Endpoints of this service may run the tasks.
         spec: Text that each task receives.
-        count: Number of tasks.
+        indices: Places of the tasks in the job as the caller submitted it; a
+            part of a job has some of them.
         need: Resources of one task.
         estimate_s: Rough run time of one task, as its caller declares it.
         priority: Urgency of the queue; 0 comes first.
@@ -24,14 +25,17 @@
         per_endpoint: Most tasks of the job on one endpoint, 0 for no bound.
         objective_at: Time up to which the answer is in time, on the clock of
             this process.
+        expires_at: Time after which an answer is too late to be of use.
         deadline_at: Time up to which the caller waits, on the same clock.
+        committed: Whether another part of it may have started, so that this
+            part cannot be refused without wasting that one.
     """
 
     key: str
     queue: str
     service: str
     spec: str
-    count: int
+    indices: tuple[int, ...]
     need: needs.Need
     estimate_s: float
     priority: int
@@ -40,7 +44,23 @@
     preferred_label: str
     per_endpoint: int
     objective_at: float
+    expires_at: float
     deadline_at: float
+    committed: bool = False
+
+    @property
+    def count(self) -> int:
+        """Number of tasks."""
+        return len(self.indices)
+
+    @property
+    def name(self) -> str:
+        """Name of the job, or of this part of it, at its steward."""
+        return f"{self.key}/{self.indices[0]}"
+
+    def part(self, indices: tuple[int, ...]) -> "Job":
+        """Returns the part of the job that has some of its tasks."""
+        return dataclasses.replace(self, indices=indices, committed=True)
 
     def task(self, index: int) -> str:
         """Returns the name of a task, unique in the fleet."""
--- a/sesameroad/model/outcome.py
+++ b/sesameroad/model/outcome.py
@@ -26,6 +26,7 @@
     CANCELLED = "cancelled"
     STOPPING = "stopping"
     NOT_STEWARD = "not-steward"
+    NO_ROOM = "no-room"
     STEWARD_LOST = "steward-lost"
     NO_CONFIGURATION = "no-configuration"
     UNSUPPORTED = "unsupported"
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -15,6 +15,7 @@
 from sesameroad.model import clock as clocks
 from sesameroad.model import endpoint as endpoints
 from sesameroad.model import job as jobs
+from sesameroad.model import need as needs
 from sesameroad.model import outcome as outcomes
 from sesameroad.node import listing as listings
 from sesameroad.node import roster as rosters
@@ -33,7 +34,8 @@
 from sesameroad.settings import node as settings_module
 from sesameroad.telemetry import log
 
-_TICK_S = 0.05
+# Period of the choice of stewards, and of what a steward tells of its room.
+_TICK_S = 0.1
 # An announcement counts as fresh for this many periods, so that one lost write
 # does not make a live instance look dead.
 _FRESH_PERIODS = 2.5
@@ -87,7 +89,6 @@
             heartbeat_s=timing.heartbeat_s,
             timeout_s=timing.peer_timeout_s,
         )
-        self._self_home = routes.SelfHome(settings.instance_id)
         self._stewards = steward_module.Stewards(
             settings=settings,
             mesh=self._mesh,
@@ -97,7 +98,11 @@
             clock=clock,
             changed=self._stewards_changed,
         )
-        self._home = homes.Home(routes=self._route, clock=clock)
+        self._home = homes.Home(
+            data_centre=settings.data_centre,
+            stewards=self._stewards,
+            clock=clock,
+        )
         self._front = fronts.Front(self, clock=clock)
 
     @classmethod
@@ -181,6 +186,16 @@
             self._log_answer(job, outcome, began)
         return outcome
 
+    def room(self, service: str, need: needs.Need) -> int:
+        """Returns how many tasks of a need all endpoints run at once."""
+        if need.cores <= 0:
+            return 0
+        return sum(
+            int(endpoint.offer.cores / need.cores)
+            for endpoint in self._listing.live
+            if service in endpoint.kinds and not endpoint.leaving
+        )
+
     def is_running(self, key: str) -> bool:
         """Returns whether a job is being run for a caller here."""
         return key in self._running
@@ -205,9 +220,6 @@
         """
         log.event("settings file read again", step="reload")
 
-    def _route(self, job: jobs.Job, only: str) -> homes.Route | None:
-        return self._stewards.route(job, only, home=self._self_home)
-
     def _log_answer(
         self, job: jobs.Job, outcome: outcomes.Outcome | None, began: float
     ) -> None:
@@ -248,13 +260,14 @@
         match message:
             case messages.Heartbeat():
                 self._pass_configuration_on(link, message)
+                self._stewards.heard(message)
                 self._stewards.evaluate()
             case messages.JobOffer():
                 task = asyncio.create_task(self._serve_offer(link, message))
                 self._offers.add(task)
                 task.add_done_callback(self._offers.discard)
-            case messages.JobCancel(key=key):
-                self._stewards.cancel(key, link.hello.instance_id)
+            case messages.JobCancel(name=name):
+                self._stewards.cancel(name, link.hello.instance_id)
             case messages.ConfigurationUpdate(version=text):
                 self._configure(text, source=link.hello.instance_id)
             case _:
@@ -273,6 +286,7 @@
             offer.job,
             routes.PeerHome(link),
             moved=offer.moved,
+            lent=offer.lent,
         )
         try:
             link.send(messages.RelayReply(offer.id, outcome))
@@ -317,6 +331,9 @@
             if settled or (self._mesh.explored and self._roster.instances):
                 self._stewards.settle()
             self._stewards.evaluate()
+            if self._stewards.held:
+                # Homes divide jobs by what stewards tell of their room.
+                self._mesh.beat()
             await asyncio.sleep(_TICK_S)
 
     # The platform.
--- a/sesameroad/node/routes.py
+++ b/sesameroad/node/routes.py
@@ -64,13 +64,17 @@
         """Data centre of its endpoints."""
         return self._scheduler.data_centre
 
-    async def submit(self, job: jobs.Job, *, moved: bool) -> outcomes.Outcome:
+    async def submit(
+        self, job: jobs.Job, *, moved: bool, lent: bool
+    ) -> outcomes.Outcome:
         """Runs a job."""
-        return await self._scheduler.submit(job, self._home, moved=moved)
+        return await self._scheduler.submit(
+            job, self._home, moved=moved, lent=lent
+        )
 
-    def cancel(self, key: str) -> None:
+    def cancel(self, name: str) -> None:
         """Ends a job."""
-        self._scheduler.cancel(key, self._home.id)
+        self._scheduler.cancel(name, self._home.id)
 
 
 class PeerRoute:
@@ -90,7 +94,9 @@
         """Data centre of its endpoints."""
         return self._data_centre
 
-    async def submit(self, job: jobs.Job, *, moved: bool) -> outcomes.Outcome:
+    async def submit(
+        self, job: jobs.Job, *, moved: bool, lent: bool
+    ) -> outcomes.Outcome:
         """Runs a job there.
 
         Raises:
@@ -100,7 +106,7 @@
         left_s = job.deadline_at - self._clock.monotonic()
         reply = await self._link.ask(
             lambda number: messages.JobOffer(
-                number, self._data_centre, job, moved
+                number, self._data_centre, job, moved, lent
             ),
             timeout_s=max(0.0, left_s) + _ANSWER_GRACE_S,
         )
@@ -114,9 +120,9 @@
                     peer=self._link.hello.instance_id,
                 )
 
-    def cancel(self, key: str) -> None:
+    def cancel(self, name: str) -> None:
         """Ends a job there; if the stream is broken, the steward ends it."""
         try:
-            self._link.send(messages.JobCancel(key))
+            self._link.send(messages.JobCancel(name))
         except errors.PeerNotSentError:
             return
--- a/sesameroad/node/stewards.py
+++ b/sesameroad/node/stewards.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import math
 
 from sesameroad.jobs import active as actives
+from sesameroad.jobs import division
 from sesameroad.jobs import home as homes
 from sesameroad.jobs import scheduler as schedulers
 from sesameroad.jobs import stewardship
@@ -31,8 +33,9 @@
 # Steps by which a token is raised that endpoints refuse before any accepts it:
 # the time of day of the earlier steward may have been ahead by seconds.
 _RAISE_STEPS = 64 * 256
-# A job goes to another data centre if it waits this much less there.
-_SPILL_MARGIN_S = 0.03
+_MILLICORES = 1_000
+# Longest wait that a steward tells; it may be without any endpoint.
+_MAX_WAIT_S = 60.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -75,6 +78,8 @@
         self._vacant_since: dict[str, float] = {}
         self._barred_until: dict[str, float] = {}
         self._tokens: dict[str, int] = {}
+        self._expected: dict[str, float] = {}
+        self._home = routes.SelfHome(settings.instance_id)
         self._settled = False
         self._leaving = False
 
@@ -110,8 +115,8 @@
             messages.Claim(
                 data_centre,
                 held.scheduler.token,
-                int(held.scheduler.free_cores * 1_000),
-                int(min(held.scheduler.wait_s, 60.0) * 1_000),
+                int(held.scheduler.free_cores * _MILLICORES),
+                int(min(held.scheduler.wait_s, _MAX_WAIT_S) * 1_000),
             )
             for data_centre, held in self._held.items()
         )
@@ -122,25 +127,52 @@
             held.scheduler.pending.get(queue, 0) for held in self._held.values()
         )
 
-    def route(
-        self, job: jobs.Job, only: str, *, home: routes.SelfHome
-    ) -> homes.Route | None:
-        """Returns the way to the best steward for a job, or None.
+    def offers(self) -> list[division.Offer]:
+        """Returns what each steward has to offer, less what is on its way."""
+        found = []
+        for data_centre, steward in self._stewards().items():
+            claim = steward.claim
+            expected = 0.0
+            if steward.link is not None:
+                expected = self._expected.get(data_centre, 0.0)
+            found.append(
+                division.Offer(
+                    data_centre,
+                    claim.free_millicores / _MILLICORES - expected,
+                    claim.wait_ms / 1_000,
+                )
+            )
+        return found
 
-        Args:
-            job: The job.
-            only: The only data centre allowed, empty for any.
-            home: This instance as the home of the job.
-        """
-        stewards = self._stewards()
-        chosen = stewards.get(only) if only else self._choose(job, stewards)
+    def route(self, data_centre: str) -> homes.Route | None:
+        """Returns the way to the steward of a data centre, or None."""
+        chosen = self._stewards().get(data_centre)
         if chosen is None:
             return None
-        data_centre = chosen.claim.data_centre
         if chosen.link is None:
-            return routes.LocalRoute(self._held[data_centre].scheduler, home)
+            return routes.LocalRoute(
+                self._held[data_centre].scheduler, self._home
+            )
         return routes.PeerRoute(chosen.link, data_centre, clock=self._clock)
 
+    def expect(self, data_centre: str, job: jobs.Job) -> None:
+        """Notes that a job is on its way to a steward.
+
+        What a steward tells of its room is up to a heartbeat old.
+        """
+        self._expected[data_centre] = (
+            self._expected.get(data_centre, 0.0) + job.count * job.need.cores
+        )
+
+    def refused(self, data_centre: str) -> None:
+        """Notes that a steward has no room until it says otherwise."""
+        self._expected[data_centre] = math.inf
+
+    def heard(self, heartbeat: messages.Heartbeat) -> None:
+        """Takes the news of a steward in place of what was expected."""
+        for claim in heartbeat.claims:
+            self._expected.pop(claim.data_centre, None)
+
     async def submit(
         self,
         data_centre: str,
@@ -148,6 +180,7 @@
         home: actives.Home,
         *,
         moved: bool,
+        lent: bool,
     ) -> outcomes.Outcome:
         """Runs a job of a peer, if this instance is the steward."""
         held = self._held.get(data_centre)
@@ -155,12 +188,12 @@
             return outcomes.NotRun(
                 outcomes.Cause.NOT_STEWARD, f"no steward of {data_centre} here"
             )
-        return await held.scheduler.submit(job, home, moved=moved)
+        return await held.scheduler.submit(job, home, moved=moved, lent=lent)
 
-    def cancel(self, key: str, home_id: str) -> None:
+    def cancel(self, name: str, home_id: str) -> None:
         """Ends a job of a peer."""
         for held in self._held.values():
-            held.scheduler.cancel(key, home_id)
+            held.scheduler.cancel(name, home_id)
 
     def update_endpoints(self) -> None:
         """Takes a new list of endpoints into use."""
@@ -203,27 +236,6 @@
                 found[steward.claim.data_centre] = steward
         return found
 
-    def _choose(
-        self, job: jobs.Job, stewards: dict[str, _Steward]
-    ) -> _Steward | None:
-        own = stewards.get(self._settings.data_centre)
-        wanted = job.count * job.need.cores * 1_000
-        if own is not None and (
-            own.claim.free_millicores >= wanted or own.claim.wait_ms <= 0
-        ):
-            return own
-        best = min(
-            stewards.values(),
-            key=lambda s: (s.claim.wait_ms, -s.claim.free_millicores),
-            default=None,
-        )
-        if own is None or best is None:
-            return best
-        margin_ms = _SPILL_MARGIN_S * 1_000
-        return (
-            best if best.claim.wait_ms + margin_ms < own.claim.wait_ms else own
-        )
-
     def _members(self) -> list[stewardship.Member]:
         settings = self._settings
         return [
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -136,7 +136,9 @@
         case messages.JobOffer():
             return peer_pb2.Item(job_offer=_encode_offer(message))
         case messages.JobCancel():
-            return peer_pb2.Item(job_cancel=peer_pb2.JobCancel(key=message.key))
+            return peer_pb2.Item(
+                job_cancel=peer_pb2.JobCancel(name=message.name)
+            )
         case messages.FleetReply():
             return peer_pb2.Item(
                 fleet_reply=peer_pb2.FleetReply(
@@ -246,7 +248,7 @@
         case "job_offer":
             return _decode_offer(item.job_offer)
         case "job_cancel":
-            return messages.JobCancel(item.job_cancel.key)
+            return messages.JobCancel(item.job_cancel.name)
         case other:
             raise errors.PeerError(f"unknown message {other}", step="decode")
 
@@ -337,7 +339,7 @@
         queue=job.queue,
         service=job.service,
         spec=job.spec,
-        count=job.count,
+        indices=job.indices,
         cores=job.need.cores,
         memory_mb=job.need.memory_mb,
         accelerators=job.need.accelerators,
@@ -350,11 +352,14 @@
         objective_ms=int((job.objective_at - now) * 1_000),
         deadline_ms=int((job.deadline_at - now) * 1_000),
         moved=message.moved,
+        lent=message.lent,
+        committed=job.committed,
+        expires_ms=int((job.expires_at - now) * 1_000),
     )
 
 
 def _decode_offer(offer: peer_pb2.JobOffer) -> messages.JobOffer:
-    if not offer.count:
+    if not offer.indices:
         raise errors.PeerError("offered job without tasks", step="decode")
     now = clocks.elapsed_s()
     job = jobs.Job(
@@ -362,7 +367,7 @@
         queue=offer.queue,
         service=offer.service,
         spec=offer.spec,
-        count=offer.count,
+        indices=tuple(offer.indices),
         need=needs.Need(offer.cores, offer.memory_mb, offer.accelerators),
         estimate_s=offer.estimate_ms / 1_000,
         priority=offer.priority,
@@ -371,9 +376,13 @@
         preferred_label=offer.preferred_label,
         per_endpoint=offer.per_endpoint,
         objective_at=now + offer.objective_ms / 1_000,
+        expires_at=now + offer.expires_ms / 1_000,
         deadline_at=now + offer.deadline_ms / 1_000,
+        committed=offer.committed,
+    )
+    return messages.JobOffer(
+        offer.id, offer.data_centre, job, offer.moved, offer.lent
     )
-    return messages.JobOffer(offer.id, offer.data_centre, job, offer.moved)
 
 
 def _encode_outcome(outcome: outcomes.Outcome) -> peer_pb2.Outcome:
--- a/sesameroad/peering/message.py
+++ b/sesameroad/peering/message.py
@@ -146,19 +146,22 @@
         data_centre: Data centre of the steward.
         job: The job.
         moved: Whether an earlier steward may have started tasks of it.
+        lent: Whether it comes from another data centre for lack of room there;
+            it is refused unless there is room at once.
     """
 
     id: int
     data_centre: str
     job: jobs.Job
     moved: bool = False
+    lent: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class JobCancel:
-    """Ends a job that was offered on this stream."""
+    """Ends a job, or a part of one, that was offered on this stream."""
 
-    key: str
+    name: str
 
 
 Question = RelayRequest | StatusQuery | FleetQuery | JobOffer
--- a/sesameroad/platform/front.py
+++ b/sesameroad/platform/front.py
@@ -20,6 +20,11 @@
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
 _MAX_SPEC_BYTES = 4_000
 _MAX_TASKS = 1_100
+# An answer that takes longer than this ratio to the objective of its queue is
+# of no use to the caller, as the platform's pages define it.
+_EXPIRY_RATIO = 3.0
+# A step wider than this part of all room is expected to take several waves.
+_WAVE_SHARE = 4
 _OVERLOADED = {
     outcomes.Cause.OVERLOAD,
     outcomes.Cause.TEAM_QUOTA,
@@ -67,6 +72,9 @@
     async def run(self, job: jobs.Job) -> outcomes.Outcome:
         """Runs a job; cancelling the call ends it."""
 
+    def room(self, service: str, need: needs.Need) -> int:
+        """Returns how many tasks of a need all endpoints run at once."""
+
     def is_running(self, key: str) -> bool:
         """Returns whether a job is being run for a caller here."""
 
@@ -143,7 +151,10 @@
         deadline_s = _deadline_s(http)
         if deadline_s is None:
             return _json(400, {"error": f"{_DEADLINE_HEADER} is no number"})
-        job = _job(body, queue, key, arrived_at, deadline_s)
+        step = body.steps[0]
+        need = needs.Need(step.cpu / _MILLICORES, step.mem_mb, step.gpu)
+        room = self._service.room(queue.service, need)
+        job = _job(body, queue, key, arrived_at, deadline_s, need, room)
         try:
             outcome = await self._service.run(job)
         except asyncio.CancelledError:
@@ -201,25 +212,30 @@
     key: str,
     arrived_at: float,
     deadline_s: float,
+    need: needs.Need,
+    room: int,
 ) -> jobs.Job:
     step = body.steps[0]
     estimate_s = step.est_runtime_ms / _MS
+    # A step that is wider than a quarter of all room is expected in waves.
+    width = max(1, room // _WAVE_SHARE)
+    waves = -(-step.count // width) if room else 1
+    objective_s = queue.stretch * estimate_s * waves + queue.allowance_s
     return jobs.Job(
         key=key,
         queue=queue.name,
         service=queue.service,
         spec=body.spec,
-        count=step.count,
-        need=needs.Need(step.cpu / _MILLICORES, step.mem_mb, step.gpu),
+        indices=tuple(range(step.count)),
+        need=need,
         estimate_s=estimate_s,
         priority=queue.priority,
         max_attempts=queue.max_attempts,
         required_label=step.requires,
         preferred_label=step.affinity,
         per_endpoint=step.anti_affinity,
-        objective_at=arrived_at
-        + queue.stretch * estimate_s
-        + queue.allowance_s,
+        objective_at=arrived_at + objective_s,
+        expires_at=arrived_at + _EXPIRY_RATIO * objective_s,
         deadline_at=arrived_at + deadline_s,
     )
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -44,6 +44,13 @@
     cores: float
     timer: asyncio.TimerHandle | None
     started_at: float
+    seconds: float
+
+    def percent(self, now: float) -> int:
+        """Returns the progress; a run that hangs makes none."""
+        if self.timer is None:
+            return 0
+        return min(99, int((now - self.started_at) / self.seconds * 100))
 
 
 class Ledger:
@@ -136,13 +143,13 @@
             return orders.Refused(orders.Refusal.NO_ROOM, self.clock_ms)
         loop = asyncio.get_running_loop()
         timer = None
+        seconds = self._run_s(spec.partition("/")[0]) * self.fault.slowness
         if not self.fault.hanging:
-            seconds = self._run_s(spec.partition("/")[0]) * self.fault.slowness
             how = orders.Ending.FAILED if self.fault.failing else _DONE
             timer = loop.call_later(seconds, self._end, task, how)
         self._ledger.begin(task, self.endpoint.id)
         self.running[task] = _Running(
-            run, cores, timer, self._clock.monotonic()
+            run, cores, timer, self._clock.monotonic(), seconds
         )
         return orders.Accepted(self.clock_ms)
 
@@ -177,11 +184,12 @@
                     await self._changed.wait()
             except TimeoutError:
                 pass
+        now = self._clock.monotonic()
         return orders.Report(
             clock_ms=self.clock_ms,
             born_ms=self.endpoint.born_ms,
             running=tuple(
-                orders.RunningTask(task, entry.run, 0)
+                orders.RunningTask(task, entry.run, entry.percent(now))
                 for task, entry in self.running.items()
             ),
             ended=tuple(self.ended),
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -89,7 +89,7 @@
             queue=queue,
             service="service",
             spec=f"{run_s}/{cores}",
-            count=count,
+            indices=tuple(range(count)),
             need=needs.Need(cores, 64, 0),
             estimate_s=estimate_s,
             priority=priority,
@@ -98,5 +98,6 @@
             preferred_label="",
             per_endpoint=0,
             objective_at=now + stretch * estimate_s + 0.06,
+            expires_at=now + 3 * (stretch * estimate_s + 0.06),
             deadline_at=now + deadline_s,
         )
--- /dev/null
+++ b/tests/_load.py
@@ -0,0 +1,281 @@
+"""A fleet of three data centres under a stated load, in virtual time.
+
+Jobs, run times and faults follow a seed, so that two policies can be compared on
+the same load.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import math
+import random
+
+from sesameroad.jobs import division
+from sesameroad.jobs import home as homes
+from sesameroad.jobs import scheduler as schedulers
+from sesameroad.model import endpoint as endpoints
+from sesameroad.model import job as jobs
+from sesameroad.model import need as needs
+from sesameroad.model import outcome as outcomes
+from sesameroad.node import routes
+from standins import worker as workers
+from tests import _virtual
+
+# Period of the news that homes have of stewards.
+_NEWS_S = 0.1
+# One way between instances.
+_HOP_S = 0.001
+# Declared run times are off by this deviation of their logarithm.
+_ESTIMATE_DEVIATION = 0.4
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Kind:
+    """A kind of job.
+
+    Attributes:
+        name: Name.
+        per_s: Jobs a second in the whole fleet.
+        count: Mean number of tasks.
+        run_s: Mean run time of a task.
+        worth: Worth of a mean job.
+        priority: Urgency.
+    """
+
+    name: str
+    per_s: float
+    count: int
+    run_s: float
+    worth: float
+    priority: int
+
+
+KINDS = (
+    Kind("short", 17.2, 8, 0.06, 0.0291, 0),
+    Kind("long", 3.13, 4, 0.9, 0.16, 2),
+    Kind("middle", 50.0, 2, 0.2, 0.01, 1),
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Burst:
+    """More jobs of a kind for a while."""
+
+    kind: str
+    ratio: float
+    begin_s: float
+    end_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What became of the jobs of one kind."""
+
+    owed: float = 0.0
+    earned: float = 0.0
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    too_late: int = 0
+
+    @property
+    def share(self) -> float:
+        """Earned part of what was owed."""
+        return self.earned / self.owed if self.owed else 1.0
+
+
+class _Stewards:
+    """The stewards as one home sees them."""
+
+    def __init__(self, load: "Load"):
+        self._load = load
+        self._offers = {}
+        self._read_at = -math.inf
+        self._home = routes.SelfHome(f"home {id(self)}")
+
+    def offers(self):
+        now = self._load.clock.monotonic()
+        if now - self._read_at >= _NEWS_S:
+            self._read_at = now
+            self._offers = {
+                name: division.Offer(name, s.free_cores, s.wait_s)
+                for name, s in self._load.schedulers.items()
+            }
+        return list(self._offers.values())
+
+    def route(self, data_centre):
+        return _Route(self._load.schedulers[data_centre], self._home)
+
+    def expect(self, data_centre, job):
+        self._offers[data_centre].free_cores -= job.count * job.need.cores
+
+    def refused(self, data_centre):
+        self._offers[data_centre].free_cores = 0.0
+
+
+class _Route(routes.LocalRoute):
+
+    async def submit(self, job, *, moved, lent):
+        await asyncio.sleep(_HOP_S)
+        outcome = await super().submit(job, moved=moved, lent=lent)
+        await asyncio.sleep(_HOP_S)
+        return outcome
+
+
+class Load:
+    """Runs a load and tallies what callers got."""
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        seconds: float,
+        kinds: tuple[Kind, ...] = KINDS,
+        bursts: tuple[Burst, ...] = (),
+        per_data_centre: int = 8,
+        scale: float = 1.0,
+        shares: tuple[float, ...] = (1 / 3, 1 / 3, 1 / 3),
+    ):
+        self.clock = _virtual.Clock()
+        self.fleet = workers.Fleet(clock=self.clock)
+        self.schedulers = {}
+        self.tallies = collections.defaultdict(Tally)
+        self._random = random.Random(seed)
+        self._seconds = seconds
+        self._kinds = kinds
+        self._bursts = bursts
+        self._scale = scale
+        self._shares = shares
+        self._tasks = set()
+        self.endpoints = collections.defaultdict(list)
+        for centre in range(len(shares)):
+            for number in range(per_data_centre):
+                cores = 24.0 if number % 3 == 2 else 16.0
+                endpoint = endpoints.Endpoint(
+                    id=f"e{centre}.{number}",
+                    url="",
+                    data_centre=f"dc{centre}",
+                    kinds=("service",),
+                    offer=needs.Need(cores, 65_536, 0),
+                    born_ms=1_000,
+                )
+                self.endpoints[f"dc{centre}"].append(endpoint)
+                self.fleet.add(endpoint)
+
+    @property
+    def worst_share(self) -> float:
+        return min(tally.share for tally in self.tallies.values())
+
+    @property
+    def share(self) -> float:
+        owed = sum(tally.owed for tally in self.tallies.values())
+        return sum(tally.earned for tally in self.tallies.values()) / owed
+
+    def run(self, script=None) -> "Load":
+        """Plays the load; the script injects faults meanwhile."""
+        _virtual.run(self._run(script))
+        return self
+
+    async def _run(self, script):
+        stewards = []
+        for name, listed in self.endpoints.items():
+            scheduler = schedulers.Scheduler(
+                data_centre=name,
+                token=1,
+                orders_=self.fleet,
+                lease_s=1.0,
+                clock=self.clock,
+                lost=lambda data_centre: None,
+            )
+            scheduler.update(listed)
+            self.schedulers[name] = scheduler
+            stewards.append(asyncio.create_task(scheduler.run()))
+        await asyncio.sleep(0.1)
+        callers = [
+            asyncio.create_task(self._arrive(kind, f"dc{centre}", share))
+            for kind in self._kinds
+            for centre, share in enumerate(self._shares)
+        ]
+        faults = None
+        if script is not None:
+            faults = asyncio.create_task(script(self))
+        await asyncio.gather(*callers)
+        await asyncio.gather(*self._tasks)
+        if faults is not None:
+            faults.cancel()
+        for task in stewards:
+            task.cancel()
+        await asyncio.gather(*stewards, return_exceptions=True)
+
+    def _rate(self, kind: Kind, at: float) -> float:
+        rate = kind.per_s * self._scale
+        for burst in self._bursts:
+            if burst.kind == kind.name and burst.begin_s <= at < burst.end_s:
+                rate *= burst.ratio
+        return rate
+
+    async def _arrive(self, kind, data_centre, share):
+        rng = random.Random(self._random.random())
+        home = homes.Home(
+            data_centre=data_centre,
+            stewards=_Stewards(self),
+            clock=self.clock,
+        )
+        began = self.clock.monotonic()
+        while (at := self.clock.monotonic() - began) < self._seconds:
+            await asyncio.sleep(rng.expovariate(self._rate(kind, at) * share))
+            task = asyncio.create_task(self._call(kind, home, rng))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _call(self, kind, home, rng):
+        count = max(1, min(4 * kind.count, round(_spread(rng, kind.count))))
+        run_s = min(4 * kind.run_s, _spread(rng, kind.run_s))
+        cores = min(10.0, rng.gauss(6.8, 1.36))
+        estimate_s = run_s * rng.lognormvariate(0, _ESTIMATE_DEVIATION)
+        room = 3 * 8 * 2
+        waves = -(-count // (room // 4))
+        now = self.clock.monotonic()
+        declared_s = 1.6 * estimate_s * waves + 0.06
+        objective_s = 1.6 * run_s * waves + 0.06
+        job = jobs.Job(
+            key=f"{rng.getrandbits(64):016x}",
+            queue=kind.name,
+            service="service",
+            spec=f"{run_s}/{cores}",
+            indices=tuple(range(count)),
+            need=needs.Need(cores, 64, 0),
+            estimate_s=estimate_s,
+            priority=kind.priority,
+            max_attempts=4,
+            required_label="",
+            preferred_label="",
+            per_endpoint=0,
+            objective_at=now + declared_s,
+            expires_at=now + 3 * declared_s,
+            deadline_at=now + max(2.0, 3 * objective_s),
+        )
+        outcome = await home.run(job)
+        took_s = self.clock.monotonic() - now
+        tally = self.tallies[kind.name]
+        worth = kind.worth * (
+            0.3 + 0.7 * min(5.0, count * run_s / (kind.count * kind.run_s))
+        )
+        tally.asked += 1
+        tally.owed += worth
+        match outcome:
+            case outcomes.Complete() if took_s <= objective_s:
+                tally.in_time += 1
+                tally.earned += worth
+            case outcomes.Complete() if took_s <= 3 * objective_s:
+                tally.late += 1
+                tally.earned += worth / 5
+            case outcomes.NotRun():
+                tally.refused += 1
+            case _:
+                tally.too_late += 1
+
+
+def _spread(rng: random.Random, mean: float) -> float:
+    return mean * rng.lognormvariate(-0.08, 0.4)
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -173,7 +173,7 @@
             job = site.job(count=6, run_s=0.4, deadline_s=9)
             submitted = asyncio.create_task(steward.submit(job, site.home))
             await asyncio.sleep(0.1)
-            steward.cancel(job.key, site.home.id)
+            steward.cancel(job.name, site.home.id)
             await asyncio.sleep(0.2)
             self.assertEqual(site.ledger.running, {})
             starts = len(site.ledger.starts)
@@ -188,7 +188,7 @@
             job = site.job(count=2, run_s=0.5, deadline_s=9)
             first = asyncio.create_task(steward.submit(job, site.home))
             await asyncio.sleep(0.1)
-            steward.cancel(job.key, site.home.id)
+            steward.cancel(job.name, site.home.id)
             await first
             outcome = await steward.submit(job, site.home)
         self.assertEqual(outcome, outcomes.Complete(()))
