--- /dev/null
+++ b/tests/test_job_load.py
@@ -0,0 +1,114 @@
+"""Load patterns of the heaviest days, against the policy before each change.
+
+Each test names the pattern and the older policy that it was measured against; the
+same seeds run under both, in virtual time and without a network.
+"""
+
+import asyncio
+import math
+import unittest
+from unittest import mock
+
+from sesameroad.jobs import backlog as backlogs
+from sesameroad.jobs import division
+from sesameroad.jobs import placement
+from sesameroad.leasing import holding as holdings
+from tests import _load
+
+_SEEDS = (1, 2)
+_SECONDS = 6.0
+
+
+def _play(script=None, **options):
+    loads = [
+        _load.Load(seed=seed, seconds=_SECONDS, **options).run(script)
+        for seed in _SEEDS
+    ]
+    for load in loads:
+        assert not load.fleet.ledger.doubled, load.fleet.ledger.doubled
+    return loads
+
+
+def _share(loads, kind=None):
+    tallies = [
+        tally
+        for load in loads
+        for name, tally in load.tallies.items()
+        if kind in (None, name)
+    ]
+    return sum(t.earned for t in tallies) / sum(t.owed for t in tallies)
+
+
+class UnevenCallersTest(unittest.TestCase):
+    """Pattern `shift`: callers of one data centre move to another."""
+
+    def test_dividing_a_job_uses_room_elsewhere(self):
+        """Before: every job waited in the data centre of its caller."""
+        options = {"shares": (0.5, 0.3, 0.2)}
+        now = _play(**options)
+        with mock.patch.object(
+            division, "divide", lambda job, offers, own: [(own, job)]
+        ):
+            before = _play(**options)
+        self.assertGreater(_share(now), _share(before))
+        self.assertGreater(_share(now, "short"), _share(before, "short"))
+
+
+class LongBurstTest(unittest.TestCase):
+    """Pattern `burst` of the long, least urgent kind."""
+
+    _BURST = (_load.Burst("long", 2.3, 1.0, 5.0),)
+
+    def test_urgent_jobs_keep_moving(self):
+        """Before: the latest start alone decided, late jobs included."""
+        now = _play(bursts=self._BURST)
+        with mock.patch.object(
+            backlogs, "_rank", lambda active, at: active.latest_start
+        ):
+            before = _play(bursts=self._BURST)
+        self.assertGreater(_share(now, "short"), _share(before, "short"))
+        self.assertGreater(_share(now), _share(before))
+
+
+class SlowEndpointsTest(unittest.TestCase):
+    """Pattern `srv_slow`: a fifth of the endpoints turn 5 times slower."""
+
+    @staticmethod
+    async def _turn_slow(load):
+        await asyncio.sleep(1.0)
+        for name in ("e0.0", "e0.3", "e1.1", "e1.4", "e2.2"):
+            load.fleet.workers[name].fault.slowness = 5.25
+
+    def test_slow_endpoints_are_left_to_jobs_that_can_bear_them(self):
+        """Before: an endpoint was as good as another with the same room."""
+        options = {"scale": 0.7}
+        now = _play(self._turn_slow, **options)
+        with (
+            mock.patch.object(
+                holdings.Holding, "_measure", lambda self, ratio: None
+            ),
+            mock.patch.object(placement, "_SLOW_RATIO", math.inf),
+        ):
+            before = _play(self._turn_slow, **options)
+        self.assertGreater(_share(now), _share(before))
+
+
+class HangingEndpointsTest(unittest.TestCase):
+    """Pattern `srv_grey` with `hang`: tasks on some endpoints stand still."""
+
+    @staticmethod
+    async def _hang(load):
+        await asyncio.sleep(1.0)
+        for name in ("e0.0", "e1.1", "e2.2"):
+            load.fleet.workers[name].fault.hanging = True
+
+    def test_runs_without_progress_start_elsewhere(self):
+        """Before: only the expiry of the job ended a run that stood still."""
+        options = {"scale": 0.7}
+        now = _play(self._hang, **options)
+        with mock.patch.object(
+            holdings.Holding, "progress", lambda self, run, percent, at: None
+        ):
+            before = _play(self._hang, **options)
+        self.assertGreater(_share(now), _share(before))
+        self.assertGreater(_share(now, "long"), _share(before, "long"))
