Serve metrics of jobs, orders and the store; explain a request from the logs

sesameroad explain ID FILE... prints the life of one request from the logs of its home and its stewards, what is missing and the cause. The line that ends a job at its steward names each run with its endpoint, its times and how it ended.

--- /dev/null
+++ b/sesameroad/command_line/explain.py
@@ -0,0 +1,41 @@
+"""Prints the life of one request from the logs of several instances.
+
+usage: sesameroad explain ID FILE...
+
+The last line names the cause. Lines that must exist and were not found are named
+before it.
+"""
+
+import pathlib
+import sys
+
+from absl import flags
+
+from sesameroad.command_line import exits
+from sesameroad.telemetry import story
+
+FLAGS = flags.FlagValues()
+
+
+def run(arguments: list[str]) -> int:
+    """Prints the story; returns the exit code."""
+    if len(arguments) < 2:  # noqa: PLR2004
+        print("usage: sesameroad explain ID FILE...", file=sys.stderr)
+        return exits.USAGE
+    request, *paths = arguments
+    lines: list[str] = []
+    for path in paths:
+        try:
+            lines += (
+                pathlib.Path(path)
+                .read_text(encoding="utf-8", errors="replace")
+                .splitlines()
+            )
+        except OSError as error:
+            print(f"sesameroad explain: {error}", file=sys.stderr)
+            return exits.USAGE
+    found, unreadable = story.read(lines, request)
+    print(story.tell(found))
+    if unreadable:
+        print(f"{unreadable} lines with this id could not be read")
+    return exits.OK
--- a/sesameroad/command_line/main.py
+++ b/sesameroad/command_line/main.py
@@ -11,7 +11,15 @@
 
 # Modules of this package, imported only when needed: all of them together
 # lengthen the start of an instance by half.
-_COMMANDS = ("entry", "serve", "check", "command", "burn", "keys")
+_COMMANDS = (
+    "entry",
+    "serve",
+    "explain",
+    "check",
+    "command",
+    "burn",
+    "keys",
+)
 _HELP = {"help", "-h", "--help", "-help", "--helpfull"}
 
 
--- a/sesameroad/jobs/active.py
+++ b/sesameroad/jobs/active.py
@@ -8,6 +8,9 @@
 from sesameroad.model import job as jobs
 from sesameroad.model import outcome as outcomes
 
+# Runs that the log line of a job names, twice the tasks of a wide job.
+_MAX_HISTORY = 64
+
 
 class Home(Protocol):
     """The instance whose caller waits for a job."""
@@ -33,6 +36,7 @@
         waiting: Indices of tasks that wait for room.
         runs: Runs that have not ended, by index.
         sends: Runs ordered so far.
+        history: What became of its runs, for the log.
     """
 
     __slots__ = (
@@ -44,6 +48,7 @@
         "closing",
         "done",
         "first_sent_at",
+        "history",
         "moved",
         "runs",
         "sends",
@@ -66,6 +71,7 @@
         self.waiting: collections.deque[int] = collections.deque(job.indices)
         self.runs: dict[int, runs.Run] = {}
         self.sends = 0
+        self.history: list[str] = []
 
     @property
     def job(self) -> jobs.Job:
@@ -119,6 +125,11 @@
                 future.set_result(outcome)
         self._waiters.clear()
 
+    def note(self, text: str) -> None:
+        """Adds a line to the history, up to a bound."""
+        if len(self.history) < _MAX_HISTORY:
+            self.history.append(text)
+
     def next_number(self, index: int) -> int:
         """Returns the number of the next run of a task."""
         number = self._numbers.get(index, 0) + 1
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -17,6 +17,7 @@
 from sesameroad.model import endpoint as endpoints
 from sesameroad.model import job as jobs
 from sesameroad.model import outcome as outcomes
+from sesameroad.telemetry import job_metrics
 from sesameroad.telemetry import log
 
 # Period of the checks that no event triggers: homes, deadlines, stragglers.
@@ -46,6 +47,7 @@
         lease_s: float,
         clock: clocks.Clock,
         lost: Callable[[str], None],
+        metrics: job_metrics.JobMetrics,
     ) -> None:
         """Creates a scheduler that holds nothing yet.
 
@@ -56,6 +58,7 @@
             lease_s: Longest lease that an endpoint grants, in seconds.
             clock: Time source.
             lost: Called when an endpoint has seen a higher token.
+            metrics: Where starts and ends of runs are counted.
         """
         self._data_centre = data_centre
         self._token = token
@@ -63,6 +66,7 @@
         self._lease_s = lease_s
         self._clock = clock
         self._lost = lost
+        self._metrics = metrics
         self._since = clock.monotonic()
         self._holdings: dict[str, holdings.Holding] = {}
         self._keepers: dict[str, asyncio.Task[None]] = {}
@@ -228,11 +232,13 @@
         ):
             active.started = True
             active.sends += 1
-            active.first_sent_at = active.first_sent_at or (
-                self._clock.monotonic()
-            )
+            if not active.first_sent_at:
+                active.first_sent_at = self._clock.monotonic()
+                self._metrics.first_start(
+                    active.first_sent_at - active.arrived_at
+                )
             return True
-        self._conclude(run)
+        self._conclude(run, "not sent")
         return False
 
     def accepted(self, holding: holdings.Holding, run: runs.Run) -> None:
@@ -260,9 +266,9 @@
             case _:
                 pass
         if run.state is runs.State.STOPPING:
-            self._conclude(run)
+            self._conclude(run, why.value)
         else:
-            self._retry(run)
+            self._retry(run, why.value)
 
     def unanswered(
         self, holding: holdings.Holding, run: runs.Run, detail: str
@@ -440,7 +446,7 @@
                 self._found_done.add(end.task)
             return
         active = self._owner(run)
-        self._conclude(run)
+        self._conclude(run, end.how.value)
         if active is None or active.closing:
             return
         match end.how:
@@ -490,11 +496,11 @@
             run=run.number,
             reason=cause,
         )
-        self._retry(run)
+        self._retry(run, cause)
 
-    def _retry(self, run: runs.Run) -> None:
+    def _retry(self, run: runs.Run, how: str) -> None:
         active = self._owner(run)
-        self._conclude(run)
+        self._conclude(run, how)
         if active is not None and not active.closing:
             self._wait_again(active, run.index)
 
@@ -503,15 +509,22 @@
         self._backlog.add(active)
         self._wake.set()
 
-    def _conclude(self, run: runs.Run) -> None:
-        """Takes a run that has ended out of all books."""
+    def _conclude(self, run: runs.Run, how: str) -> None:
+        """Takes a run that has ended out of all books.
+
+        Args:
+            run: The run.
+            how: How it ended, or why it counts as ended.
+        """
         known = self._live.get(run.task)
         if known is None or known[1] is not run:
             return
         del self._live[run.task]
         known[0].remove(run)
+        self._metrics.run_ended(how)
         active = self._owner(run)
         if active is not None:
+            active.note(self._describe(active, known[0], run, how))
             del active.runs[run.index]
             if active.closing and not active.runs:
                 self._closing.pop(run.job, None)
@@ -546,7 +559,7 @@
         for run in list(active.runs.values()):
             holding, _ = self._live[run.task]
             if not run.sent_at:
-                self._conclude(run)
+                self._conclude(run, "not sent")
             else:
                 self._stop_run(holding, run)
         if active.runs:
@@ -571,6 +584,10 @@
             tasks=active.job.count,
             done=active.done,
             sends=active.sends,
+            part=active.job.indices[0],
+            moved=active.moved,
+            runs=active.history,
+            waiting_jobs=len(self._backlog),
             token=self._token,
             first_send_ms=int(
                 ((active.first_sent_at or now) - active.arrived_at) * 1_000
@@ -578,6 +595,22 @@
             took_ms=int((now - active.arrived_at) * 1_000),
         )
 
+    def _describe(
+        self,
+        active: actives.Active,
+        holding: holdings.Holding,
+        run: runs.Run,
+        how: str,
+    ) -> str:
+        """Returns a run for the log: place, time of its start and end, cause."""
+        begin_ms = int((run.sent_at - active.arrived_at) * 1_000)
+        end_ms = int((self._clock.monotonic() - active.arrived_at) * 1_000)
+        sent = f"{begin_ms}" if run.sent_at else "-"
+        return (
+            f"{run.index}#{run.number}@{holding.endpoint.id}"
+            f" {sent}..{end_ms} ms {how}"
+        )
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_S)
--- a/sesameroad/node/listing.py
+++ b/sesameroad/node/listing.py
@@ -33,6 +33,11 @@
         """Whether the list was ever read."""
         return self._read_at > 0
 
+    @property
+    def age_s(self) -> float:
+        """Time since the list was read."""
+        return self._clock.monotonic() - self._read_at
+
     def of(self, data_centre: str) -> list[endpoints.Endpoint]:
         """Returns the endpoints of a data centre."""
         return [
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -32,6 +32,7 @@
 from sesameroad.platform import orders
 from sesameroad.platform import rows as row_module
 from sesameroad.settings import node as settings_module
+from sesameroad.telemetry import job_metrics
 from sesameroad.telemetry import log
 
 # Period of the choice of stewards, and of what a steward tells of its room.
@@ -44,6 +45,7 @@
 _PASS_ON_S = 1.0
 # Time after which an instance that cannot reach the others acts on its own.
 _SETTLE_S = 1.5
+_METRICS_PATH = "/metrics"
 _RETRY_S = 0.2
 _STOP_STEP_S = 0.05
 
@@ -63,11 +65,14 @@
         self._runners: list[web.ServerRunner] = []
         self._offers: set[asyncio.Task[None]] = set()
         self._running: dict[str, asyncio.Task[outcomes.Outcome]] = {}
+        self._metrics = job_metrics.JobMetrics(self._figures)
         self._client = clients.Client.open(
-            f"http://{settings.platform}", timeout_s=timing.platform_timeout_s
+            f"http://{settings.platform}",
+            timeout_s=timing.platform_timeout_s,
+            observe=self._metrics.store_called,
         )
         self._rows = row_module.Rows(self._client)
-        self._orders = orders.Orders.open()
+        self._orders = orders.Orders.open(metrics=self._metrics)
         self._catalogue = catalogues.Catalogue.empty()
         self._configuration_text = b""
         self._configured_at = 0.0
@@ -96,6 +101,7 @@
             listing=self._listing,
             orders_=self._orders,
             clock=clock,
+            metrics=self._metrics,
             changed=self._stewards_changed,
         )
         self._home = homes.Home(
@@ -140,6 +146,7 @@
             ("choose stewards", self._choose_stewards),
         ):
             self._supervisor.run(name, loop)
+        await self._serve(settings.metrics, self._handle_metrics)
         await self._serve(settings.ready, self._handle_ready)
         await self._serve(settings.web, self._front.handle)
         log.event(
@@ -231,6 +238,8 @@
             case _:
                 label = outcomes.label(outcome)
                 cause = f"{outcome.cause.value}: {outcome.detail}"
+        seconds = self._clock.monotonic() - began
+        self._metrics.answered(outcome, seconds)
         log.event(
             "caller answered",
             step="answer",
@@ -242,7 +251,7 @@
             estimate_ms=int(job.estimate_s * 1_000),
             objective_ms=int((job.objective_at - began) * 1_000),
             deadline_ms=int((job.deadline_at - began) * 1_000),
-            took_ms=int((self._clock.monotonic() - began) * 1_000),
+            took_ms=int(seconds * 1_000),
             configuration=self._catalogue.version,
         )
 
@@ -512,6 +521,26 @@
         del http  # Only one question is asked at this address.
         return web.Response(status=200 if self.ready else 503)
 
+    async def _handle_metrics(self, http: web.BaseRequest) -> web.Response:
+        if http.path != _METRICS_PATH:
+            return web.Response(status=404)
+        return web.Response(
+            body=self._metrics.render(),
+            headers={"Content-Type": job_metrics.CONTENT_TYPE},
+        )
+
+    def _figures(self) -> job_metrics.Figures:
+        return job_metrics.Figures(
+            configuration_version=self._catalogue.version,
+            peers=len(self._mesh.peers),
+            stewardships=self._stewards.count,
+            free_cores=self._stewards.free_cores,
+            waiting_jobs=self._stewards.waiting_jobs,
+            jobs_in_flight=len(self._running),
+            endpoint_list_age_s=self._listing.age_s,
+            log_lines_dropped=log.dropped(),
+        )
+
     async def _close(self) -> None:
         """Closes all parts; one that fails does not keep the others open.
 
--- a/sesameroad/node/stewards.py
+++ b/sesameroad/node/stewards.py
@@ -21,6 +21,7 @@
 from sesameroad.peering import mesh as meshes
 from sesameroad.peering import message as messages
 from sesameroad.settings import node as settings_module
+from sesameroad.telemetry import job_metrics
 from sesameroad.telemetry import log
 
 # Time without a steward after which an instance of another data centre takes
@@ -64,6 +65,7 @@
         listing: listings.Listing,
         orders_: orders.Orders,
         clock: clocks.Clock,
+        metrics: job_metrics.JobMetrics,
         changed: Callable[[], None],
     ) -> None:
         self._settings = settings
@@ -72,6 +74,7 @@
         self._listing = listing
         self._orders = orders_
         self._clock = clock
+        self._metrics = metrics
         self._changed = changed
         self._held: dict[str, _Held] = {}
         self._closing: set[asyncio.Task[None]] = set()
@@ -88,6 +91,23 @@
         """Whether this instance is the steward of any data centre."""
         return bool(self._held)
 
+    @property
+    def count(self) -> int:
+        """Number of data centres whose steward this instance is."""
+        return len(self._held)
+
+    @property
+    def free_cores(self) -> float:
+        """Free cores of the endpoints held."""
+        return sum(held.scheduler.free_cores for held in self._held.values())
+
+    @property
+    def waiting_jobs(self) -> int:
+        """Jobs without a started task."""
+        return sum(
+            sum(held.scheduler.pending.values()) for held in self._held.values()
+        )
+
     @property
     def reachable(self) -> bool:
         """Whether any steward can be asked."""
@@ -298,6 +318,7 @@
             lease_s=self._settings.max_lease_ms / 1_000,
             clock=self._clock,
             lost=self._fenced,
+            metrics=self._metrics,
         )
         task = asyncio.create_task(
             scheduler.run(), name=f"steward of {data_centre}"
--- a/sesameroad/platform/client.py
+++ b/sesameroad/platform/client.py
@@ -1,5 +1,6 @@
 """HTTP session to the platform."""
 
+from collections.abc import Callable
 import dataclasses
 from typing import Any
 from typing import Self
@@ -13,6 +14,8 @@
 _NOT_FOUND = 404
 _FIRST_ERROR_STATUS = 400
 
+Observe = Callable[[str, bool], None]
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Answer:
@@ -32,22 +35,38 @@
 class Client:
     """Calls the platform; every failure is a PlatformError."""
 
-    __slots__ = ("_base_url", "_session", "_timeout_s")
+    __slots__ = ("_base_url", "_observe", "_session", "_timeout_s")
 
     def __init__(
-        self, *, session: aiohttp.ClientSession, base_url: str, timeout_s: float
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        timeout_s: float,
+        observe: Observe | None = None,
     ) -> None:
         self._session = session
+        self._observe = observe
         self._base_url = base_url
         self._timeout_s = timeout_s
 
     @classmethod
-    def open(cls, base_url: str, *, timeout_s: float) -> Self:
-        """Returns a client with connections of its own."""
+    def open(
+        cls, base_url: str, *, timeout_s: float, observe: Observe | None = None
+    ) -> Self:
+        """Returns a client with connections of its own.
+
+        Args:
+            base_url: Where the platform answers.
+            timeout_s: Timeout of a call that has none of its own, in seconds.
+            observe: Called after each call with its step and whether a whole
+                answer came.
+        """
         return cls(
             session=aiohttp.ClientSession(),
             base_url=base_url,
             timeout_s=timeout_s,
+            observe=observe,
         )
 
     async def close(self) -> None:
@@ -131,10 +150,14 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 text = await response.read()
+                if self._observe is not None:
+                    self._observe(step, True)
                 return Answer(
                     response.status, text, response.headers.get("ETag", "")
                 )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            if self._observe is not None:
+                self._observe(step, False)
             raise errors.PlatformError(
                 f"{type(error).__name__}: {error}", step=step, peer=_PEER
             ) from error
--- a/sesameroad/platform/orders.py
+++ b/sesameroad/platform/orders.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from sesameroad.leasing import order as orders
+from sesameroad.model import clock as clocks
 from sesameroad.model import endpoint as endpoints
+from sesameroad.telemetry import job_metrics
 
 # An endpoint answers an order within a few milliseconds. Waiting longer for a
 # lost answer delays the task, whose caller waits 1.5 s in all.
@@ -51,13 +53,19 @@
 class Orders:
     """Sends orders over connections that are kept open for each endpoint."""
 
-    __slots__ = ("_session",)
+    __slots__ = ("_metrics", "_session")
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        *,
+        metrics: job_metrics.JobMetrics,
+    ) -> None:
         self._session = session
+        self._metrics = metrics
 
     @classmethod
-    def open(cls) -> Self:
+    def open(cls, *, metrics: job_metrics.JobMetrics) -> Self:
         """Returns a sender with connections of its own."""
         connector = aiohttp.TCPConnector(
             limit=0,
@@ -67,7 +75,8 @@
         return cls(
             aiohttp.ClientSession(
                 connector=connector, cookie_jar=aiohttp.DummyCookieJar()
-            )
+            ),
+            metrics=metrics,
         )
 
     async def close(self) -> None:
@@ -92,14 +101,14 @@
             "deadline-ms": lease_until_ms,
             "fencing-token": token,
         }
-        return await self._order(endpoint, "/api/run-start", body)
+        return await self._order(endpoint, "start", body)
 
     async def stop(
         self, endpoint: endpoints.Endpoint, *, task: str, run: int, token: int
     ) -> orders.Answer:
         """Stops a run, and bars it if it has not arrived yet."""
         body = {"task": task, "run": run, "fencing-token": token}
-        return await self._order(endpoint, "/api/run-stop", body)
+        return await self._order(endpoint, "stop", body)
 
     async def look(
         self,
@@ -117,26 +126,33 @@
             body["deadline-ms"] = lease_until_ms
         if wait_ms:
             body["wait-ms"] = wait_ms
-        answer = await self._post(endpoint, "/api/hold", body, timeout_s)
-        match answer:
-            case orders.NoAnswer():
-                return answer
+        answer: orders.LookAnswer
+        match await self._post(endpoint, "/api/hold", body, timeout_s):
+            case orders.NoAnswer() as answer:
+                pass
             case (status, text) if status == _OK:
-                return _report(text)
+                answer = _report(text)
             case (status, text):
-                return _refusal(status, text)
+                answer = _refusal(status, text)
+        self._metrics.ordered("look", answer)
+        return answer
 
     async def _order(
-        self, endpoint: endpoints.Endpoint, path: str, body: dict[str, Any]
+        self, endpoint: endpoints.Endpoint, order: str, body: dict[str, Any]
     ) -> orders.Answer:
-        answer = await self._post(endpoint, path, body, _ORDER_TIMEOUT_S)
-        match answer:
-            case orders.NoAnswer():
-                return answer
+        began = clocks.elapsed_s()
+        path = f"/api/run-{order}"
+        answer: orders.Answer
+        match await self._post(endpoint, path, body, _ORDER_TIMEOUT_S):
+            case orders.NoAnswer() as answer:
+                pass
             case (status, text) if status == _OK:
-                return orders.Accepted(_order_answer(text).clock_ms)
+                answer = orders.Accepted(_order_answer(text).clock_ms)
             case (status, text):
-                return _refusal(status, text)
+                answer = _refusal(status, text)
+        self._metrics.ordered(order, answer)
+        self._metrics.order_took(order, clocks.elapsed_s() - began)
+        return answer
 
     async def _post(
         self,
--- a/sesameroad/settings/node.py
+++ b/sesameroad/settings/node.py
@@ -60,7 +60,7 @@
         web: Address for callers.
         ready: Address of the readiness check.
         peer: Address of the peer service.
-        metrics: Address of the metrics.
+        metrics: Address of the metrics, at the path /metrics.
         platform: Address of the store.
         max_lease_ms: Longest lease that an endpoint grants.
         timing: Periods and timeouts.
--- a/sesameroad/telemetry/log.py
+++ b/sesameroad/telemetry/log.py
@@ -34,6 +34,13 @@
     logging.set_verbosity(logging.INFO)
 
 
+def dropped() -> int:
+    """Returns the lines dropped for a slow reader and not yet reported."""
+    stream = getattr(logging.get_absl_handler(), "python_handler", None)
+    sink = getattr(stream, "stream", None)
+    return sink.dropped if isinstance(sink, sinks.Sink) else 0
+
+
 def event(message: str, *, step: str, peer: str = "", **fields: object) -> None:
     """Logs an event with the step and the peer it belongs to."""
     logging.info(message, extra={"step": step, "peer": peer, **fields})
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -7,6 +7,7 @@
 from sesameroad.model import endpoint as endpoints
 from sesameroad.model import job as jobs
 from sesameroad.model import need as needs
+from sesameroad.telemetry import job_metrics
 from standins import worker as workers
 from tests import _virtual
 
@@ -58,6 +59,7 @@
             lease_s=1.0,
             clock=self.clock,
             lost=self.lost.append,
+            metrics=job_metrics.JobMetrics(),
         )
         scheduler.update(self.endpoints)
         task = asyncio.create_task(scheduler.run())
--- a/tests/_load.py
+++ b/tests/_load.py
@@ -18,6 +18,7 @@
 from sesameroad.model import need as needs
 from sesameroad.model import outcome as outcomes
 from sesameroad.node import routes
+from sesameroad.telemetry import job_metrics
 from standins import worker as workers
 from tests import _virtual
 
@@ -187,6 +188,7 @@
                 lease_s=1.0,
                 clock=self.clock,
                 lost=lambda data_centre: None,
+                metrics=job_metrics.JobMetrics(),
             )
             scheduler.update(listed)
             self.schedulers[name] = scheduler
