--- a/sesameroad/jobs/active.py
+++ b/sesameroad/jobs/active.py
@@ -31,6 +31,7 @@
         arrived_at: Time of its arrival at this steward.
         started: Whether any task was ever sent to an endpoint.
         moved: Whether an earlier steward may have started tasks of it.
+        avoided: Endpoints on which tasks of it have failed.
         closing: Whether its outcome is settled and its runs are being stopped.
         done: Tasks that have ended well.
         waiting: Indices of tasks that wait for room.
@@ -45,6 +46,7 @@
         "_numbers",
         "_waiters",
         "arrived_at",
+        "avoided",
         "closing",
         "done",
         "first_sent_at",
@@ -66,6 +68,7 @@
         self.first_sent_at = 0.0
         self.started = False
         self.moved = moved
+        self.avoided: set[str] = set()
         self.closing = False
         self.done = 0
         self.waiting: collections.deque[int] = collections.deque(job.indices)
--- a/sesameroad/jobs/placement.py
+++ b/sesameroad/jobs/placement.py
@@ -8,6 +8,8 @@
 
 # An endpoint away from the data counts as slower by this ratio.
 _DISTANCE_PENALTY = 2.0
+# An endpoint on which a task of the same job failed is the last choice.
+_AVOIDED_PENALTY = 10.0
 # An endpoint that takes this much longer than the median counts as slow.
 _SLOW_RATIO = 1.6
 # Weight of the cores left unused beside the speed of an endpoint: a tight fit
@@ -59,6 +61,8 @@
         if slowness > _SLOW_RATIO * usual and _is_spoilt(job, slowness, now):
             continue
         cost = slowness / usual
+        if endpoint.id in active.avoided:
+            cost += _AVOIDED_PENALTY
         if job.preferred_label and job.preferred_label not in endpoint.labels:
             cost *= _DISTANCE_PENALTY
         if endpoint.offer.cores:
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -471,7 +471,8 @@
             task=run.task,
             run=run.number,
         )
-        holding.pause(self._clock.monotonic())
+        holding.fail(run, self._clock.monotonic())
+        active.avoided.add(holding.endpoint.id)
         if active.fail(run.index):
             self._wait_again(active, run.index)
             return
--- a/sesameroad/leasing/holding.py
+++ b/sesameroad/leasing/holding.py
@@ -19,6 +19,8 @@
 _MAX_RATIO = 8.0
 # Progress in percent from which a run tells its speed before its end.
 _TELLING_PERCENT = 10
+# Least pause after runs of two different jobs in a row have failed.
+_FAILURE_PAUSE_S = 0.3
 # Least pause after runs stood still.
 _HANG_PAUSE_S = 1.0
 # Cores are sums of decimal fractions.
@@ -42,6 +44,8 @@
 
     __slots__ = (
         "_cores",
+        "_failed_job",
+        "_failures",
         "_memory_mb",
         "_accelerators",
         "_pause_s",
@@ -75,6 +79,8 @@
         self._memory_mb = 0
         self._accelerators = 0
         self._log_slowness = 0.0
+        self._failures = 0
+        self._failed_job = ""
         self._pause_s = 0.0
         self._paused_until = 0.0
         self._wake = asyncio.Event()
@@ -140,9 +146,25 @@
         )
         self._paused_until = now + self._pause_s
 
+    def fail(self, run: run_module.Run, now: float) -> None:
+        """Notes a failed run.
+
+        Runs of one job may all fail for its own fault, so that only failures of
+        different jobs in a row count against the endpoint.
+        """
+        if run.job == self._failed_job:
+            return
+        self._failed_job = run.job
+        self._failures += 1
+        if self._failures > 1:
+            self._pause_s = max(self._pause_s, _FAILURE_PAUSE_S / 2)
+        self.pause(now)
+
     def succeed(self, run: run_module.Run, now: float) -> None:
         """Notes a run that ended well, and how long it took."""
         self._pause_s = 0.0
+        self._failures = 0
+        self._failed_job = ""
         if run.estimate_s <= 0 or run.sent_at <= 0:
             return
         self._measure((now - run.sent_at) / run.estimate_s)
