Read all lists again after a token was raised; claim only what has no steward

Both claimed it, one before it knew any endpoint. When the list came back that one raised its token above the other's and took the time since its claim for proof that nothing of the other still ran: a job that moved to it started a task 0.22 s after the other's start, 0.05 s before that was stopped.

- A steward that raises its token reads all lists again, and a moved job waits until each endpoint was read with that token or its leases of before are over.
- No claim without known endpoints, and none while a peer sees a living steward.
- An instance that cannot read the list takes the endpoints from a peer.
- Tokens of 256 instances apart collided for two of nine names; 2**18 now.

Tests that failed first: test_token_raised_late_does_not_double_runs_of_the_other_ steward, test_steward_that_only_a_peer_sees_is_no_vacancy, test_data_centre_without_ known_endpoints_is_not_claimed, test_instances_never_draw_the_same_token.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -135,8 +135,15 @@
             await self._close()
 
     def raise_token(self, token: int) -> None:
-        """Takes a higher token, when endpoints remember an earlier steward."""
+        """Takes a higher token, when endpoints remember an earlier steward.
+
+        That one may have started tasks until now, so that all lists must be read
+        again before it is known what runs.
+        """
         self._token = max(self._token, token)
+        now = self._clock.monotonic()
+        for holding in self._holdings.values():
+            holding.doubt(now)
 
     def update(self, listed: Iterable[endpoints.Endpoint]) -> None:
         """Holds the endpoints that are listed, and releases the others."""
@@ -426,12 +433,9 @@
 
     def _is_survey_complete(self, now: float) -> bool:
         """Whether no run of an earlier steward can be unknown here."""
-        lease = leases.Lease(duration_s=self._lease_s)
-        lease.assume(self._since)
-        if now >= lease.horizon:
-            return True
-        return bool(self._holdings) and all(
-            holding.surveyed for holding in self._holdings.values()
+        return all(
+            holding.surveyed or now >= holding.doubted_until
+            for holding in self._holdings.values()
         )
 
     # Ends of runs.
@@ -672,6 +676,7 @@
         for task, number in listed.items():
             if task not in holding.runs:
                 holding.foreign[task] = number
+        holding.foreign_since = self._clock.monotonic()
         for active in list(self._active.values()):
             self._adopt(active)
 
@@ -700,7 +705,7 @@
                 break
 
     def _stop_foreign(self, holding: holdings.Holding, now: float) -> None:
-        if not holding.foreign or now - self._since < _FOREIGN_S:
+        if not holding.foreign or now - holding.foreign_since < _FOREIGN_S:
             return
         for task, number in holding.foreign.items():
             holding.orders.put_nowait(runs.StopOrder(task, number))
@@ -708,9 +713,10 @@
     # Endpoints.
 
     def _hold(self, endpoint: endpoints.Endpoint) -> None:
-        lease = leases.Lease(duration_s=self._lease_s)
-        lease.assume(self._clock.monotonic())
-        holding = holdings.Holding(endpoint, lease=lease)
+        holding = holdings.Holding(
+            endpoint, lease=leases.Lease(duration_s=self._lease_s)
+        )
+        holding.doubt(self._clock.monotonic())
         self._holdings[endpoint.id] = holding
         keeper = keepers.Keeper(
             holding, orders_=self._orders, events=self, clock=self._clock
--- a/sesameroad/jobs/stewardship.py
+++ b/sesameroad/jobs/stewardship.py
@@ -11,7 +11,7 @@
 # supersedes its predecessor without asking the store. Steps of 0.1 s are finer
 # than any succession of stewards; the lower bits tell instances apart.
 _TOKEN_STEP_MS = 100
-_TOKEN_INSTANCES = 256
+_TOKEN_INSTANCES = 1 << 18
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sesameroad/leasing/holding.py
+++ b/sesameroad/leasing/holding.py
@@ -36,7 +36,10 @@
         seen: Ends up to this number are dealt with.
         acknowledged: Ends up to this number are acknowledged to the endpoint.
         surveyed: Whether the lists were read since this steward holds it.
+        doubted_until: Time until which runs of an earlier steward may be there
+            although the lists were not read.
         foreign: Runs of an earlier steward that no job has claimed yet.
+        foreign_since: Time at which they were found.
         silent_since: Time of the first unanswered look in a row, None if the
             last one was answered.
         orders: Orders that are not sent yet.
@@ -55,7 +58,9 @@
         "_wake",
         "acknowledged",
         "endpoint",
+        "doubted_until",
         "foreign",
+        "foreign_since",
         "lease",
         "orders",
         "seen",
@@ -71,7 +76,9 @@
         self.seen = 0
         self.acknowledged = 0
         self.surveyed = False
+        self.doubted_until = 0.0
         self.foreign: dict[str, int] = {}
+        self.foreign_since = 0.0
         self.silent_since: float | None = None
         self.orders: asyncio.Queue[run_module.Order] = asyncio.Queue()
         self._runs: dict[str, run_module.Run] = {}
@@ -115,6 +122,13 @@
             and now >= self._paused_until
         )
 
+    def doubt(self, now: float) -> None:
+        """Notes that another steward may have started runs here until now."""
+        self.surveyed = False
+        self.lease.assume(now)
+        self.doubted_until = self.lease.horizon
+        self._wake.set()
+
     def add(self, run: run_module.Run) -> None:
         """Takes a run into the books."""
         self._runs[run.task] = run
--- a/sesameroad/node/listing.py
+++ b/sesameroad/node/listing.py
@@ -29,9 +29,9 @@
         return self._endpoints.values()
 
     @property
-    def read(self) -> bool:
-        """Whether the list was ever read."""
-        return self._read_at > 0
+    def known(self) -> bool:
+        """Whether any endpoints are known, from the list or from a peer."""
+        return bool(self._endpoints)
 
     @property
     def age_s(self) -> float:
@@ -46,6 +46,13 @@
             if endpoint.data_centre == data_centre
         ]
 
+    def adopt(self, found: Iterable[endpoints.Endpoint]) -> bool:
+        """Takes the endpoints of a peer if none are known; returns whether so."""
+        if self._endpoints or self._read_at:
+            return False
+        self._endpoints = {endpoint.id: endpoint for endpoint in found}
+        return True
+
     def apply(
         self, listed: Iterable[endpoints.Endpoint], *, period_s: float
     ) -> None:
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -260,15 +260,16 @@
     def _heartbeat(self) -> messages.Heartbeat:
         return messages.Heartbeat(
             configuration_version=self._catalogue.version,
-            listing_version=0,
+            listing_version=int(self._listing.known),
             leaving=self._leaving,
-            claims=self._stewards.claims(),
+            claims=self._stewards.news(),
         )
 
     def _receive(self, link: links.Link, message: messages.Message) -> None:
         match message:
             case messages.Heartbeat():
                 self._pass_configuration_on(link, message)
+                self._pass_endpoints_on(link, message)
                 self._stewards.heard(message)
                 self._stewards.evaluate()
             case messages.JobOffer():
@@ -277,6 +278,8 @@
                 task.add_done_callback(self._offers.discard)
             case messages.JobCancel(name=name):
                 self._stewards.cancel(name, link.hello.instance_id)
+            case messages.EndpointUpdate(listing=text):
+                self._adopt_endpoints(text, source=link.hello.instance_id)
             case messages.ConfigurationUpdate(version=text):
                 self._configure(text, source=link.hello.instance_id)
             case _:
@@ -322,6 +325,39 @@
                 link, messages.ConfigurationUpdate(self._configuration_text)
             )
 
+    def _pass_endpoints_on(
+        self, link: links.Link, heartbeat: messages.Heartbeat
+    ) -> None:
+        """Sends the endpoints to a peer that could not read them so far."""
+        if heartbeat.listing_version or not self._listing.known:
+            return
+        if link.offered_listing:
+            return
+        link.offered_listing = 1
+        text = msgspec.json.encode(list(self._listing.live))
+        self._mesh.send(link, messages.EndpointUpdate(text))
+
+    def _adopt_endpoints(self, text: bytes, *, source: str) -> None:
+        """Takes the endpoints of a peer into use until the list can be read."""
+        try:
+            found = msgspec.json.decode(text, type=list[endpoints.Endpoint])
+        except msgspec.MsgspecError as error:
+            log.problem(
+                "endpoints of a peer cannot be read",
+                step="receive",
+                peer=source,
+                error=str(error),
+            )
+            return
+        if self._listing.adopt(found):
+            log.event(
+                "endpoints taken from a peer",
+                step="watch endpoints",
+                peer=source,
+                count=len(found),
+            )
+            self._stewards.update_endpoints()
+
     def _members_changed(self) -> None:
         log.event(
             "streams to peers changed",
--- a/sesameroad/node/stewards.py
+++ b/sesameroad/node/stewards.py
@@ -141,6 +141,15 @@
             for data_centre, held in self._held.items()
         )
 
+    def news(self) -> tuple[messages.Claim, ...]:
+        """Returns this instance's claims, and those that it sees of others."""
+        seen = [
+            messages.Claim(data_centre, steward.claim.token, relayed=True)
+            for data_centre, steward in self._stewards().items()
+            if steward.link is not None
+        ]
+        return (*self.claims(), *seen)
+
     def pending(self, queue: str) -> int:
         """Returns the jobs of a queue here without a started task."""
         return sum(
@@ -191,6 +200,8 @@
     def heard(self, heartbeat: messages.Heartbeat) -> None:
         """Takes the news of a steward in place of what was expected."""
         for claim in heartbeat.claims:
+            if claim.relayed:
+                continue
             self._expected.pop(claim.data_centre, None)
 
     async def submit(
@@ -249,6 +260,7 @@
             for link in self._mesh.peers.values()
             if link.state is not None and not link.leaving
             for claim in link.state.claims
+            if not claim.relayed
         ]
         for steward in own + peers:
             known = found.get(steward.claim.data_centre)
@@ -256,6 +268,15 @@
                 found[steward.claim.data_centre] = steward
         return found
 
+    def _is_relayed(self, data_centre: str) -> bool:
+        """Whether a peer sees a steward that this instance does not see."""
+        return any(
+            claim.relayed and claim.data_centre == data_centre
+            for link in self._mesh.peers.values()
+            if link.state is not None
+            for claim in link.state.claims
+        )
+
     def _members(self) -> list[stewardship.Member]:
         settings = self._settings
         return [
@@ -291,6 +312,13 @@
             return False
         if now < self._barred_until.get(data_centre, 0.0):
             return False
+        if not self._listing.of(data_centre):
+            # Without endpoints there is nothing to hold.
+            return False
+        if self._is_relayed(data_centre):
+            # The stream to the steward is broken, but the steward lives.
+            self._vacant_since.pop(data_centre, None)
+            return False
         since = self._vacant_since.setdefault(data_centre, now)
         if data_centre != settings.data_centre:
             pause_s = _FOREIGN_PAUSE_S
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -51,6 +51,7 @@
                             token=claim.token,
                             free_millicores=claim.free_millicores,
                             wait_ms=claim.wait_ms,
+                            relayed=claim.relayed,
                         )
                         for claim in message.claims
                     ],
@@ -174,6 +175,7 @@
                         claim.token,
                         claim.free_millicores,
                         claim.wait_ms,
+                        claim.relayed,
                     )
                     for claim in item.heartbeat.claims
                 ),
--- a/sesameroad/peering/message.py
+++ b/sesameroad/peering/message.py
@@ -27,12 +27,14 @@
         token: Fencing token of its orders; of two stewards the higher counts.
         free_millicores: Processor time that no task uses.
         wait_ms: Time that a new job waits there for its first task.
+        relayed: Whether not the sender but a peer of it is the steward.
     """
 
     data_centre: str
     token: int
     free_millicores: int = 0
     wait_ms: int = 0
+    relayed: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -297,6 +297,35 @@
         self.assertEqual(outcome, outcomes.Complete(()))
         self.assertEqual(site.ledger.doubled, [])
 
+    async def test_token_raised_late_does_not_double_runs_of_the_other_steward(
+        self,
+    ):
+        """Found on a drawn day: a claim made long before its endpoints were known.
+
+        The second steward had claimed during an outage of the list. When it got
+        the list it raised its token above that of another one, which had started
+        tasks meanwhile, and took the time since its claim for proof that nothing
+        of an earlier steward still ran.
+        """
+        site = _jobs.Site(count=3)
+        job = site.job(count=2, run_s=0.9, cores=16.0, deadline_s=9)
+        listed = list(site.endpoints)
+        site.endpoints.clear()
+        async with site.steward(token=3) as second:
+            await asyncio.sleep(3)
+            site.endpoints += listed
+            async with site.steward(token=5) as first:
+                submitted = asyncio.create_task(first.submit(job, site.home))
+                await asyncio.sleep(0.2)
+            await submitted
+            site.fleet.workers["e1"].fault.silent = True
+            second.update(listed)
+            await asyncio.sleep(0.1)
+            second.raise_token(9)
+            outcome = await second.submit(job, site.home, moved=True)
+        self.assertEqual(outcome, outcomes.Complete(()))
+        self.assertEqual(site.ledger.doubled, [])
+
     async def test_deposed_steward_starts_nothing(self):
         """A paused steward wakes with orders of its own in its queue."""
         site = _jobs.Site(count=1)
--- /dev/null
+++ b/tests/test_stewards.py
@@ -0,0 +1,188 @@
+"""Who claims the endpoints of a data centre, over streams that come and go."""
+
+import types
+import unittest
+from unittest import mock
+
+from sesameroad.jobs import stewardship
+from sesameroad.model import endpoint as endpoints
+from sesameroad.node import listing as listings
+from sesameroad.node import roster as rosters
+from sesameroad.node import stewards as steward_module
+from sesameroad.peering import message as messages
+from sesameroad.settings import node as settings_module
+from sesameroad.telemetry import job_metrics
+
+
+class _Clock:
+    now = 1_000.0
+    wall = 1_780_000_000_000
+
+    def monotonic(self):
+        return self.now
+
+    def wall_ms(self):
+        return self.wall
+
+
+class _Scheduler:
+    """Stands for the steward itself: only its claim matters here."""
+
+    def __init__(self, *, data_centre, token, **_):
+        self.data_centre = data_centre
+        self.token = token
+        self.established = True
+        self.free_cores = 8.0
+        self.wait_s = 0.0
+        self.pending = {}
+
+    def update(self, listed):
+        pass
+
+    def raise_token(self, token):
+        self.token = token
+
+    async def run(self):
+        pass
+
+
+class StewardsTest(unittest.IsolatedAsyncioTestCase):
+
+    def setUp(self):
+        patch = mock.patch.object(
+            steward_module.schedulers, "Scheduler", _Scheduler
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.clock = _Clock()
+        self.mesh = types.SimpleNamespace(peers={})
+        self.roster = rosters.Roster(clock=self.clock, fresh_s=5.0)
+        self.listing = listings.Listing(clock=self.clock)
+        self.listing.apply(
+            [
+                endpoints.Endpoint(id=f"e-{name}", url="", data_centre=name)
+                for name in ("dc1", "dc2")
+            ],
+            period_s=1.0,
+        )
+        self.stewards = steward_module.Stewards(
+            settings=settings_module.Node(
+                instance_id="i1",
+                data_centre="dc1",
+                data_centres={"dc1": "r", "dc2": "r"},
+                web="10.0.0.1:1",
+                ready="10.0.0.1:2",
+                peer="10.0.0.1:3",
+                metrics="10.0.0.1:4",
+                platform="10.0.0.1:5",
+                max_lease_ms=1_000,
+            ),
+            mesh=self.mesh,
+            roster=self.roster,
+            listing=self.listing,
+            orders_=None,
+            clock=self.clock,
+            metrics=job_metrics.JobMetrics(),
+            changed=lambda: None,
+        )
+        self.stewards.settle()
+
+    def peer(self, name, data_centre="dc1", *, claims=(), leaving=False):
+        self.mesh.peers[name] = types.SimpleNamespace(
+            hello=messages.Hello(name, data_centre, name),
+            state=messages.Heartbeat(0, 0, leaving, tuple(claims)),
+            leaving=leaving,
+        )
+
+    def wait(self, seconds):
+        for _ in range(int(seconds / 0.1)):
+            self.clock.now += 0.1
+            self.stewards.evaluate()
+
+    def held(self):
+        return {claim.data_centre for claim in self.stewards.claims()}
+
+    async def test_own_data_centre_is_claimed_before_others(self):
+        self.stewards.evaluate()
+        self.assertEqual(self.held(), set())
+        self.wait(1.0)
+        self.assertEqual(self.held(), {"dc1"})
+        self.wait(4.0)
+        self.assertEqual(self.held(), {"dc1", "dc2"})
+
+    async def test_foreign_data_centre_is_given_back(self):
+        self.wait(5.0)
+        self.peer("i2", "dc2")
+        self.wait(0.2)
+        self.assertEqual(self.held(), {"dc1"})
+
+    async def test_lower_token_gives_way(self):
+        self.wait(1.0)
+        token = self.stewards.claims()[0].token
+        self.peer("i2", claims=[messages.Claim("dc1", token + 1)])
+        self.wait(0.2)
+        self.assertNotIn("dc1", self.held())
+
+    async def test_steward_that_only_a_peer_sees_is_no_vacancy(self):
+        """Found on a drawn day: two stewards of one data centre.
+
+        A restarted instance had a stream to one peer only, and claimed what an
+        instance beyond that peer held.
+        """
+        relayed = messages.Claim("dc1", 7, relayed=True)
+        self.peer("i2", claims=[relayed])
+        self.wait(5.0)
+        self.assertNotIn("dc1", self.held())
+
+    async def test_data_centre_without_known_endpoints_is_not_claimed(self):
+        """A claim without endpoints holds nothing and hides who could."""
+        self.listing.apply([], period_s=1.0)
+        self.wait(5.0)
+        self.assertEqual(self.held(), set())
+
+    async def test_isolated_instance_claims_nothing(self):
+        """Its claim would depose a steward that others can still reach."""
+        for version in (1, 2):
+            self.roster.read(
+                "i2",
+                version=version,
+                value=b'{"data_centre": "dc1", "address": "10.0.0.2:3"}',
+            )
+        self.wait(2.0)
+        self.assertEqual(self.held(), set())
+
+    async def test_stopping_instance_resigns_and_stays_out(self):
+        self.wait(1.0)
+        self.stewards.leave()
+        self.wait(2.0)
+        self.assertEqual(self.held(), set())
+
+    async def test_refusal_by_an_endpoint_held_before_means_another_steward(
+        self,
+    ):
+        self.wait(1.0)
+        token = self.stewards.claims()[0].token
+        self.stewards._fenced("dc1")
+        self.assertEqual(self.held(), set())
+        self.wait(0.5)
+        self.assertEqual(self.held(), set())
+        self.wait(4.0)
+        self.assertIn("dc1", self.held())
+        self.assertGreater(self.stewards.claims()[0].token, token)
+
+
+class TokenTest(unittest.TestCase):
+
+    def test_instances_never_draw_the_same_token(self):
+        tokens = {
+            stewardship.new_token(f"front-{n}", wall_ms=1_780_000_000_000)
+            for n in range(9)
+        }
+        self.assertEqual(len(tokens), 9)
+
+    def test_token_rises_although_the_time_of_day_falls(self):
+        before = stewardship.new_token("a", wall_ms=1_780_000_000_000)
+        after = stewardship.new_token(
+            "b", wall_ms=1_779_999_990_000, above=[before]
+        )
+        self.assertGreater(after, before)
