--- a/sesameroad/jobs/stewardship.py
+++ b/sesameroad/jobs/stewardship.py
@@ -9,7 +9,8 @@
 
 # Tokens rise with the time of day, so that a fleet that has lost everything
 # supersedes its predecessor without asking the store. Steps of 0.1 s are finer
-# than any succession of stewards; the lower bits tell instances apart.
+# than any succession of stewards; the lower bits tell instances apart. A token
+# stays below 2**53, which every JSON decoder reads exactly.
 _TOKEN_STEP_MS = 100
 _TOKEN_INSTANCES = 1 << 18
 
@@ -35,6 +36,11 @@
     return ranked[0] if ranked else ""
 
 
+def steps_above(token: int, steps: int) -> int:
+    """Returns a token that is a number of steps above another."""
+    return token + steps * _TOKEN_INSTANCES
+
+
 def new_token(
     instance_id: str, *, wall_ms: int, above: Iterable[int] = ()
 ) -> int:
--- a/sesameroad/node/stewards.py
+++ b/sesameroad/node/stewards.py
@@ -33,7 +33,7 @@
 _ISOLATED_PAUSE_S = 3.0
 # Steps by which a token is raised that endpoints refuse before any accepts it:
 # the time of day of the earlier steward may have been ahead by seconds.
-_RAISE_STEPS = 64 * 256
+_RAISE_STEPS = 64
 _MILLICORES = 1_000
 # Longest wait that a steward tells; it may be without any endpoint.
 _MAX_WAIT_S = 60.0
@@ -404,7 +404,7 @@
             raised = stewardship.new_token(
                 self._settings.instance_id,
                 wall_ms=self._clock.wall_ms(),
-                above=[token + _RAISE_STEPS],
+                above=[stewardship.steps_above(token, _RAISE_STEPS)],
             )
             self._tokens[data_centre] = raised
             held.scheduler.raise_token(raised)
@@ -414,6 +414,7 @@
         pause_s = _ISOLATED_PAUSE_S if alone else _FENCED_PAUSE_S
         self._barred_until[data_centre] = self._clock.monotonic() + pause_s
         self._tokens[data_centre] = max(
-            self._tokens.get(data_centre, 0), token + _RAISE_STEPS
+            self._tokens.get(data_centre, 0),
+            stewardship.steps_above(token, _RAISE_STEPS),
         )
         self._resign(data_centre, "an endpoint has seen a higher token")
--- a/tests/test_stewards.py
+++ b/tests/test_stewards.py
@@ -168,7 +168,8 @@
         self.assertEqual(self.held(), set())
         self.wait(4.0)
         self.assertIn("dc1", self.held())
-        self.assertGreater(self.stewards.claims()[0].token, token)
+        tokens = {c.data_centre: c.token for c in self.stewards.claims()}
+        self.assertGreater(tokens["dc1"], token)
 
 
 class TokenTest(unittest.TestCase):
