Answer jobs that cannot be of use any more, and withdraw the parts of a refused job

Parts of a divided job were never refused, also where no part of the job had started, and waited behind all others. A job with tasks that still wait when its answer is of no use is answered now; if a part is refused, the others are withdrawn, and the caller is told "not run" only if none of them had started.

--- a/sesameroad/jobs/home.py
+++ b/sesameroad/jobs/home.py
@@ -18,6 +18,8 @@
 # Time in which another steward of the same data centre is expected after one
 # was lost: the silence of a peer, and the pause before a claim.
 _SUCCESSION_S = 1.2
+# Time for the stewards of other parts to say whether these have started.
+_WITHDRAWAL_S = 0.2
 _RETRY_S = 0.02
 _RETRY_AFTER_S = 1.0
 
@@ -111,7 +113,12 @@
             return await self._follow(parts[0])
         tasks = [asyncio.create_task(self._follow(part)) for part in parts]
         try:
-            return await self._gather(tasks)
+            outcome = await self._gather(tasks)
+            match outcome:
+                case outcomes.NotRun():
+                    return await self._withdraw(parts, tasks, outcome)
+                case _:
+                    return outcome
         finally:
             for task in tasks:
                 task.cancel()
@@ -137,21 +144,38 @@
     async def _gather(
         self, tasks: list[asyncio.Task[outcomes.Outcome]]
     ) -> outcomes.Outcome:
-        """Returns the outcome of all parts; the first failure decides.
-
-        A part that was refused did not run, but another part may have.
-        """
+        """Returns the outcome of all parts; the first failure decides."""
         for following in asyncio.as_completed(tasks):
             outcome = await following
             match outcome:
                 case outcomes.Complete():
                     continue
-                case outcomes.NotRun():
-                    return outcomes.Unknown(outcome.cause, outcome.detail)
                 case _:
                     return outcome
         return outcomes.Complete(())
 
+    async def _withdraw(
+        self,
+        parts: list[_Part],
+        tasks: list[asyncio.Task[outcomes.Outcome]],
+        refusal: outcomes.NotRun,
+    ) -> outcomes.Outcome:
+        """Ends the other parts of a job of which one part was refused.
+
+        Returns:
+            The refusal, if no other part has started.
+        """
+        for part, task in zip(parts, tasks, strict=True):
+            route = self._stewards.route(part.data_centre)
+            if not task.done() and route is not None:
+                route.cancel(part.job.name)
+        await asyncio.wait(tasks, timeout=_WITHDRAWAL_S)
+        for task in tasks:
+            if task.done() and isinstance(task.result(), outcomes.NotRun):
+                continue
+            return outcomes.Unknown(refusal.cause, refusal.detail)
+        return refusal
+
     async def _follow(self, part: _Part) -> outcomes.Outcome:
         """Returns the outcome of a part, from however many stewards it takes."""
         began = self._clock.monotonic()
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -29,6 +29,8 @@
 # time, stands still. It is stopped and started elsewhere.
 _HANG_S = 0.4
 _HANG_RATIO = 0.5
+# Time after which a job that was given up is worth another try.
+_RETRY_AFTER_S = 1.0
 # Least need that is divided by: a task may need no cores at all.
 _MIN_CORES = 0.001
 # Waiting jobs that are tried in one pass after the first one without room.
@@ -218,11 +220,11 @@
         active = self._active.get(name)
         if active is None:
             return
-        active.leave(home_id)
-        if not active.homes:
+        if active.homes != [home_id]:
+            active.leave(home_id)
+        else:
             self._finish(
-                active,
-                outcomes.Unknown(outcomes.Cause.CANCELLED, "cancelled"),
+                active, _given_up(active, outcomes.Cause.CANCELLED, "cancelled")
             )
 
     # Events of the keepers.
@@ -641,7 +643,23 @@
                 ),
             )
         elif now >= active.job.deadline_at:
-            self._finish(active, _expired(active))
+            self._finish(
+                active,
+                _given_up(
+                    active,
+                    outcomes.Cause.DEADLINE,
+                    "its caller no longer waits",
+                ),
+            )
+        elif active.waiting and now >= active.job.expires_at:
+            # What runs already may still be delivered late; what would have to
+            # start now cannot be of use any more.
+            self._finish(
+                active,
+                _given_up(
+                    active, outcomes.Cause.OVERLOAD, "no room while of use"
+                ),
+            )
         elif not (active.started or active.moved or active.job.committed):
             refusal = self._admission.refusal(active, now)
             if refusal is not None:
@@ -803,11 +821,10 @@
     )
 
 
-def _expired(active: actives.Active) -> outcomes.Outcome:
-    if active.started:
-        return outcomes.Unknown(
-            outcomes.Cause.DEADLINE, "its caller no longer waits"
-        )
-    return outcomes.NotRun(
-        outcomes.Cause.DEADLINE, "no room before its deadline"
-    )
+def _given_up(
+    active: actives.Active, cause: outcomes.Cause, detail: str
+) -> outcomes.Outcome:
+    """Returns the outcome of a job that is not served."""
+    if active.started or active.moved:
+        return outcomes.Unknown(cause, detail)
+    return outcomes.NotRun(cause, detail, _RETRY_AFTER_S)
--- /dev/null
+++ b/tests/test_home.py
@@ -0,0 +1,135 @@
+"""The caller's side of a job: parts, lost stewards and true answers."""
+
+import asyncio
+
+from sesameroad import errors
+from sesameroad.jobs import division
+from sesameroad.jobs import home as homes
+from sesameroad.model import outcome as outcomes
+from tests import _jobs
+from tests import _virtual
+
+_DONE = outcomes.Complete(())
+_UNTIL_CANCELLED = object()
+
+
+class _Steward:
+    """Answers with what a test queues, and remembers what it was asked."""
+
+    def __init__(self, *answers, free_cores=0.0, wait_s=0.0):
+        self.answers = list(answers)
+        self.asked = []
+        self.cancelled = []
+        self.ended = asyncio.Event()
+        self.free_cores = free_cores
+        self.wait_s = wait_s
+
+    async def submit(self, job, *, moved, lent):
+        self.asked.append((job.indices, moved, lent))
+        answer = self.answers.pop(0)
+        if answer is _UNTIL_CANCELLED:
+            await self.ended.wait()
+            return outcomes.Unknown(outcomes.Cause.CANCELLED, "cancelled")
+        if isinstance(answer, Exception):
+            raise answer
+        await asyncio.sleep(0.01)
+        return answer
+
+    def cancel(self, name):
+        self.cancelled.append(name)
+        self.ended.set()
+
+
+class _Stewards:
+
+    def __init__(self, **stewards):
+        self.stewards = stewards
+
+    def offers(self):
+        return [
+            division.Offer(name, s.free_cores, s.wait_s)
+            for name, s in self.stewards.items()
+        ]
+
+    def route(self, data_centre):
+        return self.stewards.get(data_centre)
+
+    def expect(self, data_centre, job):
+        pass
+
+    def refused(self, data_centre):
+        pass
+
+
+class HomeTest(_virtual.VirtualTimeTest):
+
+    async def run_job(self, stewards, count=4):
+        site = _jobs.Site(count=1)
+        home = homes.Home(
+            data_centre="dc1", stewards=stewards, clock=site.clock
+        )
+        return await home.run(site.job(count=count, cores=8.0, deadline_s=9))
+
+    async def test_job_with_room_at_home_stays_there(self):
+        own = _Steward(_DONE, free_cores=64.0)
+        other = _Steward(free_cores=64.0)
+        outcome = await self.run_job(_Stewards(dc1=own, dc2=other))
+        self.assertEqual(outcome, _DONE)
+        self.assertEqual(own.asked, [((0, 1, 2, 3), False, False)])
+
+    async def test_tasks_without_room_at_home_are_lent(self):
+        own = _Steward(_DONE, free_cores=17.0)
+        other = _Steward(_DONE, free_cores=64.0)
+        outcome = await self.run_job(_Stewards(dc1=own, dc2=other))
+        self.assertEqual(outcome, _DONE)
+        self.assertEqual(own.asked, [((0, 1), False, False)])
+        self.assertEqual(other.asked, [((2, 3), False, True)])
+
+    async def test_part_without_room_elsewhere_waits_at_home(self):
+        full = outcomes.NotRun(outcomes.Cause.NO_ROOM, "full")
+        own = _Steward(_DONE, _DONE, free_cores=17.0)
+        other = _Steward(full, free_cores=64.0)
+        outcome = await self.run_job(_Stewards(dc1=own, dc2=other))
+        self.assertEqual(outcome, _DONE)
+        self.assertEqual(own.asked[1], ((2, 3), False, False))
+
+    async def test_part_that_may_have_run_stays_in_its_data_centre(self):
+        """A steward elsewhere could start a task that still runs."""
+        lost = errors.PeerError("broken", step="ask peer")
+        own = _Steward(lost, _DONE, free_cores=64.0)
+        other = _Steward(free_cores=64.0)
+        outcome = await self.run_job(_Stewards(dc1=own, dc2=other))
+        self.assertEqual(outcome, _DONE)
+        self.assertEqual(own.asked[1], ((0, 1, 2, 3), True, False))
+        self.assertEqual(other.asked, [])
+
+    async def test_refusal_after_a_lost_steward_is_not_called_not_run(self):
+        lost = errors.PeerError("broken", step="ask peer")
+        refusal = outcomes.NotRun(outcomes.Cause.OVERLOAD, "full")
+        own = _Steward(lost, refusal, free_cores=64.0)
+        outcome = await self.run_job(_Stewards(dc1=own))
+        self.assertIsInstance(outcome, outcomes.Unknown)
+
+    async def test_refused_part_beside_a_started_one_is_not_called_not_run(
+        self,
+    ):
+        refusal = outcomes.NotRun(outcomes.Cause.OVERLOAD, "full")
+        own = _Steward(_UNTIL_CANCELLED, free_cores=17.0)
+        other = _Steward(refusal, free_cores=64.0)
+        outcome = await self.run_job(_Stewards(dc1=own, dc2=other))
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        self.assertEqual(own.cancelled, ["0123456789abcdef/0"])
+
+    async def test_job_is_not_run_if_no_part_of_it_has_started(self):
+        refusal = outcomes.NotRun(outcomes.Cause.OVERLOAD, "full", 1.0)
+        own = _Steward(refusal, free_cores=17.0)
+        other = _Steward(refusal, free_cores=64.0)
+        outcome = await self.run_job(_Stewards(dc1=own, dc2=other))
+        self.assertIsInstance(outcome, outcomes.NotRun)
+
+    async def test_without_any_steward_the_caller_is_told_soon(self):
+        site = _jobs.Site(count=1)
+        began = site.clock.monotonic()
+        outcome = await self.run_job(_Stewards())
+        self.assertIsInstance(outcome, outcomes.NotRun)
+        self.assertLess(site.clock.monotonic() - began, 0.2)
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -251,6 +251,49 @@
         self.assertGreater(answer.retry_after_s, 0)
         self.assertLess(site.clock.monotonic() - before, 0.01)
 
+    async def test_job_that_cannot_be_of_use_any_more_is_answered_at_once(self):
+        """Found on a standard day: jobs were held to the callers' deadlines.
+
+        Parts of a divided job were never refused, although none had started.
+        """
+        site = _jobs.Site(count=1)
+        async with site.steward() as steward:
+            for n in range(4):
+                asyncio.create_task(
+                    steward.submit(
+                        site.job(
+                            f"{n:016x}", count=4, run_s=1.0, deadline_s=30
+                        ),
+                        site.home,
+                    )
+                )
+            await asyncio.sleep(0.01)
+            began = site.clock.monotonic()
+            part = site.job("f" * 16, count=3, run_s=0.1, priority=1).part(
+                (0, 1)
+            )
+            answer = await steward.submit(part, site.home)
+            took_s = site.clock.monotonic() - began
+        self.assertIsInstance(answer, outcomes.NotRun)
+        self.assertLess(took_s, part.expires_at - began + 0.2)
+
+    async def test_cancelled_job_that_never_started_is_not_run(self):
+        """Its home can then tell the caller so, if no other part has run."""
+        site = _jobs.Site(count=1)
+        async with site.steward() as steward:
+            first = asyncio.create_task(
+                steward.submit(
+                    site.job(count=2, run_s=1.0, deadline_s=9), site.home
+                )
+            )
+            await asyncio.sleep(0.05)
+            second = site.job("e" * 16, count=1, run_s=1.0, deadline_s=9)
+            waiting = asyncio.create_task(steward.submit(second, site.home))
+            await asyncio.sleep(0.05)
+            steward.cancel(second.name, site.home.id)
+            self.assertIsInstance(await waiting, outcomes.NotRun)
+            first.cancel()
+
 
 class SuccessionTest(_virtual.VirtualTimeTest):
 
@@ -308,12 +351,12 @@
         of an earlier steward still ran.
         """
         site = _jobs.Site(count=3)
-        job = site.job(count=2, run_s=0.9, cores=16.0, deadline_s=9)
         listed = list(site.endpoints)
         site.endpoints.clear()
         async with site.steward(token=3) as second:
             await asyncio.sleep(3)
             site.endpoints += listed
+            job = site.job(count=2, run_s=0.9, cores=16.0, deadline_s=9)
             async with site.steward(token=5) as first:
                 submitted = asyncio.create_task(first.submit(job, site.home))
                 await asyncio.sleep(0.2)
