--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,193 @@
+"""A small deployment on loopback ports: store, endpoints, and real instances."""
+
+import asyncio
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+import msgspec
+
+from sesameroad.model import clock as clocks
+from sesameroad.model import endpoint as endpoints
+from sesameroad.model import need as needs
+from standins import fleet as fleets
+from standins import store as stores
+from standins import worker as workers
+from standins import worker_server
+
+HOST = "nony.example"
+PREFIX = "/jobs/"
+_READY_TIMEOUT_S = 20.0
+_STOP_TIMEOUT_S = 15.0
+
+
+class Instance:
+    """One `sesameroad serve` process."""
+
+    def __init__(
+        self, name: str, store_port: int, folder: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.web = f"127.0.0.1:{fleets.free_port()}"
+        self.ready = f"127.0.0.1:{fleets.free_port()}"
+        self.metrics = f"127.0.0.1:{fleets.free_port()}"
+        self.log = folder / f"{name}.log"
+        self._settings = folder / f"{name}.json"
+        self._settings.write_bytes(
+            msgspec.json.encode(
+                {
+                    "instance_id": name,
+                    "data_centre": "dc1",
+                    "data_centres": {"dc1": "region"},
+                    "web": self.web,
+                    "ready": self.ready,
+                    "peer": f"127.0.0.1:{fleets.free_port()}",
+                    "metrics": self.metrics,
+                    "platform": f"127.0.0.1:{store_port}",
+                    "max_lease_ms": 1_000,
+                }
+            )
+        )
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Starts the process."""
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "sesameroad.command_line.main",
+                    "serve",
+                    f"--settings={self._settings}",
+                ],
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        if self._process is not None:
+            self._process.send_signal(number)
+
+    def wait(self) -> int:
+        """Waits for the end of the process; returns its exit code."""
+        if self._process is None:
+            return 0
+        try:
+            return self._process.wait(_STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self._process.kill()
+            return self._process.wait()
+
+
+class Site:
+    """Store and endpoints in this process, instances as processes."""
+
+    def __init__(self, *, instances: int, endpoint_count: int) -> None:
+        self.store = stores.Store()
+        self.ledger = workers.Ledger()
+        self.workers: list[workers.Worker] = []
+        self.instances: list[Instance] = []
+        self._counts = (instances, endpoint_count)
+        self._runners: list[web.AppRunner] = []
+        self._folder = tempfile.TemporaryDirectory()
+
+    async def __aenter__(self) -> "Site":
+        """Starts everything and waits until each instance is ready."""
+        store_port = await self._serve(self.store.application())
+        instance_count, endpoint_count = self._counts
+        for number in range(endpoint_count):
+            await self._add_endpoint(f"e{number}")
+        await self.configure(version=1)
+        folder = pathlib.Path(self._folder.name)
+        for number in range(instance_count):
+            instance = Instance(f"front-{number}", store_port, folder)
+            self.instances.append(instance)
+            instance.start()
+        for instance in self.instances:
+            await self.wait_ready(instance)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stops everything."""
+        for instance in self.instances:
+            instance.signal(signal.SIGKILL)
+        for instance in self.instances:
+            instance.wait()
+        for runner in self._runners:
+            await runner.cleanup()
+        self._folder.cleanup()
+
+    async def configure(self, *, version: int, prefix: str = PREFIX) -> None:
+        """Writes a configuration with one queue."""
+        route = {
+            "name": "queue",
+            "host": HOST,
+            "path-prefix": prefix,
+            "service": "service",
+            "priority": 0,
+            "max-attempts": 4,
+            "stretch": 1.6,
+            "target-latency-ms": 200,
+        }
+        await self.store.put(
+            "op", "config", {"version": version, "routes": [route]}
+        )
+
+    async def wait_ready(self, instance: Instance) -> None:
+        """Waits until an instance is ready for callers."""
+        async with aiohttp.ClientSession() as session:
+            async with asyncio.timeout(_READY_TIMEOUT_S):
+                while True:
+                    try:
+                        async with session.get(
+                            f"http://{instance.ready}/api/ready"
+                        ) as answer:
+                            if answer.status == 200:  # noqa: PLR2004
+                                return
+                    except aiohttp.ClientError:
+                        pass
+                    await asyncio.sleep(0.05)
+
+    async def _add_endpoint(self, name: str) -> None:
+        endpoint = endpoints.Endpoint(
+            id=name,
+            url="",
+            data_centre="dc1",
+            kinds=("service",),
+            offer=needs.Need(16.0, 32_768, 0),
+            born_ms=1_000,
+        )
+        worker = workers.Worker(
+            endpoint, ledger=self.ledger, clock=clocks.Clock()
+        )
+        self.workers.append(worker)
+        port = await self._serve(worker_server.application(worker))
+        await self.store.put("servers", name, _entry(port))
+
+    async def _serve(self, application: web.Application) -> int:
+        runner = web.AppRunner(application, access_log=None)
+        await runner.setup()
+        self._runners.append(runner)
+        port = fleets.free_port()
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        return port
+
+
+def _entry(port: int) -> dict[str, Any]:
+    return {
+        "service": "service",
+        "address": f"127.0.0.1:{port}",
+        "zone": "dc1",
+        "state": "ready",
+        "slots": 8,
+        "born": 1_000,
+        "capacity": {"cpu": 16_000, "mem-mb": 32_768, "gpu": 0},
+        "labels": ["a", "r1"],
+    }
--- /dev/null
+++ b/standins/worker_server.py
@@ -0,0 +1,102 @@
+"""Serves endpoints in memory over HTTP, as the platform's pages describe it."""
+
+from typing import Any
+
+from aiohttp import web
+
+from sesameroad.leasing import order as orders
+from standins import worker as workers
+
+_REASONS = {
+    orders.Refusal.FENCED: "fence",
+    orders.Refusal.OLD_RUN: "old",
+    orders.Refusal.TOO_LATE: "late",
+    orders.Refusal.NO_ROOM: "room",
+}
+_CONFLICT = 409
+_MISDIRECTED = 421
+_UNAVAILABLE = 503
+
+
+def application(worker: workers.Worker) -> web.Application:
+    """Returns the HTTP application of one endpoint."""
+
+    @web.middleware
+    async def check_target(
+        request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        target = request.headers.get("Target-Instance", worker.endpoint.id)
+        if target != worker.endpoint.id:
+            return web.Response(status=_MISDIRECTED)
+        return await handler(request)
+
+    async def start(request: web.Request) -> web.Response:
+        body = await request.json()
+        return _respond(
+            worker.start(
+                task=body["task"],
+                run=body["run"],
+                spec=body["spec"],
+                token=body.get("fencing-token", 0),
+                until_ms=body["deadline-ms"],
+            )
+        )
+
+    async def stop(request: web.Request) -> web.Response:
+        body = await request.json()
+        return _respond(
+            worker.stop(
+                task=body["task"],
+                run=body["run"],
+                token=body.get("fencing-token", 0),
+            )
+        )
+
+    async def hold(request: web.Request) -> web.Response:
+        body = await request.json()
+        return _respond(
+            await worker.look(
+                token=body.get("fencing-token", 0),
+                seen=body["seen-upto"],
+                until_ms=body.get("deadline-ms"),
+                wait_s=body.get("wait-ms", 0) / 1_000,
+            )
+        )
+
+    result = web.Application(middlewares=[check_target])
+    result.add_routes(
+        [
+            web.post("/api/run-start", start),
+            web.post("/api/run-stop", stop),
+            web.post("/api/hold", hold),
+        ]
+    )
+    return result
+
+
+def _respond(answer: orders.Answer | orders.LookAnswer) -> web.Response:
+    match answer:
+        case orders.Report():
+            return web.json_response(
+                {
+                    "clock-ms": answer.clock_ms,
+                    "born": answer.born_ms,
+                    "running": [
+                        [entry.task, entry.run, "", entry.percent]
+                        for entry in answer.running
+                    ],
+                    "ended": [
+                        [end.number, end.task, end.run, end.how.value, ""]
+                        for end in answer.ended
+                    ],
+                }
+            )
+        case orders.Refused(why=why) if why in _REASONS:
+            return web.json_response(
+                {"clock-ms": answer.clock_ms, "reason": _REASONS[why]},
+                status=_CONFLICT,
+            )
+        case orders.Accepted():
+            return web.json_response({"clock-ms": answer.clock_ms})
+        case _:
+            return web.Response(status=_UNAVAILABLE)
--- /dev/null
+++ b/tests/test_serve.py
@@ -0,0 +1,144 @@
+"""Real instances against stand-ins of the store and of endpoints, over HTTP."""
+
+import asyncio
+import json
+import signal
+import unittest
+
+import aiohttp
+
+from sesameroad.telemetry import story
+from standins import site as sites
+
+_CONFIGURATION_S = 2.0
+
+
+def _body(count=2, run_s=0.1, **changes):
+    step = {"count": count, "cpu": 6_000, "est-runtime-ms": run_s * 1_000}
+    return {
+        "spec": f"{run_s}/6.0",
+        "steps": [step],
+        "best-effort": True,
+        **changes,
+    }
+
+
+class ServeTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        self.site = sites.Site(instances=2, endpoint_count=2)
+        await self.site.__aenter__()
+        self.addAsyncCleanup(self.site.__aexit__)
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+
+    async def call(self, method, path, *, instance=0, body=None, data=None):
+        url = f"http://{self.site.instances[instance].web}{path}"
+        headers = {"Host": sites.HOST, "Timeout-Ms": "5000"}
+        async with self.session.request(
+            method, url, json=body, data=data, headers=headers
+        ) as answer:
+            text = await answer.text()
+            return answer.status, json.loads(text) if text else None
+
+    async def submit(self, key, *, instance=0, **options):
+        return await self.call(
+            "POST",
+            f"{sites.PREFIX}{key}",
+            instance=instance,
+            body=_body(**options),
+        )
+
+    async def test_jobs_bad_input_and_configuration(self):
+        """The whole way of a job, and what a wrong request gets."""
+        answers = await asyncio.gather(
+            *(
+                self.submit(f"{n:016x}", instance=n % 2, count=3)
+                for n in range(6)
+            )
+        )
+        self.assertEqual(answers, [(200, {"state": "completed"})] * 6)
+        self.assertEqual(len(self.site.ledger.done), 18)
+        self.assertEqual(self.site.ledger.doubled, [])
+
+        path = f"{sites.PREFIX}{'a' * 16}"
+        for data, expected in (
+            (b"{", 400),
+            (b"{}", 400),
+            (json.dumps(_body(count=0)).encode(), 400),
+            (json.dumps(_body() | {"steps": []}).encode(), 400),
+            (json.dumps(_body() | {"best-effort": False}).encode(), 503),
+            (b" " * 300_000, 413),
+        ):
+            status, _ = await self.call("POST", path, data=data)
+            self.assertEqual(status, expected, data[:60])
+        self.assertEqual((await self.call("POST", "/other/"))[0], 404)
+        status, _ = await self.call("POST", f"{sites.PREFIX}xyz", body=_body())
+        self.assertEqual(status, 400)
+        self.assertEqual((await self.call("GET", path))[0], 410)
+        self.assertEqual((await self.call("DELETE", path))[0], 410)
+        status, content = await self.call("GET", sites.PREFIX)
+        self.assertEqual((status, content), (200, {"pending": 0}))
+
+        await self.site.configure(version=2, prefix="/moved/")
+        await asyncio.sleep(_CONFIGURATION_S)
+        for instance in (0, 1):
+            old = await self.call("GET", sites.PREFIX, instance=instance)
+            new = await self.call("GET", "/moved/", instance=instance)
+            self.assertEqual((old[0], new[0]), (404, 200))
+        url = f"http://{self.site.instances[0].metrics}/metrics"
+        async with self.session.get(url) as answer:
+            text = await answer.text()
+        self.assertIn("sesameroad_configuration_version 2.0", text)
+        self.assertIn("sesameroad_jobs_answered_total", text)
+
+    async def test_killed_instance_leaves_no_run_and_the_other_serves(self):
+        """A caller sends its job to another instance when one dies."""
+        doomed = asyncio.create_task(
+            self.submit("d" * 16, instance=0, run_s=4.0)
+        )
+        await asyncio.sleep(0.7)
+        self.site.instances[0].signal(signal.SIGKILL)
+        with self.assertRaises(aiohttp.ClientError):
+            await doomed
+        await asyncio.sleep(1.3)
+        self.assertEqual(self.site.ledger.running, {})
+        status, _ = await self.submit("d" * 16, instance=1, run_s=0.2)
+        self.assertEqual(status, 200)
+        self.assertEqual(self.site.ledger.doubled, [])
+
+    async def test_graceful_stop_cuts_no_request_off(self):
+        jobs = [
+            asyncio.create_task(
+                self.submit(f"{n:016x}", instance=n % 2, count=1, run_s=1.0)
+            )
+            for n in range(4)
+        ]
+        await asyncio.sleep(0.3)
+        self.site.instances[0].signal(signal.SIGTERM)
+        answers = await asyncio.gather(*jobs)
+        self.assertEqual([status for status, _ in answers], [200] * 4)
+        code = await asyncio.to_thread(self.site.instances[0].wait)
+        self.assertEqual(code, 0)
+        self.assertEqual(self.site.ledger.doubled, [])
+        self.assertEqual(len(self.site.ledger.starts), 4)
+
+    async def test_store_outage_does_not_stop_service(self):
+        self.site.store.down = True
+        await asyncio.sleep(1.0)
+        status, _ = await self.submit("b" * 16)
+        self.assertEqual(status, 200)
+
+    async def test_life_of_a_request_is_told_from_the_logs(self):
+        """An engineer on call has an id and the logs, nothing else."""
+        await self.submit("c" * 16, instance=0)
+        await asyncio.sleep(0.2)
+        lines = [
+            line
+            for instance in self.site.instances
+            for line in instance.log.read_text().splitlines()
+        ]
+        found, unreadable = story.read(lines, "c" * 16)
+        self.assertEqual(unreadable, 0)
+        self.assertEqual(story.gaps(found), [])
+        self.assertIn("answered", story.cause(found))
