--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -17,6 +17,7 @@
 from sesameroad.model import job as jobs
 from sesameroad.model import need as needs
 from sesameroad.model import outcome as outcomes
+from sesameroad.node import dependency as dependencies
 from sesameroad.node import listing as listings
 from sesameroad.node import roster as rosters
 from sesameroad.node import routes
@@ -46,7 +47,8 @@
 # Time after which an instance that cannot reach the others acts on its own.
 _SETTLE_S = 1.5
 _METRICS_PATH = "/metrics"
-_RETRY_S = 0.2
+# Pause before the store is asked again; its calls are limited for all together.
+_RETRY_S = 0.4
 _STOP_STEP_S = 0.05
 
 
@@ -222,10 +224,13 @@
     def reload(self) -> None:
         """Notes that the settings file has changed.
 
-        Nothing in it may change while the process lives but the addresses of
-        others, which come from the store.
+        Its fields hold for the life of a process; addresses of others and limits
+        that change come from the store.
         """
-        log.event("settings file read again", step="reload")
+        log.event(
+            "settings have changed; they hold from the next start",
+            step="reload",
+        )
 
     def _log_answer(
         self, job: jobs.Job, outcome: outcomes.Outcome | None, began: float
@@ -387,7 +392,7 @@
         """Follows the operator's table; each change is applied at once."""
         step = "watch configuration"
         after: int | None = None
-        failing = False
+        store = dependencies.Dependency("the configuration table", step=step)
         while True:
             try:
                 if after is None:
@@ -402,19 +407,10 @@
                         step=step,
                     )
             except errors.PlatformError as error:
-                if not failing:
-                    log.problem(
-                        "the store does not answer",
-                        step=step,
-                        peer=error.peer,
-                        error=str(error),
-                    )
-                failing = True
+                store.lost(error)
                 await asyncio.sleep(_RETRY_S)
                 continue
-            if failing:
-                log.event("the store answers again", step=step)
-            failing = False
+            store.present()
             after = snapshot.version
             for row in snapshot.rows:
                 if row.key == configuration.KEY and not row.removed:
@@ -447,6 +443,7 @@
     async def _watch_endpoints(self) -> None:
         step = "watch endpoints"
         timing = self._settings.timing
+        table = dependencies.Dependency("the endpoint table", step=step)
         while True:
             period_s = (
                 timing.list_period_s
@@ -455,14 +452,10 @@
             )
             try:
                 snapshot = await self._rows.read(endpoint_rows.TABLE, step=step)
+                table.present()
                 self._apply_listing(snapshot, period_s)
             except errors.PlatformError as error:
-                log.problem(
-                    "the list of endpoints cannot be read",
-                    step=step,
-                    peer=error.peer,
-                    error=str(error),
-                )
+                table.lost(error)
                 period_s = _RETRY_S
             self._list_now.clear()
             try:
@@ -495,6 +488,7 @@
     async def _announce(self) -> None:
         """Writes this instance's row and reads those of the others."""
         step = "announce"
+        table = dependencies.Dependency("the instance table", step=step)
         while True:
             try:
                 await self._rows.put(
@@ -510,13 +504,9 @@
                     )
                 self._roster.keep({row.key for row in snapshot.rows})
                 self._mesh.update(self._roster.instances)
+                table.present()
             except errors.PlatformError as error:
-                log.problem(
-                    "this instance's row cannot be written or read",
-                    step=step,
-                    peer=error.peer,
-                    error=str(error),
-                )
+                table.lost(error)
             period_s = self._settings.timing.announce_period_s
             if len(self._roster.instances) <= 1:
                 # The others start at the same time.
