--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -9,6 +9,7 @@
 from sesameroad.model import instance
 from sesameroad.model import outcome as outcomes
 from sesameroad.operators import command as commands
+from sesameroad.settings import node
 from sesameroad.settings import settings as settings_module
 
 _DOCS = pathlib.Path(__file__).parent.parent / "docs"
@@ -29,6 +30,13 @@
             for field in dataclasses.fields(owner):
                 self.assertRegex(page, rf"`([a-z.*]+\.)?{field.name}(\.|`)")
 
+    def test_settings_page_has_every_field_of_an_instance(self):
+        page = (_DOCS / "settings.md").read_text()
+        page = page.partition("# Settings of an instance on the platform")[2]
+        for owner in (node.Node, node.Timing):
+            for field in dataclasses.fields(owner):
+                self.assertRegex(page, rf"`(timing\.)?{field.name}`")
+
     def test_callers_page_has_every_cause(self):
         page = (_DOCS / "callers.md").read_text()
         for cause in outcomes.Cause:
