--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -35,7 +35,8 @@
         page = page.partition("# Settings of an instance on the platform")[2]
         for owner in (node.Node, node.Timing):
             for field in dataclasses.fields(owner):
-                self.assertRegex(page, rf"`(timing\.)?{field.name}`")
+                if field.name != "timing":
+                    self.assertRegex(page, rf"`(timing\.)?{field.name}`")
 
     def test_callers_page_has_every_cause(self):
         page = (_DOCS / "callers.md").read_text()
