Keep the cost of placing a job independent of the number of endpoints

Cause: each task evaluated every endpoint, each placed task searched all of them again for the most free cores, and each end of a run or report sorted the whole backlog. The calls made by a leader's decisions grow with load times endpoints: 753 for a job with 8 endpoints, 2,077 with 58; in an overload 1,198 and 4,265.

Change: the tasks of a job are alike, so the endpoints are ranked once for each job and only the chosen one is evaluated again. Free cores and slowness are kept with each endpoint. The backlog keeps its order and is ranked anew every 20 ms. Reports without an end of a run trigger no placement, and a pass is followed by a pause of four times its duration.

--- a/sesameroad/jobs/backlog.py
+++ b/sesameroad/jobs/backlog.py
@@ -1,9 +1,21 @@
 """Priority queue of the jobs with tasks that wait for capacity."""
 
+import bisect
 from collections.abc import Iterator
+import itertools
+import math
 
 from sesameroad.jobs import active_job
 
+# Period after which all jobs are ranked anew. Ranks change with time, but only
+# slowly, and ranking each job in each pass would cost a leader more processor
+# time than the orders in an overload.
+_REORDER_S = 0.02
+_NO_ENTRY = (-1, None)
+
+_Rank = tuple[int, int, float, float]
+_Entry = tuple[_Rank, int, active_job.ActiveJob]
+
 
 class Backlog:
     """Orders waiting jobs by urgency, then by their remaining work.
@@ -17,47 +29,69 @@
     already started come first.
     """
 
-    __slots__ = ("_jobs",)
+    __slots__ = ("_entries", "_jobs", "_numbers", "_ordered_at")
 
     def __init__(self) -> None:
-        self._jobs: dict[str, active_job.ActiveJob] = {}
+        # Waiting jobs by name, each with the number of its valid entry.
+        self._jobs: dict[str, tuple[int, active_job.ActiveJob]] = {}
+        # Sorted by rank. Entries of discarded jobs are skipped and removed with
+        # the next sort.
+        self._entries: list[_Entry] = []
+        self._numbers = itertools.count()
+        self._ordered_at = -math.inf
 
     def __len__(self) -> int:
         return len(self._jobs)
 
     def __iter__(self) -> Iterator[active_job.ActiveJob]:
-        return iter(list(self._jobs.values()))
+        return iter([active for _, active in self._jobs.values()])
 
-    def add(self, active: active_job.ActiveJob) -> None:
-        """Adds a job that has waiting tasks."""
-        self._jobs[active.job.name] = active
+    def add(self, active: active_job.ActiveJob, now: float) -> None:
+        """Adds a job that has waiting tasks, or ranks it anew."""
+        number = next(self._numbers)
+        self._jobs[active.job.name] = (number, active)
+        bisect.insort(self._entries, (_rank(active, now), number, active))
 
     def discard(self, active: active_job.ActiveJob) -> None:
         """Removes a job that has no waiting tasks."""
-        if self._jobs.get(active.job.name) is active:
+        known = self._jobs.get(active.job.name)
+        if known is not None and known[1] is active:
             del self._jobs[active.job.name]
 
-    def ordered(self, now: float) -> list[active_job.ActiveJob]:
-        """Returns the jobs in the order in which they are placed."""
-        if len(self._jobs) < 2:  # noqa: PLR2004
-            return list(self._jobs.values())
-        return sorted(self._jobs.values(), key=lambda a: _rank(a, now))
+    def ordered(self, now: float) -> Iterator[active_job.ActiveJob]:
+        """Yields the jobs in the order in which they are placed."""
+        for _, active in self._ranked(now):
+            yield active
 
     def core_seconds_before(
         self, active: active_job.ActiveJob, now: float
     ) -> float:
         """Returns the declared work of the jobs placed before a job."""
-        rank = _rank(active, now)
-        return sum(
-            other.waiting_core_seconds
-            for other in self._jobs.values()
-            if other is not active and _rank(other, now) < rank
-        )
-
-
-def _rank(
-    active: active_job.ActiveJob, now: float
-) -> tuple[int, int, float, float]:
+        own_rank = _rank(active, now)
+        total = 0.0
+        for rank, other in self._ranked(now):
+            if rank >= own_rank:
+                break
+            if other is not active:
+                total += other.waiting_core_seconds
+        return total
+
+    def _ranked(
+        self, now: float
+    ) -> Iterator[tuple[_Rank, active_job.ActiveJob]]:
+        """Yields the waiting jobs with their ranks, first the best."""
+        if now - self._ordered_at >= _REORDER_S:
+            self._ordered_at = now
+            self._entries = sorted(
+                (_rank(active, now), number, active)
+                for number, active in self._jobs.values()
+            )
+        for rank, number, active in self._entries:
+            if self._jobs.get(active.job.name, _NO_ENTRY)[0] == number:
+                yield rank, active
+
+
+def _rank(active: active_job.ActiveJob, now: float) -> _Rank:
     job = active.job
     if active.latest_start >= now:
         standing = 0
--- a/sesameroad/jobs/placement.py
+++ b/sesameroad/jobs/placement.py
@@ -1,6 +1,8 @@
 """Selects an endpoint for a task."""
 
 from collections.abc import Iterable
+import heapq
+import math
 
 from sesameroad.jobs import active_job
 from sesameroad.leasing import leased_endpoint
@@ -41,53 +43,49 @@
         self._available = [
             leased for leased in pool if leased.accepts_runs(now)
         ]
-        self._largest_cores = self._max_free_cores()
+        # Most free cores of any endpoint, None if a run was placed there since.
+        self._largest_cores: float | None = None
 
     def room(self, job: jobs.Job) -> int:
         """Returns how many tasks of a job fit, judged by cores only."""
         cores = max(job.need.cores, _MIN_CORES)
-        return sum(int(leased.free.cores / cores) for leased in self._available)
+        return sum(int(leased.free_cores / cores) for leased in self._available)
+
+    def may_fit(self, cores: float) -> bool:
+        """Returns whether any endpoint has this many free cores."""
+        if self._largest_cores is None:
+            self._largest_cores = max(
+                [leased.free_cores for leased in self._available], default=0.0
+            )
+        return cores <= self._largest_cores
+
+    def rank(self, active: active_job.ActiveJob) -> "Ranking":
+        """Ranks the endpoints for the tasks of a job."""
+        if not self.may_fit(active.job.need.cores):
+            return Ranking(self, active, ())
+        return Ranking(self, active, self._available)
 
     def run_added(self, leased: leased_endpoint.LeasedEndpoint) -> None:
         """Updates the free cores after a run was placed on an endpoint."""
-        del leased  # Any endpoint may now have the most free cores.
-        self._largest_cores = self._max_free_cores()
+        del leased  # It may have been the one with the most free cores.
+        self._largest_cores = None
 
-    def choose(
-        self, active: active_job.ActiveJob
-    ) -> leased_endpoint.LeasedEndpoint | None:
-        """Returns the best endpoint that fits a task of a job, or None.
-
-        A slow endpoint is skipped if it would make the job late while another
-        endpoint could still finish it in time.
-        """
-        if active.job.need.cores > self._largest_cores:
-            return None
-        best = None
-        best_cost = float("inf")
-        for leased in self._available:
-            cost = self._cost(active, leased)
-            if cost < best_cost:
-                best, best_cost = leased, cost
-        return best
-
-    def _max_free_cores(self) -> float:
-        return max(
-            (leased.free.cores for leased in self._available), default=0.0
-        )
-
-    def _cost(
+    def cost(
         self,
         active: active_job.ActiveJob,
         leased: leased_endpoint.LeasedEndpoint,
     ) -> float:
-        """Returns the cost of an endpoint for a task; infinite if unfit."""
+        """Returns the cost of an endpoint for a task; infinite if unfit.
+
+        A slow endpoint is unfit if it would make the job late while another
+        endpoint could still finish it in time.
+        """
         job = active.job
+        if not leased.fits(job.need):
+            return math.inf
         endpoint = leased.endpoint
-        free = leased.free
         if (
             job.service not in endpoint.kinds
-            or not job.need.fits(free)
             or (
                 job.required_label and job.required_label not in endpoint.labels
             )
@@ -96,24 +94,67 @@
                 and leased.count_runs(job.key) >= job.per_endpoint
             )
         ):
-            return float("inf")
+            return math.inf
         slowness = leased.slowness
         if (
             slowness > _SLOW_RATIO * self._median_slowness
             and _finishes_too_late(job, slowness, self._now)
         ):
-            return float("inf")
+            return math.inf
         cost = slowness / self._median_slowness
         if endpoint.id in active.avoided:
             cost += _AVOIDED_PENALTY
         if job.preferred_label and job.preferred_label not in endpoint.labels:
             cost *= _DISTANCE_PENALTY
         if endpoint.offer.cores:
-            left = (free.cores - job.need.cores) / endpoint.offer.cores
+            left = (leased.free_cores - job.need.cores) / endpoint.offer.cores
             cost += _WASTE_WEIGHT * left
         return cost
 
 
+class Ranking:
+    """Endpoints in the order of their cost for the tasks of one job.
+
+    All tasks of a job are alike, so each endpoint is evaluated once for the
+    job and again only after a task was placed on it. Evaluating all endpoints
+    for each task costs a leader of many endpoints more processor time than
+    sending the orders does.
+    """
+
+    __slots__ = ("_active", "_candidates", "_costs")
+
+    def __init__(
+        self,
+        candidates: Candidates,
+        active: active_job.ActiveJob,
+        available: Iterable[leased_endpoint.LeasedEndpoint],
+    ) -> None:
+        self._candidates = candidates
+        self._active = active
+        # Heap of costs; the position breaks ties between equal ones.
+        self._costs = [
+            (cost, position, leased)
+            for position, leased in enumerate(available)
+            if (cost := candidates.cost(active, leased)) < math.inf
+        ]
+        heapq.heapify(self._costs)
+
+    @property
+    def best(self) -> leased_endpoint.LeasedEndpoint | None:
+        """The best endpoint that fits the next task, None if there is none."""
+        return self._costs[0][2] if self._costs else None
+
+    def run_added(self) -> None:
+        """Updates the ranking after a task was placed on the best endpoint."""
+        _, position, leased = self._costs[0]
+        self._candidates.run_added(leased)
+        cost = self._candidates.cost(self._active, leased)
+        if cost < math.inf:
+            heapq.heapreplace(self._costs, (cost, position, leased))
+        else:
+            heapq.heappop(self._costs)
+
+
 def _median(ratios: list[float]) -> float:
     return sorted(ratios)[len(ratios) // 2] if ratios else 1.0
 
--- a/sesameroad/jobs/placer.py
+++ b/sesameroad/jobs/placer.py
@@ -39,14 +39,17 @@
         if not len(self._backlog):
             return
         candidates = placement.Candidates(self._pool, now)
-        reconciled = self._pool.is_reconciled(now)
         misses = 0
         for active in self._backlog.ordered(now):
             if active.moved and not (
-                reconciled and now >= active.arrived_at + _ORPHAN_S
+                now >= active.arrived_at + _ORPHAN_S
+                and self._pool.is_reconciled(now)
             ):
                 continue
+            waiting = len(active.waiting)
             if not self._place_job(active, candidates):
+                if len(active.waiting) < waiting:
+                    self._backlog.add(active, now)
                 misses += 1
                 if misses > _MAX_MISSES:
                     return
@@ -56,18 +59,19 @@
     ) -> bool:
         """Places tasks of a job and returns whether all have been placed."""
         blocked: list[int] = []
+        ranking = candidates.rank(active)
         while active.waiting:
             index = active.waiting[0]
             if self._table.has_run(active.job.task(index)):
                 # A run of an earlier attempt is still being stopped.
                 blocked.append(active.waiting.popleft())
                 continue
-            leased = candidates.choose(active)
+            leased = ranking.best
             if leased is None:
                 break
             active.waiting.popleft()
             self._order_start(active, index, leased)
-            candidates.run_added(leased)
+            ranking.run_added()
         active.waiting.extend(blocked)
         if not active.waiting:
             self._backlog.discard(active)
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -23,8 +23,11 @@
 from sesameroad.telemetry import log
 
 # Period of the checks that no event triggers: live origins, deadlines, runs
-# without progress.
+# without progress, endpoints that accept runs again.
 _CHECK_PERIOD_S = 0.1
+# Pause after a placement pass, as a multiple of its duration, so that placement
+# leaves most of the processor time to the orders.
+_PASS_PAUSE_RATIO = 4.0
 
 
 class Scheduler:
@@ -104,7 +107,10 @@
             while True:
                 await self._wake.wait()
                 self._wake.clear()
-                self._placer.place(self._clock.monotonic())
+                began_at = self._clock.monotonic()
+                self._placer.place(began_at)
+                took_s = self._clock.monotonic() - began_at
+                await asyncio.sleep(took_s * _PASS_PAUSE_RATIO)
         finally:
             checks.cancel()
             await self._close()
@@ -162,7 +168,7 @@
                     self._log_end(active, refusal)
                     return refusal
             self._table.add(active)
-            self._backlog.add(active)
+            self._backlog.add(active, now)
             self._wake.set()
         future = active.join(origin)
         if active.done >= job.count:
@@ -274,8 +280,8 @@
             if report.born_ms < born_ms:
                 # The answer predates the restart that the endpoint list shows.
                 return
-            leased.endpoint = endpoints.as_restarted(
-                leased.endpoint, report.born_ms
+            leased.describe(
+                endpoints.as_restarted(leased.endpoint, report.born_ms)
             )
             self._pool.restarted(leased)
         first = not leased.reconciled
@@ -306,7 +312,8 @@
             elif run.confirmed_at and run.confirmed_at < asked_at:
                 # Confirmed before the lists were read, but on neither of them.
                 self._mark_lost(leased, run, "not listed any more")
-        self._wake.set()
+        if first or report.ended:
+            self._wake.set()
 
     def on_fenced(
         self, leased: leased_endpoint.LeasedEndpoint, token: int
@@ -416,7 +423,7 @@
 
     def _requeue(self, active: active_job.ActiveJob, index: int) -> None:
         active.waiting.appendleft(index)
-        self._backlog.add(active)
+        self._backlog.add(active, self._clock.monotonic())
         self._wake.set()
 
     def _remove_run(self, run: runs.Run, reason: str) -> None:
--- a/sesameroad/jobs/takeover.py
+++ b/sesameroad/jobs/takeover.py
@@ -47,7 +47,9 @@
         pool: Iterable[leased_endpoint.LeasedEndpoint],
     ) -> None:
         """Assigns the runs and successes found on endpoints to their job."""
-        pool = tuple(pool)
+        holders = [leased for leased in pool if leased.orphans]
+        if not (holders or self._done):
+            return
         for index in tuple(active.waiting):
             task = active.job.task(index)
             if task in self._done:
@@ -56,7 +58,7 @@
                 active.started = True
                 active.done += 1
                 continue
-            for leased in pool:
+            for leased in holders:
                 number = leased.orphans.pop(task, None)
                 if number is not None:
                     self._adopt_run(active, index, number, leased)
--- a/sesameroad/leasing/endpoint_pool.py
+++ b/sesameroad/leasing/endpoint_pool.py
@@ -69,7 +69,7 @@
         """Processor cores that no run uses."""
         now = self._clock.monotonic()
         return sum(
-            leased.free.cores for leased in self if leased.accepts_runs(now)
+            leased.free_cores for leased in self if leased.accepts_runs(now)
         )
 
     def is_established(self, data_centre: str) -> bool:
@@ -97,7 +97,7 @@
         for name in self._leased.keys() - wanted.keys():
             # Its runs may still be active although it is no longer listed.
             leased = self._leased[name]
-            leased.endpoint = endpoints.as_leaving(leased.endpoint)
+            leased.describe(endpoints.as_leaving(leased.endpoint))
             self._unlisted.add(name)
         self._unlisted -= wanted.keys()
         for name, endpoint in wanted.items():
@@ -106,7 +106,7 @@
                 self._hold(endpoint)
                 continue
             before = leased.endpoint
-            leased.endpoint = endpoint
+            leased.describe(endpoint)
             if (
                 before.born_ms != endpoint.born_ms
                 and before.born_ms
--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -36,7 +36,9 @@
     """One endpoint: its runs, free capacity, lease and health.
 
     Attributes:
-        endpoint: The endpoint as it describes itself.
+        endpoint: The endpoint as it describes itself; set by `describe`.
+        free_cores: Processor cores that no run uses.
+        slowness: Moving average of actual over declared run time.
         lease: Its lease.
         seen: Number of the last end that has been processed.
         acknowledged: Number of the last end that has been acknowledged to the
@@ -64,6 +66,7 @@
         "_wake",
         "acknowledged",
         "endpoint",
+        "free_cores",
         "unknown_until",
         "orphans",
         "orphans_since",
@@ -71,6 +74,7 @@
         "orders",
         "seen",
         "silent_since",
+        "slowness",
         "reconciled",
     )
 
@@ -92,30 +96,31 @@
         self._memory_mb = 0
         self._accelerators = 0
         self._log_slowness = 0.0
+        self.slowness = 1.0
         self._failures = 0
         self._failed_job = ""
         self._pause_s = 0.0
         self._paused_until = 0.0
         self._wake = asyncio.Event()
+        self._update_free_cores()
 
     @property
     def runs(self) -> dict[str, runs_module.Run]:
         """Runs that have not ended, by task."""
         return self._runs
 
-    @property
-    def slowness(self) -> float:
-        """Moving average of actual over declared run time."""
-        return math.exp(self._log_slowness)
+    def describe(self, endpoint: endpoints.Endpoint) -> None:
+        """Replaces the description of the endpoint."""
+        self.endpoint = endpoint
+        self._update_free_cores()
 
-    @property
-    def free(self) -> needs.Need:
-        """Capacity that no run uses."""
+    def fits(self, need: needs.Need) -> bool:
+        """Returns whether the free capacity suffices for a task."""
         offer = self.endpoint.offer
-        return needs.Need(
-            offer.cores - self._cores + _TOLERANCE,
-            offer.memory_mb - self._memory_mb,
-            offer.accelerators - self._accelerators,
+        return (
+            need.cores <= self.free_cores
+            and need.memory_mb <= offer.memory_mb - self._memory_mb
+            and need.accelerators <= offer.accelerators - self._accelerators
         )
 
     def accepts_runs(self, now: float) -> bool:
@@ -142,6 +147,7 @@
         """Adds a run and reserves its capacity."""
         self._runs[run.task] = run
         self._cores += run.cores
+        self._update_free_cores()
         self._memory_mb += run.memory_mb
         self._accelerators += run.accelerators
         self._wake.set()
@@ -152,6 +158,7 @@
             return False
         del self._runs[run.task]
         self._cores = max(0.0, self._cores - run.cores)
+        self._update_free_cores()
         self._memory_mb -= run.memory_mb
         self._accelerators -= run.accelerators
         return True
@@ -225,6 +232,11 @@
     def _update_slowness(self, ratio: float) -> None:
         ratio = math.log(min(max(ratio, _MIN_RATIO), _MAX_RATIO))
         self._log_slowness += (ratio - self._log_slowness) * _SLOWNESS_SMOOTHING
+        self.slowness = math.exp(self._log_slowness)
+
+    def _update_free_cores(self) -> None:
+        offered = self.endpoint.offer.cores
+        self.free_cores = offered - self._cores + _TOLERANCE
 
     def wake(self) -> None:
         """Wakes the polling task to check whether a poll is due."""
