Send fewer heartbeats between instances that exchange no jobs

Seen: 31 local processes with 174 endpoints and no load used 3.0 cores together on a machine of 5 that was also running other work, 0.09 of a core each; 9 processes used 0.29. Under 38 jobs/s streams timed out, four further leadership claims followed and a tenth of the jobs got no answer.

Cause: each instance sends a heartbeat to every other one four times a second, and evaluates the leadership of all data centres for each one received, so the cost grows with the square of the fleet. A leader, which sends ten a second, composed each of them anew from all of its endpoints.

Change: a link is idle if neither side leads and each data centre has a leader. Its heartbeats follow each second, each envelope tells the peer the period, and the peer counts three of them as silence. Peers of earlier releases, which do not tell a period, get all heartbeats. Links become busy when a leader is lost; 0.25 s later only peers that have been heard since count in the election and for isolation, so that a loss on an idle link is noticed as early as before. A claim follows 0.25 s after the loss of a leader instead of 0.15 s. The runs of an origin are still judged by 0.75 s of silence. Leadership is evaluated ten times a second and when the claims in a heartbeat change. A heartbeat is composed once for all peers, and all are due at the same time.

The tests on silence, idle links and elections in test_link and test_leaders need the new interface, so they do not run on the code before; 113 tests of leaders, links, mesh, codec, settings, partitions, pages and processes pass.

--- a/sesameroad/node/claim_policy.py
+++ b/sesameroad/node/claim_policy.py
@@ -1,11 +1,13 @@
 """Decides which data centres an instance claims leadership of, and when."""
 
 from collections.abc import Container
+import math
 
 from sesameroad.jobs import election
 from sesameroad.model import clocks
 from sesameroad.node import endpoint_list as endpoint_list_module
 from sesameroad.node import instance_registry
+from sesameroad.peering import links
 from sesameroad.peering import mesh as mesh_module
 from sesameroad.settings import node
 
@@ -53,6 +55,8 @@
         self._endpoint_list = endpoint_list
         self._clock = clock
         self._vacant_since: dict[str, float] = {}
+        # Time since which some data centre has no leader, infinite if none.
+        self._unled_since = math.inf
         # Monotonic times before which data centres must not be claimed.
         self._deferred_until: dict[str, float] = {}
         self._created_at = clock.monotonic()
@@ -83,10 +87,29 @@
                     link.leaving,
                     link.slow,
                 )
-                for link in self._mesh.peers.values()
+                for link in self.peers
             ),
         ]
 
+    @property
+    def peers(self) -> list[links.Link]:
+        """Connected peers that count in an election.
+
+        The loss of a peer on an idle link is noticed late. All links become
+        busy when a leader is lost, so live peers are heard soon after.
+        """
+        connected = list(self._mesh.peers.values())
+        heartbeat_s = self._settings.timing.heartbeat_s
+        if self._clock.monotonic() < self._unled_since + heartbeat_s:
+            return connected
+        heard_since = self._unled_since - heartbeat_s
+        return [link for link in connected if link.is_heard_since(heard_since)]
+
+    @property
+    def has_vacancy(self) -> bool:
+        """Whether a data centre with endpoints has no leader."""
+        return self._unled_since < math.inf
+
     def is_own(self, data_centre: str) -> bool:
         """Returns whether this instance runs in a data centre."""
         return data_centre == self._settings.data_centre
@@ -107,6 +130,7 @@
         self._discovery_done = self._discovery_done or self._is_discovery_done(
             now
         )
+        self._update_unled_since(led, now)
         vacant = []
         for data_centre in self._settings.data_centres:
             if data_centre in led:
@@ -115,6 +139,16 @@
                 vacant.append(data_centre)
         return vacant
 
+    def _update_unled_since(self, led: Container[str], now: float) -> None:
+        if all(
+            data_centre in led
+            or not self._endpoint_list.in_data_centre(data_centre)
+            for data_centre in self._settings.data_centres
+        ):
+            self._unled_since = math.inf
+        else:
+            self._unled_since = min(self._unled_since, now)
+
     def _is_discovery_done(self, now: float) -> bool:
         """Whether all instances that respond have been heard."""
         age_s = now - self._created_at
@@ -169,7 +203,9 @@
             case True, True:
                 return 0.0
             case True, False:
-                return self._settings.timing.claim_pause_s
+                # By then live peers on formerly idle links have been heard.
+                timing = self._settings.timing
+                return max(timing.claim_pause_s, timing.heartbeat_s)
             case False, True:
                 return _REMOTE_HANDOVER_DELAY_S
             case _:
@@ -179,7 +215,7 @@
         """Whether a peer reports a leader that is not visible here."""
         return any(
             claim.relayed and claim.data_centre == data_centre
-            for link in self._mesh.peers.values()
+            for link in self.peers
             if link.last_heartbeat is not None
             for claim in link.last_heartbeat.claims
         )
@@ -194,6 +230,4 @@
 
     def _is_isolated(self) -> bool:
         """Whether other instances are alive but none of them can be reached."""
-        return not self._mesh.peers and self._is_announced(
-            self._settings.data_centre
-        )
+        return not self.peers and self._is_announced(self._settings.data_centre)
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -46,6 +46,18 @@
     link: links.Link | None
 
 
+_LeadershipState = tuple[bool, bool, tuple[tuple[str, int, bool], ...]]
+
+
+def _leadership_state(heartbeat: messages.Heartbeat) -> _LeadershipState:
+    """Returns the part of a heartbeat on which leadership depends."""
+    return (
+        heartbeat.leaving,
+        heartbeat.slow,
+        tuple((c.data_centre, c.token, c.relayed) for c in heartbeat.claims),
+    )
+
+
 class Leaders:
     """Claims and resigns leadership, and finds the route to each leader.
 
@@ -85,6 +97,8 @@
         # Cores of the jobs sent to the leader of a data centre since its last
         # heartbeat, infinite after it refused one.
         self._in_transit_cores: dict[str, float] = {}
+        # What the last heartbeat of each peer means for leadership.
+        self._peer_states: dict[str, _LeadershipState] = {}
         self._origin = routes.LocalOrigin(settings.instance_id)
         self._claim_policy = claim_policy.ClaimPolicy(
             settings=settings,
@@ -239,11 +253,35 @@
         """Treats a leader as full until its next heartbeat."""
         self._in_transit_cores[data_centre] = math.inf
 
-    def apply_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
-        """Clears the jobs in transit to the leaders that report free cores."""
+    def apply_heartbeat(
+        self, link: links.Link, heartbeat: messages.Heartbeat
+    ) -> None:
+        """Applies the leadership claims in a heartbeat of a peer.
+
+        Jobs in transit to the leaders that report free cores are included in
+        that report. Leadership is evaluated only if the claims have changed,
+        because each instance receives hundreds of heartbeats a second.
+        """
         for claim in heartbeat.claims:
             if not claim.relayed:
                 self._in_transit_cores.pop(claim.data_centre, None)
+        name = link.hello.instance_id
+        state = _leadership_state(heartbeat)
+        if self._peer_states.get(name) != state:
+            self._peer_states[name] = state
+            self.evaluate()
+
+    def is_idle(self, link: links.Link) -> bool:
+        """Whether neither side of a link leads and no election is due."""
+        heartbeat = link.last_heartbeat
+        return not (
+            self._led
+            or self._claim_policy.has_vacancy
+            or self._claim_policy.leaving
+            or heartbeat is None
+            or heartbeat.leaving
+            or any(not claim.relayed for claim in heartbeat.claims)
+        )
 
     async def submit(
         self,
@@ -456,7 +494,7 @@
             self._changed()
             return
         self._tokens[data_centre] = max(self._tokens.get(data_centre, 0), above)
-        isolated = not self._mesh.peers
+        isolated = not self._claim_policy.peers
         delay_s = _ISOLATED_FENCED_DELAY_S if isolated else _FENCED_DELAY_S
         deferred_until = self._clock.monotonic() + delay_s
         if not any(
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -41,6 +41,8 @@
 # Period of the election of leaders and of the heartbeats in which a leader
 # reports its free cores.
 _ELECTION_PERIOD_S = 0.1
+# Time for which a heartbeat is sent to further peers without being composed anew.
+_HEARTBEAT_REUSE_S = 0.02
 # An announcement counts as fresh for this many periods, so that one failed
 # write does not make a live instance look dead.
 _FRESH_PERIODS = 2.5
@@ -66,6 +68,8 @@
         self._settings = settings
         self._clock = clock
         self._leaving = False
+        # The last heartbeat and the time at which it was composed.
+        self._heartbeat_cache: tuple[float, messages.Heartbeat] | None = None
         self._stop_began_at = math.inf
         self._loop_lag = loop_lag.LoopLag()
         self._supervisor = supervisor.Supervisor()
@@ -100,6 +104,7 @@
             changed=self._peers_changed,
             heartbeat_s=timing.heartbeat_s,
             timeout_s=timing.peer_timeout_s,
+            idle_heartbeat_s=timing.idle_heartbeat_s,
         )
         self._leaders = leaders.Leaders(
             settings=settings,
@@ -184,6 +189,7 @@
         timing = self._settings.timing
         stop_began_at = self._stop_began_at = self._clock.monotonic()
         self._leaving = True
+        self._heartbeat_cache = None
         self._leaders.prepare_stop()
         self._mesh.send_heartbeats()
         # The load balancer sends callers here until two checks have failed.
@@ -343,21 +349,32 @@
     # Peers.
 
     def _heartbeat(self) -> messages.Heartbeat:
-        return messages.Heartbeat(
+        """Returns the heartbeat for all peers.
+
+        It is composed once for the peers to which it is sent at the same time,
+        because the figures of a leader go over all of its endpoints.
+        """
+        now = self._clock.monotonic()
+        cached = self._heartbeat_cache
+        if cached is not None and now - cached[0] < _HEARTBEAT_REUSE_S:
+            return cached[1]
+        heartbeat = messages.Heartbeat(
             configuration_version=self.catalogue.version,
             listing_version=int(self._endpoint_list.known),
             leaving=self._leaving,
             claims=self._leaders.visible_claims(),
-            slow=self._loop_lag.is_slow(self._clock.monotonic()),
+            slow=self._loop_lag.is_slow(now),
         )
+        self._heartbeat_cache = now, heartbeat
+        return heartbeat
 
     def _receive(self, link: links.Link, message: messages.Message) -> None:
         match message:
             case messages.Heartbeat():
                 self._forward_configuration(link, message)
                 self._forward_endpoints(link, message)
-                self._leaders.apply_heartbeat(message)
-                self._leaders.evaluate()
+                self._leaders.apply_heartbeat(link, message)
+                link.set_idle(self._leaders.is_idle(link))
             case messages.JobOffer():
                 task = asyncio.create_task(self._serve_offer(link, message))
                 self._offer_tasks.add(task)
@@ -443,14 +460,21 @@
             peers=sorted(self._mesh.peers),
         )
         self._leaders.evaluate()
+        self._update_idle_links()
 
     def _leaders_changed(self) -> None:
+        self._heartbeat_cache = None
         self._endpoint_watcher.read_now()
         self._mesh.send_heartbeats()
 
+    def _update_idle_links(self) -> None:
+        for link in self._mesh.peers.values():
+            link.set_idle(self._leaders.is_idle(link))
+
     async def _elect_leaders(self) -> None:
         while True:
             self._leaders.evaluate()
+            self._update_idle_links()
             if self._leaders.is_leader:
                 # Other instances divide their jobs by the reported free cores.
                 self._mesh.send_heartbeats()
--- a/sesameroad/node/routes.py
+++ b/sesameroad/node/routes.py
@@ -46,8 +46,12 @@
 
     @property
     def live(self) -> bool:
-        """Whether the stream is open and the peer sends heartbeats."""
-        return self._link.live
+        """Whether the stream is open and the peer was heard in time.
+
+        The longer timeout of an idle link does not count: the runs of a lost
+        origin must end before its callers send their jobs again.
+        """
+        return self._link.active
 
 
 class LocalRoute:
--- a/sesameroad/peering/links.py
+++ b/sesameroad/peering/links.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 import itertools
+import random
 from typing import Protocol
 
 from sesameroad import errors
@@ -20,6 +21,10 @@
 # A peer counts as silent until a whole envelope has arrived, so a long backlog
 # in a single envelope would look like a lost peer.
 _MAX_ENVELOPE_BYTES = 256 * 1024
+_MS = 1_000
+_PHASE_S = random.random()
+# Number of heartbeat periods of a peer after which it counts as silent.
+_TIMEOUT_PERIODS = 3
 
 
 class Stream(Protocol):
@@ -77,11 +82,15 @@
         "_heartbeat_due",
         "_heartbeat_s",
         "_hello",
+        "_idle",
+        "_idle_heartbeat_s",
         "_ids",
         "_outbox",
         "_outbox_bytes",
         "_outgoing",
+        "_peer_adapts",
         "_pending",
+        "_silence_s",
         "_stream",
         "_timeout_s",
         "_wake",
@@ -101,13 +110,32 @@
         heartbeat_s: float,
         timeout_s: float,
         counters: Counters,
+        idle_heartbeat_s: float = 0.0,
     ) -> None:
+        """Creates a link that is not running yet.
+
+        Args:
+            stream: The stream.
+            hello: Greeting of the peer.
+            outgoing: Whether this side opened the stream.
+            heartbeat: Returns the content of a heartbeat.
+            heartbeat_s: Period of heartbeats, in seconds.
+            timeout_s: Silence after which the peer counts as lost.
+            counters: Counts events on all links.
+            idle_heartbeat_s: Period while the link is idle, 0 for the same.
+        """
         self._stream = stream
         self._hello = hello
         self._outgoing = outgoing
         self._heartbeat = heartbeat
         self._heartbeat_s = heartbeat_s
+        self._idle_heartbeat_s = max(heartbeat_s, idle_heartbeat_s)
+        self._idle = False
         self._timeout_s = timeout_s
+        # Whether the peer adapts its timeout; earlier releases do not.
+        self._peer_adapts = False
+        # Silence after which the peer counts as lost, by its own period.
+        self._silence_s = timeout_s
         self._counters = counters
         self._outbox: list[peer_pb2.Item] = []
         self._outbox_bytes = 0
@@ -150,8 +178,30 @@
         This reads the clock because, after a pause of the process, other code
         may run before the reader notices the timeout.
         """
+        return self._is_heard_within(self._silence_s)
+
+    @property
+    def active(self) -> bool:
+        """Whether the peer is live by the shorter timeout of busy links."""
+        return self._is_heard_within(self._timeout_s)
+
+    def is_heard_since(self, at: float) -> bool:
+        """Whether an envelope has arrived since a monotonic time."""
+        return self._last_received_at >= at
+
+    def set_idle(self, idle: bool) -> None:
+        """Sets whether nothing depends on a fast detection of a loss.
+
+        An idle link sends heartbeats at a longer period, which each envelope
+        tells the peer. A link that becomes busy sends one immediately.
+        """
+        if self._idle and not idle:
+            self.send_heartbeat()
+        self._idle = idle
+
+    def _is_heard_within(self, seconds: float) -> bool:
         silent_s = clocks.elapsed_s() - self._last_received_at
-        return not self._closed.is_set() and silent_s < self._timeout_s
+        return not self._closed.is_set() and silent_s < seconds
 
     def send(self, message: messages.Message) -> None:
         """Queues a message.
@@ -260,11 +310,11 @@
     async def _read(self, receive: Receive) -> None:
         while True:
             try:
-                async with asyncio.timeout(self._timeout_s):
+                async with asyncio.timeout(self._silence_s):
                     envelope = await self._stream.recv_message()
             except TimeoutError as error:
                 raise self._peer_error(
-                    f"silent for {self._timeout_s} s", "read from peer"
+                    f"silent for {self._silence_s} s", "read from peer"
                 ) from error
             if self._closed.is_set():
                 raise self._peer_error(self._close_reason, "read from peer")
@@ -276,6 +326,10 @@
         self, receive: Receive, envelope: peer_pb2.Envelope
     ) -> None:
         self._last_received_at = clocks.elapsed_s()
+        self._peer_adapts = envelope.next_within_ms > 0
+        self._silence_s = max(
+            self._timeout_s, _TIMEOUT_PERIODS * envelope.next_within_ms / _MS
+        )
         for item in envelope.items:
             try:
                 message = codec.decode_item(item)
@@ -309,8 +363,15 @@
             if self._heartbeat_due or now >= next_heartbeat:
                 items.append(codec.encode_item(self._heartbeat()))
                 self._heartbeat_due = False
-                next_heartbeat = now + self._heartbeat_s
-            await self._send_envelope(peer_pb2.Envelope(items=items))
+                period_s = self._period_s
+                # The heartbeats of a process are due at the same time, so that
+                # they wake it once; other processes have other phases.
+                next_heartbeat = now + period_s - (now + _PHASE_S) % period_s
+            await self._send_envelope(
+                peer_pb2.Envelope(
+                    items=items, next_within_ms=int(self._period_s * _MS)
+                )
+            )
             if self._outbox:
                 await asyncio.sleep(0)
                 continue
@@ -321,6 +382,11 @@
                 continue
         raise self._peer_error(self._close_reason, "write to peer")
 
+    @property
+    def _period_s(self) -> float:
+        idle = self._idle and self._peer_adapts
+        return self._idle_heartbeat_s if idle else self._heartbeat_s
+
     def _next_items(self) -> list[peer_pb2.Item]:
         """Dequeues items up to the size of one envelope, at least one."""
         size = 0
--- a/sesameroad/peering/mesh.py
+++ b/sesameroad/peering/mesh.py
@@ -43,12 +43,14 @@
         changed: Callable[[], None],
         heartbeat_s: float,
         timeout_s: float,
+        idle_heartbeat_s: float = 0.0,
     ) -> None:
         self._hello = hello
         self._heartbeat = heartbeat
         self._receive = receive
         self._changed = changed
         self._heartbeat_s = heartbeat_s
+        self._idle_heartbeat_s = idle_heartbeat_s
         self._timeout_s = timeout_s
         self._counters = links.Counters()
         self._links: dict[str, links.Link] = {}
@@ -280,6 +282,7 @@
             heartbeat=self._heartbeat,
             heartbeat_s=self._heartbeat_s,
             timeout_s=self._timeout_s,
+            idle_heartbeat_s=self._idle_heartbeat_s,
             counters=self._counters,
         )
 
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -53,17 +53,20 @@
         pass
 
 
-def _later_than(instance_id):
-    """Returns an instance id that ranks after the given one in the election."""
+def _ranked(*, first, second):
+    """Returns a new instance id; one of both is given, the id is the other."""
+    known = first or second
     for number in itertools.count():
         name = f"p{number}"
-        members = [election.Member(n, "dc1") for n in (name, instance_id)]
-        if election.candidate_for_all(members) == instance_id:
+        members = [election.Member(n, "dc1") for n in (name, known)]
+        if election.candidate_for_all(members) == (first or name):
             return name
     raise AssertionError
 
 
-_LATER = _later_than("i1")
+_LATER = _ranked(first="i1", second=None)
+_EARLIER = _ranked(first=None, second="i1")
+_LEADER = "leader"
 
 
 class _LeadersTest(unittest.IsolatedAsyncioTestCase):
@@ -130,12 +133,14 @@
         claims=(),
         leaving=False,
         slow=False,
+        heard=True,
     ):
         self.mesh.peers[name] = types.SimpleNamespace(
             hello=messages.Hello(name, data_centre, name),
             last_heartbeat=messages.Heartbeat(0, 0, leaving, tuple(claims)),
             leaving=leaving,
             slow=slow,
+            is_heard_since=lambda at: heard,
         )
 
     def wait(self, seconds):
@@ -167,6 +172,53 @@
         self.wait(0.4)
         self.assertIn("dc1", self.led())
 
+    async def test_peer_lost_with_the_leader_does_not_delay_a_claim(self):
+        """Guards against waiting for the longer timeout of an idle link.
+
+        A leader and the instance that ranks next are lost at the same moment.
+        The link to the latter was idle, so its loss is not known yet.
+        """
+        self.peer(_LEADER, claims=[messages.LeadershipClaim("dc1", 7)])
+        self.peer(_EARLIER, heard=False)
+        self.peer(_LATER)
+        self.wait(0.5)
+        del self.mesh.peers[_LEADER]
+        self.wait(1.0)
+        self.assertIn("dc1", self.led())
+
+    async def test_instance_cut_off_from_idle_peers_claims_nothing(self):
+        """Guards against a claim while the loss of idle peers is not known."""
+        self.announce("i2", "10.0.0.2:3")
+        self.announce("i2", "10.0.0.2:3", version=2)
+        self.peer(_LEADER, claims=[messages.LeadershipClaim("dc1", 7)])
+        self.peer(_LATER, heard=False)
+        self.wait(0.5)
+        del self.mesh.peers[_LEADER]
+        self.wait(2.0)
+        self.assertEqual(self.led(), set())
+
+    async def test_links_are_idle_only_while_nothing_depends_on_them(self):
+        """Guards against a late detection of the loss of a leader or origin."""
+        self.peer(_LATER)
+        self.peer(
+            _LEADER,
+            claims=[
+                messages.LeadershipClaim("dc1", 7),
+                messages.LeadershipClaim("dc2", 7),
+            ],
+        )
+        self.wait(0.1)
+        peers = self.mesh.peers
+        self.assertTrue(self.leaders.is_idle(peers[_LATER]))
+        self.assertFalse(self.leaders.is_idle(peers[_LEADER]))
+        self.peer(_LEADER, claims=[messages.LeadershipClaim("dc1", 7)])
+        self.wait(0.1)
+        self.assertFalse(self.leaders.is_idle(peers[_LATER]))
+        del peers[_LEADER]
+        self.wait(1.0)
+        self.assertIn("dc1", self.led())
+        self.assertFalse(self.leaders.is_idle(peers[_LATER]))
+
     async def test_instance_without_peers_waits_longer_before_it_claims(self):
         self.announce("i2", "10.0.0.2:3")
         self.mesh.all_dialled = False
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -40,7 +40,9 @@
         self.counters = links.Counters()
         self.received = []
 
-    def _link(self, stream, *, heartbeat_s=0.02, timeout_s=0.2):
+    def _link(
+        self, stream, *, heartbeat_s=0.02, timeout_s=0.2, idle_heartbeat_s=0.0
+    ):
         return links.Link(
             stream=stream,
             hello=messages.Hello("b", "dc1", "1"),
@@ -48,6 +50,7 @@
             heartbeat=lambda: messages.Heartbeat(1, 1, False),
             heartbeat_s=heartbeat_s,
             timeout_s=timeout_s,
+            idle_heartbeat_s=idle_heartbeat_s,
             counters=self.counters,
         )
 
@@ -72,6 +75,50 @@
         heartbeats = [m for e in stream.sent for m in e if m != _DEMAND]
         self.assertGreaterEqual(len(heartbeats), 3)
 
+    async def test_idle_link_sends_fewer_heartbeats(self):
+        """Heartbeats between all pairs used up half of a large fleet's budget.
+
+        The first heartbeat after the link becomes busy must not wait.
+        """
+        stream = _Stream()
+        link = self._link(stream, timeout_s=5, idle_heartbeat_s=2.0)
+        async with self._running(link):
+            stream.arrived.put_nowait(peer_pb2.Envelope(next_within_ms=20))
+            link.set_idle(True)
+            await asyncio.sleep(0.05)
+            sent = len(stream.sent)
+            await asyncio.sleep(0.3)
+            self.assertLessEqual(len(stream.sent), sent + 1)
+            sent = len(stream.sent)
+            link.set_idle(False)
+            await asyncio.sleep(0.005)
+            self.assertGreater(len(stream.sent), sent)
+
+    async def test_peer_of_an_earlier_release_gets_all_heartbeats(self):
+        """Its timeout is fixed, so it would take an idle instance for lost."""
+        stream = _Stream()
+        link = self._link(stream, timeout_s=5, idle_heartbeat_s=2.0)
+        async with self._running(link):
+            stream.arrived.put_nowait(peer_pb2.Envelope())
+            link.set_idle(True)
+            await asyncio.sleep(0.3)
+        self.assertGreaterEqual(len(stream.sent), 10)
+
+    async def test_silence_is_judged_by_the_period_of_the_peer(self):
+        """An idle peer is not lost, but its jobs count as abandoned."""
+        stream = _Stream()
+        link = self._link(stream, timeout_s=0.05)
+        async with self._running(link) as task:
+            stream.arrived.put_nowait(peer_pb2.Envelope(next_within_ms=100))
+            await asyncio.sleep(0.15)
+            self.assertTrue(link.live)
+            self.assertFalse(link.active)
+            stream.arrived.put_nowait(peer_pb2.Envelope(next_within_ms=1))
+            await asyncio.sleep(0.1)
+            self.assertFalse(link.live)
+            with self.assertRaisesRegex(errors.PeerError, "silent"):
+                await asyncio.wait_for(task, 0.5)
+
     async def test_blocked_writer_ends_the_link(self):
         """A peer that sends but does not read must count as lost."""
         stream = _Stream(blocked=True)
