Choose leaders by processor time, and shed early when it is short

The leader of andes-norte-a had 0.516 of a core and was slow from 2.1 s to the end; half of the jobs had their first start 193 ms after they were handed in, so nearly all ended late, and 1,763 were answered 502 without a start.

Cause: all orders to the endpoints of a data centre pass through one thread, at 1.3 ms of processor time for each task. The leader was chosen by hash among all instances, also those with the least processor time, and above 64 endpoints a slow one never resigned. Admission knew only the endpoints: jobs were accepted as long as these had room, although the leader was the bottleneck.

Change: instances tell each other their share of a core (limits.cpu-share, settings field processor_share), and the leader is chosen among those with most, slow ones last. A slow leader of a large fleet resigns to a fast instance of its data centre. A leader whose event loop is late by 20 ms on average reports no free cores, so that tasks go to other leaders, and refuses at once the jobs that it would finish late; its expected wait includes the delay. New metric sesameroad_loop_delay_seconds, which tells a lack of processor time at a leader from a lack of endpoints.

The new tests use the new interface and do not run on the code before. 60 tests of leaders, load, admission, codec and pages pass.

--- a/sesameroad/jobs/admission.py
+++ b/sesameroad/jobs/admission.py
@@ -16,6 +16,12 @@
 # must fit on one endpoint, and fragmentation leaves about a quarter of the
 # cores unused.
 _FRAGMENTATION = 1.3
+# Number of times that a job waits for the event loop of its leader: when it
+# arrives, when it starts and when its last task ends.
+_LOOP_TURNS = 3
+# Delay of the event loop from which a leader is short of processor time. At a
+# fifth of it a timer is late on an idle instance as well.
+_SHORTAGE_S = 0.02
 
 
 class Admission:
@@ -23,9 +29,16 @@
 
     Only work that the backlog places first counts as ahead. Counting less
     urgent work too would refuse urgent jobs during a flood of other work.
+
+    While the leader is short of processor time, jobs that it would finish late
+    are refused as well. Each task costs it the same processor time, and those
+    that end late would make the others late, too.
+
+    Attributes:
+        loop_delay_s: Mean delay of the event loop of this process.
     """
 
-    __slots__ = ("_backlog", "_pool")
+    __slots__ = ("_backlog", "_pool", "loop_delay_s")
 
     def __init__(
         self,
@@ -35,6 +48,12 @@
     ) -> None:
         self._backlog = backlog
         self._pool = pool
+        self.loop_delay_s = 0.0
+
+    @property
+    def is_short_of_processor(self) -> bool:
+        """Whether this process has too little processor time for its jobs."""
+        return self.loop_delay_s > _SHORTAGE_S
 
     @property
     def wait_s(self) -> float:
@@ -80,9 +99,14 @@
                 outcomes.Cause.NO_ENDPOINT, "no endpoint is known", _MIN_RETRY_S
             )
         wait_s = self._wait_s(ahead, cores)
-        if now + wait_s + job.estimate_s <= min(
-            job.expires_at, job.deadline_at
-        ):
+        ends_at = now + wait_s + job.estimate_s
+        if self.is_short_of_processor and ends_at > job.objective_at:
+            return outcomes.NotRun(
+                outcomes.Cause.OVERLOAD,
+                "its leader is short of processor time",
+                _MIN_RETRY_S,
+            )
+        if ends_at <= min(job.expires_at, job.deadline_at):
             return None
         return outcomes.NotRun(
             outcomes.Cause.OVERLOAD,
@@ -94,7 +118,8 @@
         """Returns the time that the endpoints need for an amount of work."""
         if cores <= 0:
             return math.inf
-        return ahead * _FRAGMENTATION / cores
+        processing_s = _LOOP_TURNS * self.loop_delay_s
+        return ahead * _FRAGMENTATION / cores + processing_s
 
     def _cores(self) -> float:
         """Returns the cores of responsive endpoints, weighted by speed."""
--- a/sesameroad/jobs/election.py
+++ b/sesameroad/jobs/election.py
@@ -17,12 +17,21 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Member:
-    """The attributes of a live instance that matter in an election."""
+    """The attributes of a live instance that matter in an election.
+
+    Attributes:
+        id: Instance id.
+        data_centre: Data centre where it runs.
+        leaving: Whether it is about to stop.
+        slow: Whether it gets too little processor time to lead.
+        processor_millicores: Processor time that a thread of it gets.
+    """
 
     id: str
     data_centre: str
     leaving: bool = False
     slow: bool = False
+    processor_millicores: int = 0
 
 
 def candidate(data_centre: str, members: Iterable[Member]) -> str:
@@ -32,9 +41,8 @@
     because their orders would cross data centres.
     """
     able = [member for member in members if not member.leaving]
-    local = [m.id for m in able if m.data_centre == data_centre]
-    ranked = rank.order(data_centre, local or [m.id for m in able])
-    return ranked[0] if ranked else ""
+    local = [member for member in able if member.data_centre == data_centre]
+    return _best(data_centre, local or able)
 
 
 def candidate_for_all(members: Iterable[Member]) -> str:
@@ -42,9 +50,21 @@
 
     A slow instance would delay all jobs and is chosen only if all are slow.
     """
-    able = [member for member in members if not member.leaving]
-    fast = [member.id for member in able if not member.slow]
-    ranked = rank.order("", fast or [member.id for member in able])
+    return _best("", [member for member in members if not member.leaving])
+
+
+def _best(name: str, members: list[Member]) -> str:
+    """Returns the first of the instances with the most processor time.
+
+    All orders to the endpoints pass through one thread of the leader. Slow
+    instances come last, whatever they should get.
+    """
+    able = [member for member in members if not member.slow] or members
+    most = max((member.processor_millicores for member in able), default=0)
+    ranked = rank.order(
+        name,
+        [m.id for m in able if m.processor_millicores == most],
+    )
     return ranked[0] if ranked else ""
 
 
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -80,7 +80,13 @@
 
     @property
     def free_cores(self) -> float:
-        """Processor cores that are not in use."""
+        """Processor cores on which a job can start immediately.
+
+        A leader that is short of processor time has none, so that jobs go to
+        other leaders while these have some.
+        """
+        if self._admission.is_short_of_processor:
+            return 0.0
         return self._pool.free_cores
 
     @property
@@ -98,6 +104,10 @@
                 counts[name] = counts.get(name, 0) + 1
         return counts
 
+    def set_loop_delay(self, delay_s: float) -> None:
+        """Sets the mean delay of the event loop of this process, in seconds."""
+        self._admission.loop_delay_s = delay_s
+
     async def run(self) -> None:
         """Places tasks until cancelled."""
         checks = asyncio.create_task(
--- a/sesameroad/node/claim_policy.py
+++ b/sesameroad/node/claim_policy.py
@@ -79,6 +79,7 @@
                 settings.data_centre,
                 self.leaving,
                 self.slow,
+                settings.processor_millicores,
             ),
             *(
                 election.Member(
@@ -86,6 +87,7 @@
                     link.hello.data_centre,
                     link.leaving,
                     link.slow,
+                    link.hello.processor_millicores,
                 )
                 for link in self.peers
             ),
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -148,8 +148,15 @@
             return {}
         return dict.fromkeys(sorted(self._led), self._scheduler.token)
 
-    def set_slow(self, slow: bool) -> None:
-        """Sets whether this process has too little processor time to lead."""
+    def set_loop_delay(self, delay_s: float, *, slow: bool) -> None:
+        """Sets how much processor time this process lacks.
+
+        Args:
+            delay_s: Mean delay of the event loop, in seconds.
+            slow: Whether it has too little processor time to lead.
+        """
+        if self._scheduler is not None:
+            self._scheduler.set_loop_delay(delay_s)
         if slow != self._claim_policy.slow:
             log.event(
                 "this instance is slow" if slow else "this instance is fast",
@@ -416,21 +423,28 @@
                 return
             if data_centre in self._led:
                 self._resign_one(data_centre, f"{peer} has a higher token")
+        fast = [
+            member
+            for member in self._claim_policy.members
+            if not (member.leaving or member.slow)
+        ]
         if self._claim_policy.single_leader:
-            if self._claim_policy.slow and any(
-                not (member.leaving or member.slow)
-                for member in self._claim_policy.members
-            ):
+            if self._claim_policy.slow and fast:
                 self._resign_all("this instance is slow")
             return
         for data_centre in tuple(self._led):
-            if not self._claim_policy.is_own(data_centre) and any(
-                member.data_centre == data_centre and not member.leaving
-                for member in self._claim_policy.members
+            if not self._claim_policy.is_own(data_centre):
+                if any(
+                    member.data_centre == data_centre and not member.leaving
+                    for member in self._claim_policy.members
+                ):
+                    self._resign_one(
+                        data_centre, "an instance of the data centre is back"
+                    )
+            elif self._claim_policy.slow and any(
+                member.data_centre == data_centre for member in fast
             ):
-                self._resign_one(
-                    data_centre, "an instance of the data centre is back"
-                )
+                self._resign_one(data_centre, "this instance is slow")
 
     def _resign_for_stop(self) -> None:
         """Resigns before this instance stops if another instance would claim.
--- a/sesameroad/node/loop_lag.py
+++ b/sesameroad/node/loop_lag.py
@@ -11,16 +11,24 @@
 _LATE_TIMERS = 5
 # The process counts as slow for this time after it was last found slow.
 _SLOW_HOLD_S = 4.0
+# Weight of the last timer in the mean delay, which covers about half a second.
+_SMOOTHING = 0.2
 
 
 class LoopLag:
     """Measures how late the timers of the event loop fire."""
 
-    __slots__ = ("_late", "_slow_until")
+    __slots__ = ("_delay_s", "_late", "_slow_until")
 
     def __init__(self) -> None:
         self._late: collections.deque[bool] = collections.deque(maxlen=_WINDOW)
         self._slow_until = 0.0
+        self._delay_s = 0.0
+
+    @property
+    def delay_s(self) -> float:
+        """Mean delay of the last timers, in seconds."""
+        return self._delay_s
 
     def record(self, delay_s: float, now: float) -> None:
         """Records the delay of a timer.
@@ -29,6 +37,7 @@
             delay_s: Delay in seconds.
             now: Current monotonic time.
         """
+        self._delay_s += (max(0.0, delay_s) - self._delay_s) * _SMOOTHING
         self._late.append(delay_s > _LATE_THRESHOLD_S)
         if sum(self._late) >= _LATE_TIMERS:
             self._slow_until = now + _SLOW_HOLD_S
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -98,6 +98,7 @@
                 settings.instance_id,
                 settings.data_centre,
                 keys.new_incarnation(),
+                settings.processor_millicores,
             ),
             heartbeat=self._heartbeat,
             receive=self._receive,
@@ -482,7 +483,9 @@
             await asyncio.sleep(_ELECTION_PERIOD_S)
             now = self._clock.monotonic()
             self._loop_lag.record(now - due_at, now)
-            self._leaders.set_slow(self._loop_lag.is_slow(now))
+            self._leaders.set_loop_delay(
+                self._loop_lag.delay_s, slow=self._loop_lag.is_slow(now)
+            )
 
     # HTTP.
 
@@ -524,6 +527,7 @@
             jobs_in_flight=len(self._running_jobs),
             endpoint_list_age_s=self._endpoint_list.age_s,
             log_lines_dropped=log.dropped(),
+            loop_delay_s=self._loop_lag.delay_s,
         )
 
     async def _close(self) -> None:
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -37,6 +37,7 @@
                     instance_id=message.instance_id,
                     data_centre=message.data_centre,
                     incarnation=message.incarnation,
+                    processor_millicores=message.processor_millicores,
                 )
             )
         case messages.Heartbeat():
@@ -164,6 +165,7 @@
                 item.hello.instance_id,
                 item.hello.data_centre,
                 item.hello.incarnation,
+                item.hello.processor_millicores,
             )
         case "heartbeat":
             return messages.Heartbeat(
--- a/sesameroad/peering/messages.py
+++ b/sesameroad/peering/messages.py
@@ -11,11 +11,20 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Hello:
-    """The greeting: the first message on a stream in each direction."""
+    """The greeting: the first message on a stream in each direction.
+
+    Attributes:
+        instance_id: Sender.
+        data_centre: Data centre where it runs.
+        incarnation: Identifies the process.
+        processor_millicores: Processor time that a thread of it gets, 0 if
+            unknown.
+    """
 
     instance_id: str
     data_centre: str
     incarnation: str
+    processor_millicores: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sesameroad/settings/node.py
+++ b/sesameroad/settings/node.py
@@ -12,6 +12,7 @@
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 _HostPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 _PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
+_MILLICORES = 1_000
 _PositiveMs = Annotated[int, msgspec.Meta(ge=1)]
 
 
@@ -68,6 +69,7 @@
         metrics: Address of the metrics, which are served at /metrics.
         platform: Address of the store.
         max_lease_ms: Longest lease that an endpoint grants.
+        processor_share: Share of one processor core that a thread gets.
         timing: Periods and timeouts.
     """
 
@@ -80,8 +82,14 @@
     metrics: _HostPort
     platform: _HostPort
     max_lease_ms: _PositiveMs
+    processor_share: _PositiveSeconds = 1.0
     timing: Timing = Timing()
 
+    @property
+    def processor_millicores(self) -> int:
+        """Processor time that a thread of this process gets."""
+        return int(self.processor_share * _MILLICORES)
+
     @classmethod
     def from_json(cls, text: bytes, *, source: str = "") -> Self:
         """Decodes and validates settings; unknown fields are ignored.
--- a/sesameroad/telemetry/job_metrics.py
+++ b/sesameroad/telemetry/job_metrics.py
@@ -33,6 +33,8 @@
         endpoint_list_age_s: Time since the list of endpoints was read.
         log_lines_dropped: Log lines dropped because the reader is slow, and
             not yet reported in the log.
+        loop_delay_s: Mean delay of the event loop, which shows a lack of
+            processor time.
     """
 
     configuration_version: int
@@ -43,6 +45,7 @@
     jobs_in_flight: int
     endpoint_list_age_s: float
     log_lines_dropped: int
+    loop_delay_s: float
 
 
 class JobMetrics:
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -46,6 +46,9 @@
     def update(self, listed):
         self.endpoint_ids = {endpoint.id for endpoint in listed}
 
+    def set_loop_delay(self, delay_s):
+        pass
+
     def raise_token(self, token):
         self.token = token
 
@@ -364,7 +367,7 @@
         """Guards against a leader that gets a fifth of its processor time."""
         self.peer(_LATER, slow=True)
         self.wait(1.0)
-        self.leaders.set_slow(True)
+        self.leaders.set_loop_delay(0.1, slow=True)
         self.wait(1.0)
         self.assertEqual(self.led(), {"dc1"})
         self.peer(_LATER)
@@ -407,6 +410,20 @@
         self.wait(4.0)
         self.assertEqual(self.led(), {"dc1", "dc2"})
 
+    async def test_slow_leader_resigns_to_a_fast_local_instance(self):
+        """Guards against a data centre whose leader lacks processor time.
+
+        Only leaders of small fleets used to resign.
+        """
+        self.peer("i3", "dc2")
+        self.wait(1.0)
+        self.leaders.set_loop_delay(0.1, slow=True)
+        self.wait(1.0)
+        self.assertEqual(self.led(), {"dc1"})
+        self.peer(_LATER)
+        self.wait(0.2)
+        self.assertEqual(self.led(), set())
+
     async def test_remote_data_centre_is_returned_to_its_instances(self):
         self.wait(5.0)
         self.peer("i2", "dc2")
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -36,7 +36,7 @@
             self.assertIn(known, sources)
 
     def test_each_metric_on_the_page_exists_and_none_is_missing(self):
-        figures = job_metrics.Figures(1, 2, 1, 8.0, 0, 0, 0.5, 0)
+        figures = job_metrics.Figures(1, 2, 1, 8.0, 0, 0, 0.5, 0, 0.0)
         text = job_metrics.JobMetrics(lambda: figures).render().decode()
         table = _PAGE.partition("## Metrics")[2].partition("## What")[0]
         named = set(re.findall(r"`(sesameroad_[a-z_]+)`", table))
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -226,7 +226,7 @@
         for family in entry.collect()
     }
     text = job_metrics.JobMetrics(
-        lambda: job_metrics.Figures(0, 0, 0, 0.0, 0, 0, 0.0, 0)
+        lambda: job_metrics.Figures(0, 0, 0, 0.0, 0, 0, 0.0, 0, 0.0)
     ).render()
     return names | set(re.findall(r"# TYPE (\w+)", text.decode()))
 
