Keep links busy to peers that miss a leader, and bound pauses in the loop delay

An instance whose stream to a leader breaks is told by its peers that the leader is alive. On idle links that message came up to a second later, while peers count in an election only if they were heard within 0.25 s: the instance would have claimed endpoints that have a leader. A link is now busy as well while the peer's heartbeats lack a leader that this instance sees.

One pause of the process of seconds would have counted in the mean delay of the event loop for 1.6 s, in which a leader refuses jobs. A delay counts for 0.2 s at most.

The placer ranks partly placed jobs anew after its pass instead of changing the backlog while it goes over it.

--- a/sesameroad/jobs/admission.py
+++ b/sesameroad/jobs/admission.py
@@ -19,8 +19,9 @@
 # Number of times that a job waits for the event loop of its leader: when it
 # arrives, when it starts and when its last task ends.
 _LOOP_TURNS = 3
-# Delay of the event loop from which a leader is short of processor time. At a
-# fifth of it a timer is late on an idle instance as well.
+# Delay of the event loop from which a leader is short of processor time, in
+# seconds. The turns of a job then take the 0.06 s that are left of its objective
+# beside the run time.
 _SHORTAGE_S = 0.02
 
 
--- a/sesameroad/jobs/backlog.py
+++ b/sesameroad/jobs/backlog.py
@@ -7,11 +7,10 @@
 
 from sesameroad.jobs import active_job
 
-# Period after which all jobs are ranked anew. Ranks change with time, but only
-# slowly, and ranking each job in each pass would cost a leader more processor
+# Period, in seconds, after which all jobs are ranked anew. Ranks change slowly
+# with time, and ranking each job in each pass would cost a leader more processor
 # time than the orders in an overload.
 _REORDER_S = 0.02
-_NO_ENTRY = (-1, None)
 
 _Rank = tuple[int, int, float, float]
 _Entry = tuple[_Rank, int, active_job.ActiveJob]
@@ -87,7 +86,7 @@
                 for number, active in self._jobs.values()
             )
         for rank, number, active in self._entries:
-            if self._jobs.get(active.job.name, _NO_ENTRY)[0] == number:
+            if self._jobs.get(active.job.name) == (number, active):
                 yield rank, active
 
 
--- a/sesameroad/jobs/placer.py
+++ b/sesameroad/jobs/placer.py
@@ -40,6 +40,7 @@
             return
         candidates = placement.Candidates(self._pool, now)
         misses = 0
+        partly_placed: list[active_job.ActiveJob] = []
         for active in self._backlog.ordered(now):
             if active.moved and not (
                 now >= active.arrived_at + _ORPHAN_S
@@ -49,10 +50,13 @@
             waiting = len(active.waiting)
             if not self._place_job(active, candidates):
                 if len(active.waiting) < waiting:
-                    self._backlog.add(active, now)
+                    partly_placed.append(active)
                 misses += 1
                 if misses > _MAX_MISSES:
-                    return
+                    break
+        for active in partly_placed:
+            # With less work left, it has a better rank.
+            self._backlog.add(active, now)
 
     def _place_job(
         self, active: active_job.ActiveJob, candidates: placement.Candidates
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -92,6 +92,8 @@
         # Data centres that this instance leads.
         self._led: set[str] = set()
         self._closing: set[asyncio.Task[None]] = set()
+        # Data centres with a leader in the last evaluation.
+        self._seen_led: frozenset[str] = frozenset()
         # Highest known token of each data centre.
         self._tokens: dict[str, int] = {}
         # Cores of the jobs sent to the leader of a data centre since its last
@@ -279,16 +281,21 @@
             self.evaluate()
 
     def is_idle(self, link: links.Link) -> bool:
-        """Whether neither side of a link leads and no election is due."""
+        """Whether neither side of a link leads and no election is due.
+
+        A peer that misses a leader must hear soon that it is alive.
+        """
         heartbeat = link.last_heartbeat
-        return not (
-            self._led
-            or self._claim_policy.has_vacancy
-            or self._claim_policy.leaving
-            or heartbeat is None
-            or heartbeat.leaving
-            or any(not claim.relayed for claim in heartbeat.claims)
-        )
+        if heartbeat is None or heartbeat.leaving:
+            return False
+        if any(not claim.relayed for claim in heartbeat.claims):
+            return False
+        if self._led or self._claim_policy.leaving:
+            return False
+        if self._claim_policy.has_vacancy:
+            return False
+        seen_by_peer = {claim.data_centre for claim in heartbeat.claims}
+        return self._seen_led <= seen_by_peer
 
     async def submit(
         self,
@@ -326,6 +333,7 @@
             return
         now = self._clock.monotonic()
         leaders = self._leaders()
+        self._seen_led = frozenset(leaders)
         if leaders:
             self._reachable_at = now
         for data_centre, leader in leaders.items():
--- a/sesameroad/node/loop_lag.py
+++ b/sesameroad/node/loop_lag.py
@@ -13,6 +13,9 @@
 _SLOW_HOLD_S = 4.0
 # Weight of the last timer in the mean delay, which covers about half a second.
 _SMOOTHING = 0.2
+# Longest delay, in seconds, that counts in the mean, so that a single pause of
+# the process does not look like a lack of processor time for seconds.
+_MAX_DELAY_S = 0.2
 
 
 class LoopLag:
@@ -37,7 +40,8 @@
             delay_s: Delay in seconds.
             now: Current monotonic time.
         """
-        self._delay_s += (max(0.0, delay_s) - self._delay_s) * _SMOOTHING
+        bounded_s = min(max(0.0, delay_s), _MAX_DELAY_S)
+        self._delay_s += (bounded_s - self._delay_s) * _SMOOTHING
         self._late.append(delay_s > _LATE_THRESHOLD_S)
         if sum(self._late) >= _LATE_TIMERS:
             self._slow_until = now + _SLOW_HOLD_S
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -202,7 +202,11 @@
 
     async def test_links_are_idle_only_while_nothing_depends_on_them(self):
         """Guards against a late detection of the loss of a leader or origin."""
-        self.peer(_LATER)
+        claims = [
+            messages.LeadershipClaim(name, 7, relayed=True)
+            for name in ("dc1", "dc2")
+        ]
+        self.peer(_LATER, claims=claims)
         self.peer(
             _LEADER,
             claims=[
@@ -213,11 +217,15 @@
         self.wait(0.1)
         peers = self.mesh.peers
         self.assertTrue(self.leaders.is_idle(peers[_LATER]))
+        self.peer("misses a leader", claims=claims[:1])
+        self.assertFalse(self.leaders.is_idle(peers["misses a leader"]))
+        del peers["misses a leader"]
         self.assertFalse(self.leaders.is_idle(peers[_LEADER]))
         self.peer(_LEADER, claims=[messages.LeadershipClaim("dc1", 7)])
         self.wait(0.1)
         self.assertFalse(self.leaders.is_idle(peers[_LATER]))
         del peers[_LEADER]
+        self.peer(_LATER)
         self.wait(1.0)
         self.assertIn("dc1", self.led())
         self.assertFalse(self.leaders.is_idle(peers[_LATER]))
@@ -482,6 +490,20 @@
         lag.record(4.0, 4.0)
         self.assertFalse(lag.is_slow(4.0))
 
+    def test_mean_delay_recovers_soon_after_a_long_pause(self):
+        """Guards against refusals for seconds after one pause."""
+        lag = loop_lag.LoopLag()
+        lag.record(4.0, 4.0)
+        for tick in range(5):
+            lag.record(0.001, 4.1 + tick * 0.1)
+        self.assertLess(lag.delay_s, 0.02)
+
+    def test_mean_delay_shows_a_lasting_lack_of_processor_time(self):
+        lag = loop_lag.LoopLag()
+        for tick in range(10):
+            lag.record(0.06, tick * 0.1)
+        self.assertGreater(lag.delay_s, 0.04)
+
 
 class TokenTest(unittest.TestCase):
 
