--- a/sesameroad/settings/node.py
+++ b/sesameroad/settings/node.py
@@ -29,7 +29,7 @@
             jobs, 1.3 s later.
         claim_pause_s: Time that a data centre is without a leader before the
             next one claims its endpoints, so that a peer stream that reconnects
-            does not cause a takeover.
+            does not cause a takeover. At least a heartbeat period counts.
         platform_timeout_s: Timeout of one call to the store.
         configuration_wait_s: Time that the store may hold a request for changes
             of the configuration until there is one.
