Hand leadership over to larger instances only, and not at once

A leader that is slow because of its load handed over to any instance that was not slow yet: to one after the other in an overload, and to the smallest in the end, which then kept the endpoints.

A leader of a large fleet now hands over to an instance with a larger share of a core, or with the same share if it is slow itself, 5 s after its claim at the earliest.

--- a/sesameroad/node/claim_policy.py
+++ b/sesameroad/node/claim_policy.py
@@ -116,6 +116,24 @@
         """Returns whether this instance runs in a data centre."""
         return data_centre == self._settings.data_centre
 
+    def has_better_leader(self, data_centre: str) -> bool:
+        """Returns whether another local instance has more processor time.
+
+        A leader that is slow because of its load does not hand over to a
+        smaller instance, which the load would slow even more.
+        """
+        own, *others = self.members
+        for other in others:
+            if other.data_centre != data_centre or other.leaving or other.slow:
+                continue
+            if other.processor_millicores > own.processor_millicores:
+                return True
+            if own.slow and (
+                other.processor_millicores == own.processor_millicores
+            ):
+                return True
+        return False
+
     def defer(self, data_centre: str, until: float) -> None:
         """Prevents claims of a data centre until a monotonic time."""
         self._deferred_until[data_centre] = until
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -34,6 +34,9 @@
 # the wall clock of the previous leader may have been ahead by seconds.
 _RAISE_STEPS = 64
 _MILLICORES = 1_000
+# Time, in seconds, for which a leader of a large fleet stays before it hands over
+# to an instance with more processor time. A change delays jobs by up to 1.2 s.
+_MIN_TERM_S = 5.0
 # Maximum wait that a leader reports. Without endpoints its wait is unbounded.
 _MAX_REPORTED_WAIT_S = 60.0
 
@@ -91,6 +94,8 @@
         self._task: asyncio.Task[None] | None = None
         # Data centres that this instance leads.
         self._led: set[str] = set()
+        # Time of the last claim.
+        self._claimed_at = 0.0
         self._closing: set[asyncio.Task[None]] = set()
         # Data centres with a leader in the last evaluation.
         self._seen_led: frozenset[str] = frozenset()
@@ -387,6 +392,7 @@
         elif scheduler.token <= highest:
             scheduler.raise_token(self._new_token(highest))
         self._led |= set(vacant)
+        self._claimed_at = self._clock.monotonic()
         for data_centre in vacant:
             self._tokens[data_centre] = scheduler.token
             log.event(
@@ -431,15 +437,16 @@
                 return
             if data_centre in self._led:
                 self._resign_one(data_centre, f"{peer} has a higher token")
-        fast = [
-            member
-            for member in self._claim_policy.members
-            if not (member.leaving or member.slow)
-        ]
         if self._claim_policy.single_leader:
-            if self._claim_policy.slow and fast:
+            if self._claim_policy.slow and any(
+                not (member.leaving or member.slow)
+                for member in self._claim_policy.members
+            ):
                 self._resign_all("this instance is slow")
             return
+        may_hand_over = (
+            self._clock.monotonic() >= self._claimed_at + _MIN_TERM_S
+        )
         for data_centre in tuple(self._led):
             if not self._claim_policy.is_own(data_centre):
                 if any(
@@ -449,10 +456,12 @@
                     self._resign_one(
                         data_centre, "an instance of the data centre is back"
                     )
-            elif self._claim_policy.slow and any(
-                member.data_centre == data_centre for member in fast
+            elif may_hand_over and self._claim_policy.has_better_leader(
+                data_centre
             ):
-                self._resign_one(data_centre, "this instance is slow")
+                self._resign_one(
+                    data_centre, "another instance has more processor time"
+                )
 
     def _resign_for_stop(self) -> None:
         """Resigns before this instance stops if another instance would claim.
