Name the shorter timeout of a link by its meaning

heard_recently instead of active, which could be taken for live; Candidates needs no endpoint to forget the most free cores.

--- a/sesameroad/jobs/placement.py
+++ b/sesameroad/jobs/placement.py
@@ -65,9 +65,8 @@
             return Ranking(self, active, ())
         return Ranking(self, active, self._available)
 
-    def run_added(self, leased: leased_endpoint.LeasedEndpoint) -> None:
-        """Updates the free cores after a run was placed on an endpoint."""
-        del leased  # It may have been the one with the most free cores.
+    def run_added(self) -> None:
+        """Forgets the most free cores after a run was placed."""
         self._largest_cores = None
 
     def cost(
@@ -147,7 +146,7 @@
     def run_added(self) -> None:
         """Updates the ranking after a task was placed on the best endpoint."""
         _, position, leased = self._costs[0]
-        self._candidates.run_added(leased)
+        self._candidates.run_added()
         cost = self._candidates.cost(self._active, leased)
         if cost < math.inf:
             heapq.heapreplace(self._costs, (cost, position, leased))
--- a/sesameroad/node/routes.py
+++ b/sesameroad/node/routes.py
@@ -51,7 +51,7 @@
         The longer timeout of an idle link does not count: the runs of a lost
         origin must end before its callers send their jobs again.
         """
-        return self._link.active
+        return self._link.heard_recently
 
 
 class LocalRoute:
--- a/sesameroad/peering/links.py
+++ b/sesameroad/peering/links.py
@@ -22,6 +22,7 @@
 # in a single envelope would look like a lost peer.
 _MAX_ENVELOPE_BYTES = 256 * 1024
 _MS = 1_000
+# Offset of the heartbeats of this process in their period.
 _PHASE_S = random.random()
 # Number of heartbeat periods of a peer after which it counts as silent.
 _TIMEOUT_PERIODS = 3
@@ -181,7 +182,7 @@
         return self._is_heard_within(self._silence_s)
 
     @property
-    def active(self) -> bool:
+    def heard_recently(self) -> bool:
         """Whether the peer is live by the shorter timeout of busy links."""
         return self._is_heard_within(self._timeout_s)
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -112,7 +112,7 @@
             stream.arrived.put_nowait(peer_pb2.Envelope(next_within_ms=100))
             await asyncio.sleep(0.15)
             self.assertTrue(link.live)
-            self.assertFalse(link.active)
+            self.assertFalse(link.heard_recently)
             stream.arrived.put_nowait(peer_pb2.Envelope(next_within_ms=1))
             await asyncio.sleep(0.1)
             self.assertFalse(link.live)
