Send fewer heartbeats to instances that exchange no jobs with the sender

Change: the link to the leader of another data centre is idle as well on the side that has no job there. It becomes busy with the first question, and until a second after the last, so a leader still judges its origins by 0.75 s of silence. The leader keeps its period, so the loss of a leader is noticed as before. Idle links send each two seconds instead of each second. A leader reports its figures ten times a second only while they change. The claims of a peer itself are selected once for each heartbeat instead of in each evaluation, and links share one reading of the clock.

--- a/sesameroad/node/configuration_watcher.py
+++ b/sesameroad/node/configuration_watcher.py
@@ -1,6 +1,7 @@
 """Follows the configuration that the operator writes to the store."""
 
 import asyncio
+from collections.abc import Callable
 
 from sesameroad import errors
 from sesameroad.jobs import catalogue as catalogue_module
@@ -22,6 +23,7 @@
     __slots__ = (
         "_applied_at",
         "_catalogue",
+        "_changed",
         "_clock",
         "_store",
         "_document",
@@ -29,7 +31,12 @@
     )
 
     def __init__(
-        self, *, store: row_store.RowStore, wait_s: float, clock: clocks.Clock
+        self,
+        *,
+        store: row_store.RowStore,
+        wait_s: float,
+        clock: clocks.Clock,
+        changed: Callable[[], None],
     ) -> None:
         """Creates a watcher without a configuration.
 
@@ -37,10 +44,12 @@
             store: Row store of the platform.
             wait_s: Maximum wait of one request for changes, in seconds.
             clock: Time source.
+            changed: Called after a configuration was applied.
         """
         self._store = store
         self._wait_s = wait_s
         self._clock = clock
+        self._changed = changed
         self._catalogue = catalogue_module.Catalogue.empty()
         self._document = b""
         self._applied_at = 0.0
@@ -89,6 +98,7 @@
             version=catalogue.version,
             queues=len(catalogue.queues),
         )
+        self._changed()
 
     async def run(self) -> None:
         """Applies each change of the configuration until cancelled."""
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -280,9 +280,8 @@
         that report. Leadership is evaluated only if the claims have changed,
         because each instance receives hundreds of heartbeats a second.
         """
-        for claim in heartbeat.claims:
-            if not claim.relayed:
-                self._in_transit_cores.pop(claim.data_centre, None)
+        for claim in heartbeat.own_claims:
+            self._in_transit_cores.pop(claim.data_centre, None)
         name = link.hello.instance_id
         state = _leadership_state(heartbeat)
         if self._peer_states.get(name) != state:
@@ -290,14 +289,19 @@
             self.evaluate()
 
     def is_idle(self, link: links.Link) -> bool:
-        """Whether neither side of a link leads and no election is due.
+        """Whether the peer on a link need not hear soon that this side is lost.
 
-        A peer that misses a leader must hear soon that it is alive.
+        Jobs go to the leader of the own data centre. The leader of another one
+        must hear this side only while it has a job from here. A peer that
+        misses a leader must hear soon that it is alive.
         """
         heartbeat = link.last_heartbeat
-        if heartbeat is None or heartbeat.leaving:
+        if heartbeat is None or heartbeat.leaving or link.in_use:
             return False
-        if any(not claim.relayed for claim in heartbeat.claims):
+        if any(
+            claim.data_centre == self._settings.data_centre
+            for claim in heartbeat.own_claims
+        ):
             return False
         if self._led or self._claim_policy.leaving:
             return False
@@ -368,8 +372,7 @@
             _Leader(claim, link)
             for link in self._mesh.peers.values()
             if link.last_heartbeat is not None
-            for claim in link.last_heartbeat.claims
-            if not claim.relayed
+            for claim in link.last_heartbeat.own_claims
         ]
         for leader in own + peers:
             known = leaders.get(leader.claim.data_centre)
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -70,6 +70,10 @@
         self._leaving = False
         # The last heartbeat and the time at which it was composed.
         self._heartbeat_cache: tuple[float, messages.Heartbeat] | None = None
+        # The claims in the last report to the local instances.
+        self._reported_claims: tuple[messages.LeadershipClaim, ...] = ()
+        # Whether peers may still lack the current configuration.
+        self._forward_due = False
         self._stop_began_at = math.inf
         self._loop_lag = loop_lag.LoopLag()
         self._supervisor = supervisor.Supervisor()
@@ -86,7 +90,10 @@
         self._orders = order_client.OrderClient.open(metrics=self._metrics)
         self._configuration_watcher = (
             configuration_watcher.ConfigurationWatcher(
-                store=store, wait_s=timing.configuration_wait_s, clock=clock
+                store=store,
+                wait_s=timing.configuration_wait_s,
+                clock=clock,
+                changed=self._configuration_changed,
             )
         )
         self._endpoint_list = endpoint_list.EndpointList(clock=clock)
@@ -419,6 +426,24 @@
                 error=str(error),
             )
 
+    def _configuration_changed(self) -> None:
+        """Tells all peers the new version, also those on idle links."""
+        self._forward_due = True
+        self._heartbeat_cache = None
+        self._mesh.send_heartbeats()
+
+    def _forward_new_configuration(self) -> None:
+        """Sends a new configuration once to the peers that still lack it."""
+        if (
+            not self._forward_due
+            or self._configuration_watcher.age_s <= _FORWARD_DELAY_S
+        ):
+            return
+        self._forward_due = False
+        for link in self._mesh.peers.values():
+            if link.last_heartbeat is not None:
+                self._forward_configuration(link, link.last_heartbeat)
+
     def _forward_configuration(
         self, link: links.Link, heartbeat: messages.Heartbeat
     ) -> None:
@@ -476,8 +501,8 @@
         while True:
             self._leaders.evaluate()
             self._update_idle_links()
-            if self._leaders.is_leader:
-                self._report_free_cores()
+            self._report_free_cores()
+            self._forward_new_configuration()
             due_at = self._clock.monotonic() + _ELECTION_PERIOD_S
             await asyncio.sleep(_ELECTION_PERIOD_S)
             now = self._clock.monotonic()
@@ -487,12 +512,16 @@
             )
 
     def _report_free_cores(self) -> None:
-        """Sends heartbeats to the instances that offer jobs here first.
+        """Sends changed figures to the instances that offer jobs here first.
 
         They divide their jobs by the reported free cores. Instances of other
         data centres send only what these cannot take, for which the figures of
         the regular heartbeats suffice.
         """
+        claims = self._leaders.claims()
+        if claims == self._reported_claims:
+            return
+        self._reported_claims = claims
         for link in self._mesh.peers.values():
             if self._leaders.leads(link.hello.data_centre):
                 link.send_heartbeat()
--- a/sesameroad/peering/links.py
+++ b/sesameroad/peering/links.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 import itertools
+import math
 import random
 from typing import Protocol
 
@@ -26,6 +27,9 @@
 _PHASE_S = random.random()
 # Number of heartbeat periods of a peer after which it counts as silent.
 _TIMEOUT_PERIODS = 3
+# Time for which a link counts as in use after the end of its last question, so
+# that it does not change its period between two jobs of a busy time.
+_USE_HOLD_S = 1.0
 
 
 class Stream(Protocol):
@@ -94,6 +98,7 @@
         "_silence_s",
         "_stream",
         "_timeout_s",
+        "_used_at",
         "_wake",
         "last_heartbeat",
         "offered_configuration",
@@ -145,6 +150,8 @@
         self._ids = itertools.count(1)
         self._pending: dict[int, asyncio.Future[messages.Reply]] = {}
         self._last_received_at = clocks.elapsed_s()
+        # Time at which the last question ended.
+        self._used_at = -math.inf
         self._close_reason = "stream closed"
         self._closed = asyncio.Event()
         self.last_heartbeat: messages.Heartbeat | None = None
@@ -179,12 +186,23 @@
         This reads the clock because, after a pause of the process, other code
         may run before the reader notices the timeout.
         """
-        return self._is_heard_within(self._silence_s)
+        return self.is_live_at(clocks.elapsed_s())
 
     @property
     def heard_recently(self) -> bool:
         """Whether the peer is live by the shorter timeout of busy links."""
-        return self._is_heard_within(self._timeout_s)
+        return self._is_heard_within(self._timeout_s, clocks.elapsed_s())
+
+    def is_live_at(self, now: float) -> bool:
+        """Whether the link is live at a monotonic time, for loops over links."""
+        return self._is_heard_within(self._silence_s, now)
+
+    @property
+    def in_use(self) -> bool:
+        """Whether this side waits for a reply, or did shortly before."""
+        if self._pending:
+            return True
+        return clocks.elapsed_s() < self._used_at + _USE_HOLD_S
 
     def is_heard_since(self, at: float) -> bool:
         """Whether an envelope has arrived since a monotonic time."""
@@ -200,9 +218,9 @@
             self.send_heartbeat()
         self._idle = idle
 
-    def _is_heard_within(self, seconds: float) -> bool:
-        silent_s = clocks.elapsed_s() - self._last_received_at
-        return not self._closed.is_set() and silent_s < seconds
+    def _is_heard_within(self, seconds: float, now: float) -> bool:
+        silent_s = now - self._last_received_at
+        return silent_s < seconds and not self._closed.is_set()
 
     def send(self, message: messages.Message) -> None:
         """Queues a message.
@@ -240,6 +258,9 @@
     ) -> messages.Reply:
         """Sends a question and waits for the reply to it.
 
+        The link is no longer idle, because the peer abandons the question if
+        it does not hear this side at the shorter period.
+
         Args:
             question: Builds the question from an id unique on this link.
             timeout_s: Seconds to wait.
@@ -254,6 +275,7 @@
             asyncio.get_running_loop().create_future()
         )
         self._pending[question_id] = future
+        self.set_idle(False)
         try:
             self.send(question(question_id))
             async with asyncio.timeout(timeout_s):
@@ -264,6 +286,7 @@
             ) from error
         finally:
             self._pending.pop(question_id, None)
+            self._used_at = clocks.elapsed_s()
 
     async def run(
         self, receive: Receive, *, first: peer_pb2.Envelope | None = None
--- a/sesameroad/peering/mesh.py
+++ b/sesameroad/peering/mesh.py
@@ -11,6 +11,7 @@
 from grpclib import server as grpc_server
 
 from sesameroad import errors
+from sesameroad.model import clocks
 from sesameroad.model import instances
 from sesameroad.peering import codec
 from sesameroad.peering import links
@@ -71,7 +72,12 @@
     @property
     def peers(self) -> dict[str, links.Link]:
         """Live links by the instance id of the peer."""
-        return {name: link for name, link in self._links.items() if link.live}
+        now = clocks.elapsed_s()
+        return {
+            name: link
+            for name, link in self._links.items()
+            if link.is_live_at(now)
+        }
 
     @property
     def all_dialled(self) -> bool:
--- a/sesameroad/peering/messages.py
+++ b/sesameroad/peering/messages.py
@@ -56,6 +56,7 @@
         leaving: Whether the sender is about to stop.
         claims: Leaders that the sender knows, itself included.
         slow: Whether the sender gets too little processor time to lead.
+        own_claims: The claims of the sender itself.
     """
 
     configuration_version: int
@@ -63,6 +64,18 @@
     leaving: bool
     claims: tuple[LeadershipClaim, ...] = ()
     slow: bool = False
+    own_claims: tuple[LeadershipClaim, ...] = dataclasses.field(
+        init=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        """Selects the claims that are not relayed.
+
+        They are read in each evaluation of leadership, ten times a second for
+        each peer.
+        """
+        own = tuple(claim for claim in self.claims if not claim.relayed)
+        object.__setattr__(self, "own_claims", own)
 
 
 Demand = demands.Demand
--- a/sesameroad/settings/node.py
+++ b/sesameroad/settings/node.py
@@ -22,8 +22,8 @@
 
     Attributes:
         heartbeat_s: Period of heartbeats on a peer stream.
-        idle_heartbeat_s: The same between two instances that lead no data
-            centre, while each data centre has a leader.
+        idle_heartbeat_s: The same while each data centre has a leader, to a
+            peer that neither exchanges jobs with this instance nor follows it.
         peer_timeout_s: Silence after which a peer counts as lost. The runs of
             a lost instance must have ended before its callers resubmit their
             jobs, 1.3 s later.
@@ -43,7 +43,7 @@
     """
 
     heartbeat_s: _PositiveSeconds = 0.25
-    idle_heartbeat_s: _PositiveSeconds = 1.0
+    idle_heartbeat_s: _PositiveSeconds = 2.0
     peer_timeout_s: _PositiveSeconds = 0.75
     claim_pause_s: _PositiveSeconds = 0.15
     platform_timeout_s: _PositiveSeconds = 1.0
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -138,6 +138,7 @@
         slow=False,
         heard=True,
         millicores=0,
+        in_use=False,
     ):
         self.mesh.peers[name] = types.SimpleNamespace(
             hello=messages.Hello(name, data_centre, name, millicores),
@@ -145,6 +146,7 @@
             leaving=leaving,
             slow=slow,
             is_heard_since=lambda at: heard,
+            in_use=in_use,
         )
 
     def wait(self, seconds):
@@ -231,6 +233,24 @@
         self.assertIn("dc1", self.led())
         self.assertFalse(self.leaders.is_idle(peers[_LATER]))
 
+    async def test_link_to_a_remote_leader_is_busy_only_for_jobs(self):
+        """Guards against control traffic that grows with data centres.
+
+        All instances sent all leaders four heartbeats a second, a third of the
+        heartbeats of a fleet of 32 instances in four data centres.
+        """
+        claims = [
+            messages.LeadershipClaim("dc1", 7, relayed=True),
+            messages.LeadershipClaim("dc2", 8),
+        ]
+        self.peer(_LEADER, claims=[messages.LeadershipClaim("dc1", 7)])
+        self.peer("remote", "dc2", claims=claims)
+        self.wait(0.1)
+        self.assertTrue(self.leaders.is_idle(self.mesh.peers["remote"]))
+        self.peer("remote", "dc2", claims=claims, in_use=True)
+        self.assertFalse(self.leaders.is_idle(self.mesh.peers["remote"]))
+        self.assertFalse(self.leaders.is_idle(self.mesh.peers[_LEADER]))
+
     async def test_instance_without_peers_waits_longer_before_it_claims(self):
         self.announce("i2", "10.0.0.2:3")
         self.mesh.all_dialled = False
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -94,6 +94,30 @@
             await asyncio.sleep(0.005)
             self.assertGreater(len(stream.sent), sent)
 
+    async def test_question_on_an_idle_link_keeps_its_heartbeats_coming(self):
+        """Guards against jobs that a leader abandons for a silent origin."""
+        stream = _Stream()
+        link = self._link(stream, timeout_s=5, idle_heartbeat_s=2.0)
+        async with self._running(link):
+            stream.arrived.put_nowait(peer_pb2.Envelope(next_within_ms=20))
+            link.set_idle(True)
+            await asyncio.sleep(0.05)
+            sent = len(stream.sent)
+            question = asyncio.create_task(
+                link.ask(
+                    lambda number: messages.StatusQuery(number, "key"),
+                    timeout_s=5,
+                )
+            )
+            await asyncio.sleep(0.2)
+            self.assertGreaterEqual(len(stream.sent), sent + 5)
+            self.assertTrue(link.in_use)
+            stream.arrived.put_nowait(codec.encode([_REPLY]))
+            await question
+            self.assertTrue(link.in_use)
+            await asyncio.sleep(1.2)
+            self.assertFalse(link.in_use)
+
     async def test_peer_of_an_earlier_release_gets_all_heartbeats(self):
         """Its timeout is fixed, so it would take an idle instance for lost."""
         stream = _Stream()
