Exit without a traceback from the log stream

Seen: each process that ends writes "AttributeError: 'Sink' object has no attribute 'close'" with a traceback to its error output.

Cause: the logging library closes its stream at the exit of the process, and the sink had no close.

Change: closing a sink writes the rest of its buffer. The new test failed before (the traceback on standard error) and passes.

--- a/sesameroad/telemetry/sink.py
+++ b/sesameroad/telemetry/sink.py
@@ -62,6 +62,13 @@
             return
         self._timer = loop.call_later(_WRITE_DELAY_S, self._on_timer)
 
+    def close(self) -> None:
+        """Writes the rest of the buffer; the descriptor stays open.
+
+        The logging library closes its stream when the process exits.
+        """
+        self.drain()
+
     def drain(self) -> None:
         """Writes as much of the buffer as the descriptor accepts now."""
         while self._lines:
--- a/tests/test_sink.py
+++ b/tests/test_sink.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import os
+import subprocess
+import sys
 import unittest
 
 from sesameroad.telemetry import sink as sink_module
@@ -46,6 +48,32 @@
         self.assertEqual(len(lines) - 2 + dropped, 10_000)
 
 
+_LOGGING_PROCESS = """
+from absl import flags
+from sesameroad.telemetry import log
+from sesameroad.telemetry import sink
+flags.FLAGS(["process"])
+log.configure(instance_id="i1", data_centre="dc1", stream=sink.Sink(1))
+log.event("instance stopped", step="stop")
+"""
+
+
+class ExitTest(unittest.TestCase):
+    """Guards against a traceback among the logs of each stopped process."""
+
+    def test_process_that_logs_to_a_sink_exits_without_an_error(self):
+        process = subprocess.run(
+            [sys.executable, "-c", _LOGGING_PROCESS],
+            capture_output=True,
+            check=True,
+            text=True,
+        )
+        self.assertEqual(process.stderr, "")
+        self.assertEqual(
+            json.loads(process.stdout)["message"], "instance stopped"
+        )
+
+
 class DelayTest(_virtual.VirtualTimeTest):
     """Guards against one system call per log line."""
 
