Encode log lines with msgspec

Cause: a leader writes a line for each job and an instance one for each answer, 6% of the processor time of a leader of 44 endpoints (py-spy, 105 jobs/s on local processes), a quarter of it in the pure Python part of the standard library's encoder.

Change: the msgspec formatter of the same library. Lines keep their fields; they no longer have a space after separators, and text beyond ASCII is UTF-8.

--- a/sesameroad/telemetry/log.py
+++ b/sesameroad/telemetry/log.py
@@ -3,7 +3,7 @@
 import collections
 
 from absl import logging
-from pythonjsonlogger import json as json_formatter
+from pythonjsonlogger import msgspec as json_formatter
 
 from sesameroad.telemetry import sink
 
@@ -21,7 +21,7 @@
         data_centre: Data centre named in each line.
         stream: Stream to write to; standard error if None.
     """
-    formatter = json_formatter.JsonFormatter(
+    formatter = json_formatter.MsgspecFormatter(
         _FIELDS,
         rename_fields=_RENAMED_FIELDS,
         static_fields={"instance": instance_id, "data_centre": data_centre},
