Send the reports of a leader with its answers

Cause: a leader sends its free cores ten times a second to each instance of its data centres, in an envelope of its own, although it answers jobs of most of them more often. An envelope costs both sides much more than the heartbeat in it.

Change: the report goes out with the next message on the link, at the latest with the regular heartbeat.

The new test uses the new method and does not run on the code before.

--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -38,8 +38,8 @@
 from sesameroad.telemetry import job_metrics
 from sesameroad.telemetry import log
 
-# Period of the election of leaders and of the heartbeats in which a leader
-# reports its free cores.
+# Period of the election of leaders and of the reports of a leader on its free
+# cores.
 _ELECTION_PERIOD_S = 0.1
 # Time for which a heartbeat is sent to further peers without being composed anew.
 _HEARTBEAT_REUSE_S = 0.02
@@ -512,11 +512,12 @@
             )
 
     def _report_free_cores(self) -> None:
-        """Sends changed figures to the instances that offer jobs here first.
+        """Reports changed figures to the instances that offer jobs here first.
 
-        They divide their jobs by the reported free cores. Instances of other
-        data centres send only what these cannot take, for which the figures of
-        the regular heartbeats suffice.
+        They divide their jobs by the reported free cores. The report is sent
+        with the answer to the next of their jobs, so those that offer most have
+        the latest figures. Instances of other data centres send only what these
+        cannot take, for which the figures of the regular heartbeats suffice.
         """
         claims = self._leaders.claims()
         if claims == self._reported_claims:
@@ -524,7 +525,7 @@
         self._reported_claims = claims
         for link in self._mesh.peers.values():
             if self._leaders.leads(link.hello.data_centre):
-                link.send_heartbeat()
+                link.attach_heartbeat()
 
     # HTTP.
 
--- a/sesameroad/peering/links.py
+++ b/sesameroad/peering/links.py
@@ -250,6 +250,14 @@
         self._heartbeat_due = True
         self._wake.set()
 
+    def attach_heartbeat(self) -> None:
+        """Sends a heartbeat with the next message.
+
+        Without a message it follows at the end of the period. An envelope of
+        its own costs both sides more than the heartbeat in it.
+        """
+        self._heartbeat_due = True
+
     async def ask(
         self,
         question: Callable[[int], messages.Question],
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -94,6 +94,22 @@
             await asyncio.sleep(0.005)
             self.assertGreater(len(stream.sent), sent)
 
+    async def test_attached_heartbeat_is_sent_with_the_next_message(self):
+        """Guards against an envelope of its own for each report of a leader."""
+        stream = _Stream()
+        link = self._link(stream, heartbeat_s=3_600, timeout_s=5)
+        async with self._running(link):
+            await asyncio.sleep(0.02)
+            sent = len(stream.sent)
+            link.attach_heartbeat()
+            await asyncio.sleep(0.05)
+            self.assertEqual(len(stream.sent), sent)
+            link.send(_DEMAND)
+            await asyncio.sleep(0.02)
+        self.assertEqual(
+            stream.sent[sent:], [[_DEMAND, messages.Heartbeat(1, 1, False)]]
+        )
+
     async def test_question_on_an_idle_link_keeps_its_heartbeats_coming(self):
         """Guards against jobs that a leader abandons for a silent origin."""
         stream = _Stream()
