Let the test of an announced configuration see a reused heartbeat

The test composed no heartbeat before the new configuration, so it passed as well if the reused one kept the old version. It composes one first now, and fails without the line that drops it ("0 != 2"). The setup of an idle link in two tests of links is one function, and a doc comment says which instance is alive. 51 tests of links, leaders and the configuration pass.

--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -293,7 +293,7 @@
 
         Jobs go to the leader of the own data centre. The leader of another one
         must hear this side only while it has a job from here. A peer that
-        misses a leader must hear soon that it is alive.
+        misses a leader must hear soon that the leader is alive.
         """
         heartbeat = link.last_heartbeat
         if heartbeat is None or heartbeat.leaving or link.in_use:
--- a/tests/test_configuration_forwarding.py
+++ b/tests/test_configuration_forwarding.py
@@ -78,6 +78,8 @@
         self.node._configuration_watcher.apply(_DOCUMENT, source="platform")
 
     async def test_new_version_is_told_to_all_peers_at_once(self):
+        # Heartbeats are reused for a short time, but not with the old version.
+        self.assertEqual(self.node._heartbeat().configuration_version, 0)
         self._apply()
         self.assertEqual(self.mesh.heartbeats, 1)
         self.assertEqual(self.node._heartbeat().configuration_version, 2)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -54,6 +54,13 @@
             counters=self.counters,
         )
 
+    async def _make_idle(self, link, stream):
+        """Makes a link idle; returns the number of envelopes sent so far."""
+        stream.arrived.put_nowait(peer_pb2.Envelope(next_within_ms=20))
+        link.set_idle(True)
+        await asyncio.sleep(0.05)
+        return len(stream.sent)
+
     @contextlib.asynccontextmanager
     async def _running(self, link):
         task = asyncio.create_task(
@@ -83,10 +90,7 @@
         stream = _Stream()
         link = self._link(stream, timeout_s=5, idle_heartbeat_s=2.0)
         async with self._running(link):
-            stream.arrived.put_nowait(peer_pb2.Envelope(next_within_ms=20))
-            link.set_idle(True)
-            await asyncio.sleep(0.05)
-            sent = len(stream.sent)
+            sent = await self._make_idle(link, stream)
             await asyncio.sleep(0.3)
             self.assertLessEqual(len(stream.sent), sent + 1)
             sent = len(stream.sent)
@@ -115,10 +119,7 @@
         stream = _Stream()
         link = self._link(stream, timeout_s=5, idle_heartbeat_s=2.0)
         async with self._running(link):
-            stream.arrived.put_nowait(peer_pb2.Envelope(next_within_ms=20))
-            link.set_idle(True)
-            await asyncio.sleep(0.05)
-            sent = len(stream.sent)
+            sent = await self._make_idle(link, stream)
             question = asyncio.create_task(
                 link.ask(
                     lambda number: messages.StatusQuery(number, "key"),
