Write claims again whose rows are absent after a lost answer

Cause: the claims of a batch are one transaction. If another entry has taken one of the keys, the transaction is refused as a whole; if that answer is lost, the read back finds the taken rows and no others, and all other claims of the batch were answered "not run" although nobody held them.

Change: an absent row decides nothing. It is written again with the same token, conditional on its absence, up to 4 times within the 0.5 s of a claim, as long as the store answers reads. A row that cannot be read ends the claim at once. Errors name their step once. Two tests that provoke a logged warning now expect it instead of printing it.

--- a/sesameroad/errors.py
+++ b/sesameroad/errors.py
@@ -14,8 +14,13 @@
         self.step = step
         self.peer = peer
 
+    @property
+    def detail(self) -> str:
+        """The description without step and peer."""
+        return super().__str__()
+
     def __str__(self) -> str:
-        parts = [super().__str__()]
+        parts = [self.detail]
         if self.step:
             parts.append(f"step={self.step}")
         if self.peer:
--- a/sesameroad/ownership/claims.py
+++ b/sesameroad/ownership/claims.py
@@ -21,6 +21,12 @@
 # A write usually takes several milliseconds. A claim that takes longer than
 # this fails, and new claims are refused while a write call lasts longer.
 _CALL_TIMEOUT_S = 0.5
+# Attempts to write a row whose write call had no answer. Each further attempt
+# needs another lost answer or another claimant, so more are rarely of use.
+_MAX_WRITE_ATTEMPTS = 4
+# Pause before a further attempt, so that a store over its rate limit is not
+# called in a tight loop.
+_REWRITE_DELAY_S = 0.01
 _BREAKER_THRESHOLD = 3
 _BREAKER_OPEN_S = 1.0
 
@@ -131,7 +137,7 @@
             case Claim() as claim:
                 return claim
             case errors.PlatformError() as error:
-                raise errors.PlatformError(str(error), step="claim")
+                raise errors.PlatformError(error.detail, step="claim")
 
     async def find(self, name: str) -> Claim | None:
         """Returns the claim of a key, None if there is none.
@@ -191,15 +197,11 @@
         try:
             while self._pending:
                 batch = self._next_batch()
-                await self._write_batch(batch)
+                detail = await self._write_batch(batch)
                 for name, pending in batch.items():
                     del self._pending[name]
                     if not pending.done.done():
-                        pending.done.set_result(
-                            errors.PlatformError(
-                                "no row was written", step="claim"
-                            )
-                        )
+                        pending.done.set_result(errors.PlatformError(detail))
         finally:
             self._writer = None
             self._write_started_at = None
@@ -211,47 +213,67 @@
                 del self._pending[name]
         return dict(itertools.islice(self._pending.items(), _MAX_BATCH_ROWS))
 
-    async def _write_batch(self, batch: dict[str, _PendingClaim]) -> None:
-        """Writes the rows of a batch, or reads them back if the call fails."""
-        if not batch:
-            return
-        rows = {_ROW_PREFIX + name: pending for name, pending in batch.items()}
+    async def _write_batch(self, batch: dict[str, _PendingClaim]) -> str:
+        """Writes the rows of a batch until each names the home of its key.
+
+        The rows of a call form one transaction. If its answer is lost, an absent
+        row does not show the outcome: the transaction may have been refused
+        because of another row, or may still be applied. The row is then written
+        again with the same token, conditional on its absence, while a caller
+        waits for it.
+
+        Returns:
+            Why the claims that are not done were given up.
+        """
+        detail = "no row was written"
+        started_at = self._write_started_at = self._clock.monotonic()
+        for attempt in range(_MAX_WRITE_ATTEMPTS):
+            if attempt:
+                await asyncio.sleep(_REWRITE_DELAY_S)
+            undecided = {
+                _ROW_PREFIX + name: pending
+                for name, pending in batch.items()
+                if pending.waiters and not pending.done.done()
+            }
+            elapsed_s = self._clock.monotonic() - started_at
+            if not undecided or elapsed_s > _CALL_TIMEOUT_S:
+                break
+            try:
+                table_rows = await self._write(undecided)
+            except errors.PlatformError as write_error:
+                detail = f"the write was not confirmed: {write_error.detail}"
+                try:
+                    table_rows = await self._table.read(
+                        list(undecided), step="read claims back"
+                    )
+                except errors.PlatformError as read_error:
+                    # A store that does not answer reads either is not asked
+                    # again for this batch.
+                    detail += f", nor read back: {read_error.detail}"
+                    break
+            else:
+                self._failures = 0
+            _settle(undecided, table_rows)
+        # A lost answer does not count as a failure if some rows were written.
+        if batch and not any(p.done.done() for p in batch.values()):
+            self._count_failure()
+        self._write_started_at = None
+        return detail
+
+    async def _write(
+        self, undecided: dict[str, _PendingClaim]
+    ) -> list[table_module.Row]:
+        """Writes rows that must be absent, and returns the current rows."""
         writes = [
             table_module.Write(
                 name,
                 table_module.ABSENT,
                 msgspec.json.encode(pending.claim_to_write).decode(),
             )
-            for name, pending in rows.items()
+            for name, pending in undecided.items()
         ]
-        self._write_started_at = self._clock.monotonic()
-        try:
-            written = await self._table.write(writes, step="claim")
-            table_rows = [result.row for result in written]
-        except errors.PlatformError as write_error:
-            table_rows = await self._read_back(list(rows), write_error)
-        else:
-            self._failures = 0
-        for row in table_rows:
-            claim = _decode(row)
-            pending = rows.get(row.name)
-            if claim and pending and not pending.done.done():
-                pending.done.set_result(claim)
-        self._write_started_at = None
-
-    async def _read_back(
-        self, names: list[str], write_error: errors.PlatformError
-    ) -> list[table_module.Row]:
-        """Reads rows after a write call that failed."""
-        try:
-            table_rows = await self._table.read(names, step="read claims back")
-        except errors.PlatformError:
-            self._count_failure()
-            return []
-        # A lost answer does not count as a failure if some rows were written.
-        if all(row.version == table_module.ABSENT for row in table_rows):
-            self._count_failure()
-        return table_rows
+        written = await self._table.write(writes, step="claim")
+        return [result.row for result in written]
 
     def _count_failure(self) -> None:
         self._failures += 1
@@ -259,11 +281,28 @@
             self._breaker_open_until = self._clock.monotonic() + _BREAKER_OPEN_S
 
 
-def _decode(row: table_module.Row) -> Claim | None:
-    """Returns the claim of a row, or None if it is absent or malformed.
+def _settle(
+    undecided: dict[str, _PendingClaim], table_rows: list[table_module.Row]
+) -> None:
+    """Completes the claims whose rows exist.
 
     A malformed row names no home, so tasks of its key are not started.
     """
+    for row in table_rows:
+        pending = undecided.get(row.name)
+        if (
+            row.version == table_module.ABSENT
+            or pending is None
+            or pending.done.done()
+        ):
+            continue
+        pending.done.set_result(
+            _decode(row) or errors.PlatformError("the claim cannot be read")
+        )
+
+
+def _decode(row: table_module.Row) -> Claim | None:
+    """Returns the claim of a row, or None if it is absent or malformed."""
     if row.version == table_module.ABSENT:
         return None
     try:
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -56,9 +56,11 @@
 
     async def test_unusable_url_proves_that_nothing_left(self):
         """A bad URL in the list was once treated as a lost answer."""
-        for url in ("", "http://[", "ftp://127.0.0.1:1"):
-            result = await self._send(url)
-            self.assertIsInstance(result, results.NeverSent, url)
+        with self.assertLogs("absl", "WARNING") as logs:
+            for url in ("", "http://[", "ftp://127.0.0.1:1"):
+                result = await self._send(url)
+                self.assertIsInstance(result, results.NeverSent, url)
+        self.assertEqual({r.step for r in logs.records}, {"send"})
         self.assertTrue(self.ledger.find("k").not_started)
 
     async def test_connect_timeout_proves_that_nothing_left(self):
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -23,8 +23,10 @@
             await asyncio.sleep(60)
 
         supervisor = supervisor_module.Supervisor(restart_delay_s=0.0)
-        supervisor.run("loop", loop)
-        async with asyncio.timeout(5):
-            await restarted.wait()
+        with self.assertLogs("absl", "WARNING") as logs:
+            supervisor.run("loop", loop)
+            async with asyncio.timeout(5):
+                await restarted.wait()
         await supervisor.stop()
+        self.assertEqual(len(logs.records), 1)
         self.assertEqual((runs, supervisor.failures), (2, 1))
