Lend parts of quotas under bounds that each entry keeps on its own clock

Cut off at 0.2668, it went on renewing its own 3, because an allocator in its first 1.5 s only renews while an entry is missing. It lowered itself to 1 at 1.5257, with 3 tasks running until 1.9155. entry1, the next allocator, counted entry0 at its fixed share of 1 and raised entry2 to 3 at 1.7668: 3 + 1 + 3 = 7. Nothing told it that the loan had been returned.

Change: scheduling.quota_lease states the invariant and its bounds. An allocation is valid from the report that it answers, not from its receipt; a borrower gives its loan up when its allocator changes; a lender keeps its lower limit, and reports its whole share as held to any other allocator, until the loan must have ended; an allocator counts on a lender only for 1.5 s after it sent the last allocation that the lender confirmed; the first 1.5 s of an allocator end once all have reported. Allocation has a new field, the number of the report; 0 from an earlier release means "valid from receipt" as before. An entry without demand now gives up the last slot of a team too: it reported half its limit, rounded up, so a quota of 1 stayed with an idle entry.

The bound of test_quota_grows_back_only_after_others_have_expired is now 4.5 s instead of 3 s after the last allocation, and the test checks that the limit stays low until then. The simulation fails if an agent fails.

--- a/benchmarks/policy_simulation.py
+++ b/benchmarks/policy_simulation.py
@@ -260,8 +260,14 @@
             self._tasks.append(asyncio.create_task(self.allocation_agent.run()))
 
     async def stop(self) -> None:
-        """Cancels all tasks."""
+        """Cancels all tasks.
+
+        Raises:
+            Exception: If a task has failed.
+        """
         for task in self._tasks:
+            if task.done():
+                task.result()
             task.cancel()
         await self.pool.close()
 
--- a/sesameroad/model/demands.py
+++ b/sesameroad/model/demands.py
@@ -64,7 +64,8 @@
         endpoints: Raised limits on slots of endpoints; others are unchanged.
         kinds: Changed limits under kind ceilings.
         teams: Changed limits under team quotas.
-        valid_ms: Time until the allocation expires.
+        valid_ms: Validity of the allocation, from the time at which the entry
+            sent the report that it answers.
         guarantees: Slots guaranteed to each kind at this entry; a kind that is
             missing is unchanged.
         pools: Slots that the entry may keep in each group of endpoints; a group
@@ -73,6 +74,7 @@
         session: Session of the entry to which the allocation belongs.
         restart: Whether a report was lost, so that the entry must open a new
             session.
+        report: Number of the last report that the allocator had received.
     """
 
     epoch: int
@@ -84,3 +86,4 @@
     pools: tuple[SlotCount, ...] = ()
     session: int = 1
     restart: bool = False
+    report: int = 0
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -94,6 +94,7 @@
                     pools=_encode_slots(message.pools),
                     session=message.session,
                     restart=message.restart,
+                    report=message.report,
                 )
             )
         case messages.ConfigurationUpdate():
@@ -216,6 +217,7 @@
                 _decode_slots(item.allocation.pools),
                 item.allocation.session,
                 item.allocation.restart,
+                item.allocation.report,
             )
         case "configuration_update":
             return messages.ConfigurationUpdate(
--- a/sesameroad/scheduling/allocation.py
+++ b/sesameroad/scheduling/allocation.py
@@ -8,13 +8,9 @@
 from sesameroad.model import clocks
 from sesameroad.model import demands
 from sesameroad.model import endpoints
+from sesameroad.scheduling import quota_lease
 from sesameroad.scheduling import rank
 
-# After an allocation expires, lowered quotas return to the fixed share only after
-# this time, when the allocations of all other entries have expired or been
-# renewed as well. Until then other entries may still use what was taken here.
-_QUOTA_GRACE_S = 1.5
-
 
 class SharedResource:
     """Limits and use of one shared resource: endpoint slots or quotas.
@@ -23,15 +19,18 @@
         capacities: Slots of each name in the whole data centre.
         granted: Limits set by the allocator; other names have their fixed share.
         used: Slots that this entry uses.
+        lent: Limits below the fixed share that an allocation has set which no
+            longer holds. Other entries may still use the difference.
         fixed_shares: Cache of the fixed shares computed so far.
     """
 
-    __slots__ = ("capacities", "fixed_shares", "granted", "used")
+    __slots__ = ("capacities", "fixed_shares", "granted", "lent", "used")
 
     def __init__(self) -> None:
         self.capacities: dict[str, int] = {}
         self.granted: dict[str, int] = {}
         self.used: collections.Counter[str] = collections.Counter()
+        self.lent: dict[str, int] = {}
         self.fixed_shares: dict[str, int] = {}
 
     def apply(self, limits: Iterable[demands.SlotCount]) -> None:
@@ -43,8 +42,9 @@
         """Sets the configured names and their slots in the data centre."""
         self.capacities = dict(capacities)
         self.fixed_shares.clear()
-        for name in self.granted.keys() - capacities.keys():
-            del self.granted[name]
+        for limits in (self.granted, self.lent):
+            for name in limits.keys() - capacities.keys():
+                del limits[name]
 
 
 class Allocation:
@@ -67,7 +67,10 @@
         "_group_targets",
         "_guarantees",
         "_kinds",
+        "_lent_until",
+        "_loans_end_at",
         "_position",
+        "_reports",
         "_session",
         "_slots_returned",
         "_teams",
@@ -85,6 +88,11 @@
         self._epoch = 0
         self._valid = False
         self._expires_at = 0.0
+        # Time until which quotas stay lent that the current allocator has lent.
+        self._lent_until = 0.0
+        # Time at which those return that an allocation lent which has ended.
+        self._loans_end_at = 0.0
+        self._reports = quota_lease.SentTimes()
         self._guarantees: dict[str, int] = {}
         self._usable_slots = 0
         self._capacity = 0
@@ -160,6 +168,20 @@
         """Opens a new session; current limits stay until they expire."""
         self._session += 1
         self._epoch = 0
+        self._reports.clear()
+
+    def change_allocator(self) -> None:
+        """Opens a session with another allocator.
+
+        It does not know what the previous one has lent, so borrowed parts of
+        quotas are given up, and lent ones stay lent for their time.
+        """
+        self._end_loans()
+        self.open_session()
+
+    def report_sent(self, number: int, *, now: float) -> None:
+        """Records the time of a report, from which allocations are valid."""
+        self._reports.record(number, now)
 
     def apply(self, granted: demands.Allocation, *, now: float) -> bool:
         """Applies an allocation.
@@ -174,11 +196,14 @@
             return False
         if not self._valid:
             self._endpoints.granted = self._endpoint_limits()
-            self._teams.granted.clear()
-            self._kinds.granted.clear()
         self._epoch = granted.epoch
         self._valid = True
-        self._expires_at = now + granted.valid_ms / 1_000
+        reported_at = self._reports.confirm(granted.report)
+        if reported_at is None:
+            # An allocator of an earlier release does not name the report.
+            reported_at = now
+        self._expires_at = reported_at + granted.valid_ms / 1_000
+        self._lent_until = now + quota_lease.LENT_S
         self._endpoints.apply(granted.endpoints)
         self._teams.apply(granted.teams)
         self._kinds.apply(granted.kinds)
@@ -194,9 +219,15 @@
         Returns:
             Whether the limits changed.
         """
-        if not self._valid or self._clock.monotonic() < self._expires_at:
-            return False
+        now = self._clock.monotonic()
+        returned = self.lending and now >= self._loans_end_at
+        if returned:
+            self._teams.lent.clear()
+            self._kinds.lent.clear()
+        if not self._valid or now < self._expires_at:
+            return returned
         self._valid = False
+        self._end_loans()
         self.open_session()
         self._endpoints.granted.clear()
         self._guarantees = {}
@@ -222,6 +253,11 @@
         """Returns the quota of a team in the whole data centre."""
         return self._teams.capacities.get(team, 0)
 
+    @property
+    def lending(self) -> bool:
+        """Whether parts of quotas stay lent after their allocation has ended."""
+        return bool(self._teams.lent or self._kinds.lent)
+
     @property
     def divided_teams(self) -> set[str]:
         """Teams for which the allocator has set a limit."""
@@ -309,34 +345,40 @@
     ) -> dict[str, demands.SlotCount]:
         """Returns the slots held where they may differ from the fixed share.
 
-        Without an allocation the fixed share counts as held even while the limit
-        is lower, because the limit returns to it without a message.
+        A lent part counts as held, because it returns here without a message.
         """
         held = {}
-        for name in resource.granted.keys() | resource.used.keys():
-            capacity = resource.capacities.get(name)
-            if capacity is None:
+        decided = resource.granted.keys() | resource.lent.keys()
+        for name in decided | resource.used.keys():
+            if name not in resource.capacities:
                 continue
             fixed_share = self._fixed_share(resource, name)
-            limit = self._quota(resource, name) if self._valid else fixed_share
+            limit = self._quota(resource, name)
+            if name in resource.lent:
+                limit = max(limit, fixed_share)
             count = max(limit, resource.used[name])
-            if count != fixed_share or (
-                self._valid and name in resource.granted
-            ):
+            if count != fixed_share or name in decided:
                 held[name] = demands.SlotCount(name, count)
         return held
 
     def _quota(self, resource: SharedResource, name: str) -> int:
         capacity = resource.capacities.get(name, 0)
-        granted = resource.granted.get(name)
-        fixed_share = self._fixed_share(resource, name)
-        if granted is None:
-            return fixed_share
-        if self._valid:
-            return min(granted, capacity)
-        if self._clock.monotonic() < self._expires_at + _QUOTA_GRACE_S:
-            return min(fixed_share, granted)
-        return fixed_share
+        limit = resource.granted.get(name)
+        if limit is None:
+            limit = self._fixed_share(resource, name)
+        lent_limit = resource.lent.get(name, limit)
+        return min(limit, lent_limit, capacity)
+
+    def _end_loans(self) -> None:
+        """Returns quotas to the fixed share, lent ones after their time."""
+        self._loans_end_at = max(self._loans_end_at, self._lent_until)
+        for resource in (self._teams, self._kinds):
+            for name, count in resource.granted.items():
+                if count < self._fixed_share(resource, name):
+                    resource.lent[name] = min(
+                        count, resource.lent.get(name, count)
+                    )
+            resource.granted.clear()
 
     def _fixed_share(self, resource: SharedResource, name: str) -> int:
         fixed_share = resource.fixed_shares.get(name)
--- a/sesameroad/scheduling/allocation_agent.py
+++ b/sesameroad/scheduling/allocation_agent.py
@@ -148,7 +148,8 @@
                 if allocator_id == self._entry
                 else None
             )
-            self._open_session()
+            self._allocation.change_allocator()
+            self._report_soon()
         if self._allocator is not None:
             self._allocator.configure(
                 content=content,
@@ -218,7 +219,7 @@
             self._decide(now)
 
     def _report(self, now: float) -> None:
-        if not self._allocation.valid:
+        if not self._allocation.valid or self._allocation.lending:
             # Applies limits that have returned to the fixed share.
             self._matcher.refresh()
         self._reported_at = now
@@ -257,6 +258,7 @@
             for kind, team, need in self._lanes.keys() - lanes.keys()
         )
         self._report_number += 1
+        self._allocation.report_sent(self._report_number, now=now)
         report = demands.Demand(
             self._allocation.epoch,
             removed
@@ -319,8 +321,9 @@
                 if team not in divided:
                     continue
                 # Reported in steps of half the limit only, because the demand of
-                # many teams changes with each task.
-                want = limit if want * 2 > limit else (limit + 1) // 2
+                # many teams changes with each task. Rounded down, so that an
+                # entry without demand gives up the last slot as well.
+                want = limit if want * 2 > limit else limit // 2
             if want:
                 lanes["", team, needs.Need()] = demands.LaneDemand(
                     "", team, 0, want
@@ -343,6 +346,9 @@
 
     def _open_session(self) -> None:
         self._allocation.open_session()
+        self._report_soon()
+
+    def _report_soon(self) -> None:
         self._report_at = self._clock.monotonic()
         self._wake.set()
 
--- a/sesameroad/scheduling/allocator.py
+++ b/sesameroad/scheduling/allocator.py
@@ -11,15 +11,11 @@
 from sesameroad.model import needs
 from sesameroad.scheduling import entry_state
 from sesameroad.scheduling import fair_share
+from sesameroad.scheduling import quota_lease
 from sesameroad.scheduling import rank
 
-VALID_S = 1.5
 # Four renewals in a row can be lost before an allocation expires.
 RENEW_S = 0.3
-# An unreachable entry may use the quotas it was granted until its allocation
-# expires, and its tasks started by then may still run. Its quotas are not held
-# back for tasks that run longer than this.
-_UNREACHABLE_QUOTA_S = 3.0
 # Spare slots are divided by recent peak demand, so that an entry with bursts has
 # free slots without having to ask for them.
 _PEAK_DECAY_S = 1.0
@@ -48,11 +44,14 @@
         "_groups",
         "_members",
         "_started_at",
+        "_starting",
         "_states",
     )
 
     def __init__(self, *, now: float) -> None:
         self._started_at = now
+        # Whether entries may still hold slots that a previous allocator granted.
+        self._starting = True
         self._decided_at = now
         self._document = document.Document()
         self._endpoints: dict[str, endpoints.Endpoint] = {}
@@ -116,6 +115,7 @@
                 state.position,
                 session=report.session,
                 peak_demand=state.peak_demand,
+                confirmed_at=state.confirmed_at,
             )
         elif (
             report.session != state.session
@@ -132,6 +132,9 @@
                 state.lanes[name] = lane
             else:
                 state.lanes.pop(name, None)
+        confirmed_at = state.sent_epochs.confirm(report.epoch)
+        if confirmed_at is not None:
+            state.confirmed_at = confirmed_at
         for epoch, limits in state.unconfirmed:
             if epoch <= report.epoch:
                 for held, confirmed in zip(state.held, limits, strict=True):
@@ -150,7 +153,7 @@
         for entry, state in tuple(self._states.items()):
             if (
                 state.unreachable_since is not None
-                and now - state.unreachable_since >= _UNREACHABLE_QUOTA_S
+                and now - state.unreachable_since >= quota_lease.BORROWED_S
             ):
                 del self._states[entry]
         active = {
@@ -158,11 +161,13 @@
             for entry, state in self._states.items()
             if state.unreachable_since is None
             and state.session
-            and now - state.reported_at < VALID_S
+            and now - state.reported_at < quota_lease.VALID_S
         }
-        if now - self._started_at < VALID_S and len(active) < len(
+        if now - self._started_at >= quota_lease.VALID_S or len(active) == len(
             self._members
         ):
+            self._starting = False
+        if self._starting:
             # Entries that have not reported may still hold an allocation of the
             # previous allocator, which is known only once it has expired.
             return self._renewals(active, now)
@@ -197,8 +202,7 @@
             urgent = any(limits) or new_targets
             if not urgent and now - state.sent_at < RENEW_S:
                 continue
-            state.epoch += 1
-            state.sent_at = now
+            _advance(state, now)
             state.group_targets.update(new_targets)
             if new_guarantees:
                 state.guarantees_sent_at = now
@@ -215,10 +219,11 @@
                         entry_state.TEAMS,
                     )
                 ),
-                valid_ms=int(VALID_S * 1_000),
+                valid_ms=int(quota_lease.VALID_S * 1_000),
                 guarantees=_slot_counts(new_guarantees),
                 pools=_slot_counts(new_targets),
                 session=state.session,
+                report=state.report_number,
             )
         return messages
 
@@ -230,15 +235,15 @@
         for entry, state in active.items():
             if now - state.sent_at < RENEW_S:
                 continue
-            state.epoch += 1
-            state.sent_at = now
+            _advance(state, now)
             messages[entry] = demands.Allocation(
                 state.epoch,
                 (),
                 (),
                 (),
-                int(VALID_S * 1_000),
+                int(quota_lease.VALID_S * 1_000),
                 session=state.session,
+                report=state.report_number,
             )
         return messages
 
@@ -423,6 +428,9 @@
     ) -> dict[str, dict[str, int]]:
         """Divides quotas of teams or kinds whose fixed shares are too small.
 
+        Only entries that are known to keep to their limits (`quota_lease`) take
+        part. The others keep what they hold, at least their fixed share.
+
         Returns:
             The changed limits by entry and name.
         """
@@ -437,7 +445,12 @@
                         wants[name].get(entry, 0) + lane.running + lane.queued
                     )
         changed: dict[str, dict[str, int]] = {entry: {} for entry in active}
-        if not active:
+        lenders = {
+            entry: state
+            for entry, state in active.items()
+            if _is_counted_on(state, now)
+        }
+        if not lenders:
             return changed
         divided = {
             name
@@ -463,17 +476,19 @@
                 if entry not in self._states
             )
             free = capacity - held_by_absent - sum(held.values())
-            if free >= 0 and all(by_entry.get(e, 0) <= held[e] for e in active):
+            if free >= 0 and all(
+                by_entry.get(e, 0) <= held[e] for e in lenders
+            ):
                 continue
-            held_by_inactive = sum(
-                held[e] for e in self._states if e not in active
+            held_by_others = sum(
+                held[e] for e in self._states if e not in lenders
             )
             targets = fair_share.quota_targets(
-                max(0, capacity - held_by_absent - held_by_inactive),
-                {entry: by_entry.get(entry, 0) for entry in active},
+                max(0, capacity - held_by_absent - held_by_others),
+                {entry: by_entry.get(entry, 0) for entry in lenders},
                 {
                     entry: state.limits_sent[resource].get(name, held[entry])
-                    for entry, state in active.items()
+                    for entry, state in lenders.items()
                 },
             )
             for entry, target in sorted(
@@ -493,10 +508,10 @@
         """Returns the slots of each endpoint that an entry may be using."""
         if (
             state.unreachable_since is not None
-            and now - state.unreachable_since >= VALID_S
+            and now - state.unreachable_since >= quota_lease.VALID_S
         ):
             return collections.Counter()
-        if not state.session or now - state.reported_at >= VALID_S:
+        if not state.session or now - state.reported_at >= quota_lease.VALID_S:
             return collections.Counter(
                 {
                     name: max(
@@ -538,15 +553,12 @@
             *(limits[resource].get(name, 0) for _, limits in state.unconfirmed),
             0,
         )
-        unreported_s = now - state.reported_at
-        if state.unreachable_since is None and unreported_s < VALID_S:
+        if _is_counted_on(state, now):
             return held
         # Its limit may return to the fixed share without a message.
-        return (
-            max(held, fixed_share)
-            if unreported_s < _UNREACHABLE_QUOTA_S
-            else fixed_share
-        )
+        if now - state.reported_at < quota_lease.BORROWED_S:
+            return max(held, fixed_share)
+        return fixed_share
 
     def _fixed_share(self, name: str, capacity: int, position: int) -> int:
         return rank.fixed_share(
@@ -554,6 +566,21 @@
         )
 
 
+def _advance(state: entry_state.EntryState, now: float) -> None:
+    """Begins the next epoch of an entry, whose allocation is sent now."""
+    state.epoch += 1
+    state.sent_at = now
+    state.sent_epochs.record(state.epoch, now)
+
+
+def _is_counted_on(state: entry_state.EntryState, now: float) -> bool:
+    """Returns whether an entry keeps to a limit below its fixed share."""
+    return (
+        state.unreachable_since is None
+        and now - state.confirmed_at < quota_lease.VALID_S
+    )
+
+
 def _differing(
     known: Mapping[str, int], new: Mapping[str, int]
 ) -> dict[str, int]:
--- a/sesameroad/scheduling/entry_state.py
+++ b/sesameroad/scheduling/entry_state.py
@@ -6,6 +6,7 @@
 
 from sesameroad.model import demands
 from sesameroad.model import needs
+from sesameroad.scheduling import quota_lease
 
 # Indices of the three shared resources in Limits.
 ENDPOINTS, TEAMS, KINDS = range(3)
@@ -30,6 +31,9 @@
         guarantees_sent_at: Monotonic time in seconds of the last allocation
             with guarantees.
         epoch: Epoch of the last allocation sent.
+        sent_epochs: Times at which allocations were sent, by epoch.
+        confirmed_at: Monotonic time in seconds at which the last allocation was
+            sent that the entry has confirmed.
         lanes: Demand by kind, team and need.
         held: Slots that the entry holds according to its reports, by endpoint,
             team and kind.
@@ -51,6 +55,10 @@
     sent_at: float = -math.inf
     guarantees_sent_at: float = -math.inf
     epoch: int = 0
+    sent_epochs: quota_lease.SentTimes = dataclasses.field(
+        default_factory=quota_lease.SentTimes
+    )
+    confirmed_at: float = -math.inf
     lanes: dict[tuple[str, str, needs.Need], demands.LaneDemand] = (
         dataclasses.field(default_factory=dict)
     )
--- a/tests/test_allocation.py
+++ b/tests/test_allocation.py
@@ -1,5 +1,6 @@
 """Limits on the slots that one entry may use."""
 
+import dataclasses
 import unittest
 
 import hypothesis
@@ -10,6 +11,7 @@
 from sesameroad.model import demands
 from sesameroad.model import endpoints
 from sesameroad.scheduling import allocation
+from sesameroad.scheduling import quota_lease
 from sesameroad.scheduling import rank
 
 
@@ -57,7 +59,46 @@
         self.clock.now = 1.6
         self.allocation.check_expiry()
         self.assertEqual(self.allocation.team_limit("red"), 0)
-        self.clock.now = 3.1
+        self.clock.now = quota_lease.LENT_S - 0.1
+        self.assertFalse(self.allocation.check_expiry())
+        self.assertEqual(self.allocation.team_limit("red"), 0)
+        self.clock.now = quota_lease.LENT_S
+        self.assertTrue(self.allocation.check_expiry())
+        self.assertEqual(self.allocation.team_limit("red"), 2)
+
+    def test_lent_quota_counts_as_held_by_the_next_allocator(self):
+        """The next allocator must not lend what an earlier one has lent."""
+        self.allocation.apply(_granted(1, 1), now=0.0)
+        self.allocation.change_allocator()
+        self.assertEqual(self.allocation.team_limit("red"), 0)
+        [held] = self.allocation.held_teams().values()
+        self.assertEqual(held, demands.SlotCount("red", 2))
+        # Allocations of the next allocator must not end the loan, nor extend it.
+        empty = demands.Allocation(1, (), (), (), 1_500, session=2)
+        self.clock.now = 1.0
+        self.allocation.apply(empty, now=1.0)
+        self.assertEqual(self.allocation.team_limit("red"), 0)
+        self.clock.now = quota_lease.LENT_S
+        self.allocation.check_expiry()
+        self.assertEqual(self.allocation.team_limit("red"), 2)
+
+    def test_borrowed_quota_ends_with_its_allocator(self):
+        """Its lenders may report to another allocator than this entry."""
+        self.allocation.apply(_granted(1, 1, team=4), now=0.0)
+        self.assertEqual(self.allocation.team_limit("red"), 4)
+        self.allocation.change_allocator()
+        self.assertEqual(self.allocation.team_limit("red"), 2)
+
+    def test_late_allocation_is_valid_from_the_report_it_answers(self):
+        """A delayed allocation must not extend a loan that was taken back."""
+        self.allocation.report_sent(1, now=0.0)
+        self.allocation.report_sent(2, now=0.3)
+        late = dataclasses.replace(_granted(1, 1, team=4), report=1)
+        self.clock.now = 1.4
+        self.allocation.apply(late, now=1.4)
+        self.assertEqual(self.allocation.team_limit("red"), 4)
+        self.clock.now = 1.5
+        self.assertTrue(self.allocation.check_expiry())
         self.assertEqual(self.allocation.team_limit("red"), 2)
 
     def test_late_allocation_of_an_old_session_changes_nothing(self):
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -14,6 +14,7 @@
 from sesameroad.model import endpoints
 from sesameroad.peering import codec
 from sesameroad.scheduling import allocator as allocator_module
+from tests import _properties
 
 _QUOTA = 5
 _CEILING = 4
@@ -52,10 +53,7 @@
 
 
 _ARRIVALS = st.integers(0, 2**32).map(_bursts)
-# Shrinking is off, because a smaller seed does not give a simpler trace.
-_SETTINGS = hypothesis.settings(
-    max_examples=25, phases=[hypothesis.Phase.generate]
-)
+_SETTINGS = _properties.examples(25)
 
 
 def _play(trace, *, cut=None, cut_at=1.0):
