Raise no limit while more than a quota is held, nor renew an expired loan

Change: an entry drops an expired allocation before it applies another; entries that are not counted on are lowered to their fixed share, and never raised, while too much is held; no limit is raised at all then.

--- a/sesameroad/scheduling/allocation.py
+++ b/sesameroad/scheduling/allocation.py
@@ -190,6 +190,9 @@
             False if an earlier allocation is missing, so that the entry must
             open a new session. An allocation of an older session is ignored.
         """
+        # A process that was paused may apply an allocation before it has seen
+        # that the previous one has expired.
+        self.check_expiry()
         if granted.session != self._session:
             return True
         if granted.restart or granted.epoch != self._epoch + 1:
--- a/sesameroad/scheduling/allocator.py
+++ b/sesameroad/scheduling/allocator.py
@@ -429,7 +429,8 @@
         """Divides quotas of teams or kinds whose fixed shares are too small.
 
         Only entries that are known to keep to their limits (`quota_lease`) take
-        part. The others keep what they hold, at least their fixed share.
+        part. The others hold at least their fixed share, and are lowered to it
+        if more than the quota is held.
 
         Returns:
             The changed limits by entry and name.
@@ -450,8 +451,6 @@
             for entry, state in active.items()
             if _is_counted_on(state, now)
         }
-        if not lenders:
-            return changed
         divided = {
             name
             for state in self._states.values()
@@ -483,20 +482,38 @@
             held_by_others = sum(
                 held[e] for e in self._states if e not in lenders
             )
-            targets = fair_share.quota_targets(
-                max(0, capacity - held_by_absent - held_by_others),
-                {entry: by_entry.get(entry, 0) for entry in lenders},
-                {
-                    entry: state.limits_sent[resource].get(name, held[entry])
-                    for entry, state in lenders.items()
-                },
-            )
+            targets = {}
+            if lenders:
+                targets = fair_share.quota_targets(
+                    max(0, capacity - held_by_absent - held_by_others),
+                    {entry: by_entry.get(entry, 0) for entry in lenders},
+                    {
+                        entry: (
+                            state.limits_sent[resource].get(name, held[entry])
+                        )
+                        for entry, state in lenders.items()
+                    },
+                )
+            for entry, state in active.items():
+                fixed_share = self._fixed_share(name, capacity, state.position)
+                if (
+                    free < 0
+                    and entry not in lenders
+                    and held[entry] > fixed_share
+                ):
+                    targets[entry] = fixed_share
             for entry, target in sorted(
                 targets.items(), key=lambda pair: pair[1] - held[pair[0]]
             ):
-                grant = min(target, held[entry] + max(0, free))
-                free -= max(0, grant - held[entry])
                 sent = active[entry].limits_sent[resource]
+                if free >= 0:
+                    grant = min(target, held[entry] + free)
+                    free -= max(0, grant - held[entry])
+                else:
+                    # An entry may hold more than its limit, by running tasks
+                    # and lent parts. While more than the quota is held, no
+                    # limit is raised, not even to what its entry holds.
+                    grant = min(target, held[entry], sent.get(name, target))
                 if grant != sent.get(name, held[entry]):
                     changed[entry][name] = grant
                     sent[name] = grant
--- a/tests/test_allocation.py
+++ b/tests/test_allocation.py
@@ -89,6 +89,15 @@
         self.allocation.change_allocator()
         self.assertEqual(self.allocation.team_limit("red"), 2)
 
+    def test_expired_loan_is_not_renewed(self):
+        """A process that was paused must not go on with an expired loan."""
+        self.allocation.apply(_granted(1, 1, team=4), now=0.0)
+        self.clock.now = 1.6
+        empty = demands.Allocation(2, (), (), (), 1_500, session=1)
+        self.assertTrue(self.allocation.apply(empty, now=1.6))
+        self.assertEqual(self.allocation.team_limit("red"), 2)
+        self.assertFalse(self.allocation.valid)
+
     def test_late_allocation_is_valid_from_the_report_it_answers(self):
         """A delayed allocation must not extend a loan that was taken back."""
         self.allocation.report_sent(1, now=0.0)
--- a/tests/test_quota_lease.py
+++ b/tests/test_quota_lease.py
@@ -289,6 +289,19 @@
             self.assertLessEqual(fleet.running, quota, f"at {fleet.elapsed}")
         self.assertEqual(wanting.allocation.team_limit(_TEAM), quota)
 
+    # entry0, the allocator and a borrower, resumes and renews its own loan before
+    # it has heard from the lender, which is back at its fixed share.
+    @hypothesis.example(
+        929710312,
+        1,
+        [
+            _Fault("pause", 1.0, 3.62, frozenset({"entry0"})),
+            _Fault("pause", 5.15, 1.73, frozenset({"entry2"})),
+            _Fault("mute", 4.57, 1.25, frozenset({"entry0"})),
+            _Fault("late", 2.16, 2.0, frozenset({"entry1"})),
+            _Fault("deaf", 0.99, 4.1, frozenset({"entry1"})),
+        ],
+    )
     @_properties.examples(60)
     @hypothesis.given(
         st.integers(0, 2**32),
