Decode strictly what other processes write

Cause: one row of the endpoint table with a capacity of 401 digits (OverflowError) or an unknown field nested 100,000 deep (RecursionError) ended the loop that reads the list, again at each restart, so the list was no longer followed; nested rows did the same to the announcer and to the watcher of the configuration. A configuration with a version of 401 digits came into force and no later one did. Ports out of range, other scripts' digits, odd hosts and negative or huge numbers were accepted. Shown by tests.test_odd_rows with two instances and the stand-in store.

Change: model.strict_json decodes all JSON that another process has written: fields have bounds, and any content gives a value or a MalformedError. A row of the endpoint table that cannot be used is logged once for each version with the reason; lists keep their good items. Needs of peers are finite, a message that cannot be handled does not break its link, and an accepted order whose answer has no clock no longer sets the endpoint's clock to 0.

EndpointRowTest expects Unusable with a reason where it expected None.

--- a/sesameroad/caller/client.py
+++ b/sesameroad/caller/client.py
@@ -10,11 +10,13 @@
 import aiohttp
 import msgspec
 
+from sesameroad import errors
 from sesameroad.caller import key_pool
 from sesameroad.caller import retry_budget
 from sesameroad.model import clocks
 from sesameroad.model import needs
 from sesameroad.model import outcomes
+from sesameroad.model import strict_json
 
 _KEY_HEADER = "Idempotency-Key"
 _PROBLEM_CONTENT_TYPE = "application/problem+json"
@@ -380,12 +382,12 @@
                 timeout=aiohttp.ClientTimeout(total=_FETCH_TIMEOUT_S),
             ) as answer:
                 body = await answer.read()
-            return msgspec.json.decode(body, type=dict[str, list[str]])["keys"]
+            return strict_json.decode(body, dict[str, list[str]])["keys"]
         except (
             TimeoutError,
             aiohttp.ClientError,
             OSError,
-            msgspec.MsgspecError,
+            errors.MalformedError,
             KeyError,
         ):
             return []
@@ -419,8 +421,8 @@
     """
     status = answer.status
     try:
-        body = msgspec.json.decode(content, type=_Body)
-    except msgspec.MsgspecError:
+        body = strict_json.decode(content, _Body)
+    except errors.MalformedError:
         return _NoOutcome(f"status {status} without an outcome")
     if status == _STATUS_OK and body.outcome == "complete":
         return outcomes.Complete(tuple(bytes(a) for a in body.answers))
--- a/sesameroad/command_line/_client.py
+++ b/sesameroad/command_line/_client.py
@@ -10,7 +10,9 @@
 import aiohttp
 import msgspec
 
+from sesameroad import errors
 from sesameroad.command_line import exits
+from sesameroad.model import strict_json
 
 _DEFAULT_URL = "http://127.0.0.1:8080"
 _OK = 200
@@ -86,8 +88,8 @@
         reason = str(error) or type(error).__name__
         return _fail(exits.UNREACHABLE, f"no answer from {url}: {reason}")
     try:
-        decoded = msgspec.json.decode(text)
-    except msgspec.MsgspecError:
+        decoded = strict_json.decode(text, Any)
+    except errors.MalformedError:
         return _fail(exits.FAILED, f"{url} answered {status} without JSON")
     if status != _OK:
         detail = decoded.get("detail", "") if isinstance(decoded, dict) else ""
--- a/sesameroad/configuration/document.py
+++ b/sesameroad/configuration/document.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from sesameroad import errors
+from sesameroad.model import strict_json
 
 # Number of changes kept with the current version. The history also shows
 # whether a change took effect if the answer to its write was lost and others
@@ -112,9 +113,9 @@
         """
         step = "check configuration"
         try:
-            raw = msgspec.json.decode(text)
-            document = msgspec.convert(raw, cls)
-        except msgspec.MsgspecError as error:
+            raw = strict_json.decode(text, Any)
+            document = strict_json.convert(raw, cls)
+        except errors.MalformedError as error:
             raise errors.ConfigurationError(str(error), step=step) from error
         # msgspec ignores unknown fields of data classes, so a misspelt field
         # would silently keep its default.
@@ -242,8 +243,8 @@
             ConfigurationError: If the text is not a valid version.
         """
         try:
-            return msgspec.json.decode(text, type=cls)
-        except msgspec.MsgspecError as error:
+            return strict_json.decode(text, cls)
+        except errors.MalformedError as error:
             raise errors.ConfigurationError(
                 str(error), step="decode configuration"
             ) from error
--- a/sesameroad/entry/console.py
+++ b/sesameroad/entry/console.py
@@ -7,6 +7,7 @@
 
 from sesameroad import errors
 from sesameroad.entry import problem
+from sesameroad.model import strict_json
 from sesameroad.operators import access as access_module
 from sesameroad.operators import interpreter as interpreter_module
 from sesameroad.telemetry import metrics as metrics_module
@@ -48,8 +49,8 @@
         if author is None:
             return problem.unauthorized_response()
         try:
-            body = msgspec.json.decode(await request.read(), type=_CommandBody)
-        except (msgspec.MsgspecError, RecursionError) as error:
+            body = strict_json.decode(await request.read(), _CommandBody)
+        except errors.MalformedError as error:
             return problem.error_response(
                 "invalid", str(error), http_status=400
             )
--- a/sesameroad/entry/gossip.py
+++ b/sesameroad/entry/gossip.py
@@ -254,8 +254,9 @@
             text = zlib.decompressobj().decompress(
                 compressed, _MAX_LISTING_BYTES
             )
-            listing = msgspec.json.decode(text, type=listing_module.Listing)
-        except (zlib.error, msgspec.MsgspecError) as error:
+            # What the sender could not read it has left out already.
+            listing, _ = listing_module.decode(text)
+        except (zlib.error, errors.MalformedError) as error:
             _log_rejected(link, error)
             return False
         return self._directory.apply(listing)
--- a/sesameroad/entry/web.py
+++ b/sesameroad/entry/web.py
@@ -18,6 +18,7 @@
 from sesameroad.model import clocks
 from sesameroad.model import needs
 from sesameroad.model import outcomes
+from sesameroad.model import strict_json
 from sesameroad.model import work as work_module
 
 KEY_HEADER = "Idempotency-Key"
@@ -280,11 +281,9 @@
 
 def _decode(text: bytes, expected: type[_T]) -> _T | web.Response:
     try:
-        return msgspec.json.decode(text, type=expected)
-    except msgspec.MsgspecError as error:
+        return strict_json.decode(text, expected)
+    except errors.MalformedError as error:
         return problem.invalid_response(str(error))
-    except RecursionError:
-        return problem.invalid_response("the body is nested too deeply")
 
 
 def _validate_key(key: str | None) -> _Rejection | None:
--- a/sesameroad/errors.py
+++ b/sesameroad/errors.py
@@ -56,6 +56,10 @@
     """A key was used again with a different body."""
 
 
+class MalformedError(SesameroadError):
+    """Content that another process has written cannot be used."""
+
+
 class PlatformError(SesameroadError):
     """The platform did not answer, or answered with an error."""
 
--- a/sesameroad/jobs/acceptance.py
+++ b/sesameroad/jobs/acceptance.py
@@ -14,6 +14,9 @@
 # The platform's rules expect a step to take several waves if it needs more than
 # this fraction (one divided by this number) of the total capacity.
 _WAVE_SHARE = 4
+# About 30 years. Messages between instances carry times in milliseconds, in 64
+# bits.
+_MAX_OBJECTIVE_S = 1e9
 
 
 def refusal(
@@ -61,7 +64,10 @@
     step = request.steps[0]
     width = max(1, room // _WAVE_SHARE)
     waves = -(-step.count // width) if room else 1
-    objective_s = queue.stretch * step.estimate_s * waves + queue.allowance_s
+    objective_s = min(
+        queue.stretch * step.estimate_s * waves + queue.allowance_s,
+        _MAX_OBJECTIVE_S,
+    )
     arrived_at = request.arrived_at
     return jobs.Job(
         key=request.key,
--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -220,20 +220,24 @@
         match answer:
             case orders.Accepted():
                 run.confirmed_at = now
-                leased.lease.update_clock(answer.clock_ms, now)
+                self._update_clock(answer.clock_ms, now)
                 self._events.on_accepted(leased, run)
             case orders.Refused(refusal=orders.Refusal.FENCED):
                 self._events.on_refused(leased, run, answer.refusal)
                 self._events.on_fenced(leased, token)
             case orders.Refused():
-                if answer.clock_ms:
-                    leased.lease.update_clock(answer.clock_ms, now)
+                self._update_clock(answer.clock_ms, now)
                 self._events.on_refused(leased, run, answer.refusal)
             case orders.Replaced():
                 self._events.on_all_ended(leased, "another endpoint answers")
             case orders.NoAnswer():
                 self._events.on_unanswered(leased, run, answer.detail)
 
+    def _update_clock(self, clock_ms: int, now: float) -> None:
+        """Updates the endpoint's clock from an answer that contains it."""
+        if clock_ms:
+            self._leased.lease.update_clock(clock_ms, now)
+
     async def _stop(self, stop: runs.StopOrder) -> None:
         """Sends a stop; repeats it until answered or the run is removed."""
         leased = self._leased
@@ -244,7 +248,7 @@
         now = self._clock.monotonic()
         match answer:
             case orders.Accepted():
-                leased.lease.update_clock(answer.clock_ms, now)
+                self._update_clock(answer.clock_ms, now)
                 if stop.run is not None:
                     stop.run.confirmed_at = now
                 leased.wake()
--- a/sesameroad/leasing/orders.py
+++ b/sesameroad/leasing/orders.py
@@ -79,7 +79,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Accepted:
-    """The endpoint carried out an order."""
+    """The endpoint carried out an order.
+
+    Attributes:
+        clock_ms: Monotonic clock of the endpoint, 0 if it could not be read.
+    """
 
     clock_ms: int
 
--- a/sesameroad/model/endpoints.py
+++ b/sesameroad/model/endpoints.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from sesameroad.model import needs
+from sesameroad.model import strict_json
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -25,18 +26,18 @@
             endpoint before a restart.
     """
 
-    id: str
+    id: strict_json.Name
     url: str
-    data_centre: str
+    data_centre: strict_json.Name
     worker: str = ""
     rack: str = ""
-    slots: int = 8
-    connections: int = 64
+    slots: strict_json.Count = 8
+    connections: strict_json.Count = 64
     kinds: tuple[str, ...] = ()
     offer: needs.Need = needs.Need(cores=1.0, memory_mb=1024, accelerators=0)
     leaving: bool = False
     labels: tuple[str, ...] = ()
-    born_ms: int = 0
+    born_ms: strict_json.Count = 0
 
     @property
     def group(self) -> str:
--- a/sesameroad/model/instances.py
+++ b/sesameroad/model/instances.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from sesameroad.model import strict_json
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Instance:
@@ -14,7 +16,7 @@
         leaving: Whether it is shutting down.
     """
 
-    id: str
-    data_centre: str
-    address: str
+    id: strict_json.Name
+    data_centre: strict_json.Name
+    address: strict_json.HostPort
     leaving: bool = False
--- a/sesameroad/model/needs.py
+++ b/sesameroad/model/needs.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from sesameroad.model import strict_json
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Need:
@@ -13,9 +15,10 @@
         accelerators: Number of accelerators.
     """
 
+    # Negative needs are refused where work is accepted, with their own cause.
     cores: float = 0.0
-    memory_mb: int = 0
-    accelerators: int = 0
+    memory_mb: strict_json.Whole = 0
+    accelerators: strict_json.Whole = 0
 
     def fits(self, offer: "Need") -> bool:
         """Returns whether the offer covers this need."""
--- a/sesameroad/node/endpoint_watcher.py
+++ b/sesameroad/node/endpoint_watcher.py
@@ -7,6 +7,7 @@
 
 from sesameroad import errors
 from sesameroad.model import endpoints
+from sesameroad.model import strict_json
 from sesameroad.node import dependency
 from sesameroad.node import endpoint_list as endpoint_list_module
 from sesameroad.platform import endpoint_rows
@@ -87,16 +88,21 @@
     def adopt(self, content: bytes, *, source: str) -> None:
         """Uses the endpoints of a peer until the store can be read."""
         try:
-            adopted = msgspec.json.decode(
-                content, type=list[endpoints.Endpoint]
+            rows = strict_json.decode(content, list[msgspec.Raw])
+            adopted, malformed = strict_json.decode_each(
+                rows, endpoints.Endpoint
             )
-        except msgspec.MsgspecError as error:
+        except errors.MalformedError as error:
+            adopted, malformed = [], [error]
+        if malformed:
             log.problem(
                 "endpoints of a peer cannot be read",
                 step="receive",
                 peer=source,
-                error=str(error),
+                count=len(malformed),
+                error=str(malformed[0]),
             )
+        if not adopted:
             return
         if self._endpoint_list.adopt(adopted):
             log.event(
@@ -111,11 +117,11 @@
         before = {e.id: e.leaving for e in self._endpoint_list.live}
         listed: list[endpoints.Endpoint] = []
         for row in snapshot.rows:
-            endpoint = endpoint_rows.decode(row)
-            if endpoint is None:
-                self._log_unusable(row)
-            else:
-                listed.append(endpoint)
+            match endpoint_rows.decode(row):
+                case endpoint_rows.Unusable(reason=reason):
+                    self._log_unusable(row, reason)
+                case endpoints.Endpoint() as endpoint:
+                    listed.append(endpoint)
         self._endpoint_list.apply(listed, period_s=period_s)
         after = {e.id: e.leaving for e in self._endpoint_list.live}
         if after != before:
@@ -130,7 +136,7 @@
             )
         self._changed()
 
-    def _log_unusable(self, row: row_store.Row) -> None:
+    def _log_unusable(self, row: row_store.Row, reason: str) -> None:
         """Logs a row without a usable endpoint, once per version."""
         if self._unusable.get(row.key) == row.version:
             return
@@ -140,4 +146,5 @@
             step=_STEP,
             peer=row.key,
             version=row.version,
+            error=reason,
         )
--- a/sesameroad/node/instance_registry.py
+++ b/sesameroad/node/instance_registry.py
@@ -3,10 +3,10 @@
 import dataclasses
 import math
 
-import msgspec
-
+from sesameroad import errors
 from sesameroad.model import clocks
 from sesameroad.model import instances
+from sesameroad.model import strict_json
 from sesameroad.telemetry import log
 
 TABLE = "instances"
@@ -30,11 +30,13 @@
         tokens: Fencing token for each data centre that it is the leader of.
     """
 
-    data_centre: str
-    address: str
-    beat: int = 0
-    written_ms: int = 0
-    tokens: dict[str, int] = dataclasses.field(default_factory=dict)
+    data_centre: strict_json.Name
+    address: strict_json.HostPort
+    beat: strict_json.Count = 0
+    written_ms: strict_json.Count = 0
+    tokens: dict[strict_json.Name, strict_json.Count] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -95,8 +97,8 @@
         if known is not None and known.version == version:
             return
         try:
-            announcement = msgspec.json.decode(value, type=Announcement)
-        except msgspec.MsgspecError as error:
+            announcement = strict_json.decode(value, Announcement)
+        except errors.MalformedError as error:
             self._entries.pop(name, None)
             self._log_unreadable(name, version, error)
             return
--- a/sesameroad/operators/answers.py
+++ b/sesameroad/operators/answers.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from sesameroad import errors
+from sesameroad.model import strict_json
 
 Row = dict[str, Any]
 
@@ -59,8 +60,8 @@
         PeerError: If it is malformed.
     """
     try:
-        return msgspec.json.decode(text, type=EntryAnswer)
-    except msgspec.MsgspecError as error:
+        return strict_json.decode(text, EntryAnswer)
+    except errors.MalformedError as error:
         raise errors.PeerError(
             str(error), step="decode part", peer=entry
         ) from error
--- a/sesameroad/ownership/claims.py
+++ b/sesameroad/ownership/claims.py
@@ -9,6 +9,7 @@
 
 from sesameroad import errors
 from sesameroad.model import clocks
+from sesameroad.model import strict_json
 from sesameroad.platform import table as table_module
 
 _ROW_PREFIX = "claims/"
@@ -43,11 +44,11 @@
         window_end_ms: Wall time until which the row is kept.
     """
 
-    incarnation: str
-    data_centre: str
-    expiry_ms: int
-    token: str
-    window_end_ms: int = 0
+    incarnation: strict_json.Name
+    data_centre: strict_json.Name
+    expiry_ms: strict_json.Count
+    token: strict_json.Name
+    window_end_ms: strict_json.Count = 0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -306,6 +307,6 @@
     if row.version == table_module.ABSENT:
         return None
     try:
-        return msgspec.json.decode(row.value, type=Claim)
-    except msgspec.MsgspecError:
+        return strict_json.decode(row.value, Claim)
+    except errors.MalformedError:
         return None
--- a/sesameroad/ownership/handoffs.py
+++ b/sesameroad/ownership/handoffs.py
@@ -11,6 +11,7 @@
 from sesameroad import errors
 from sesameroad.model import clocks
 from sesameroad.model import outcomes
+from sesameroad.model import strict_json
 from sesameroad.ownership import ledger as ledger_module
 from sesameroad.platform import object_store
 from sesameroad.telemetry import log
@@ -215,8 +216,8 @@
                 _OBJECT_PREFIX + incarnation, step="read hand-off"
             )
             if body is not None:
-                handoff = msgspec.json.decode(body, type=Handoff)
-        except (errors.PlatformError, msgspec.MsgspecError) as error:
+                handoff = strict_json.decode(body, Handoff)
+        except (errors.PlatformError, errors.MalformedError) as error:
             log.problem(
                 "a hand-off could not be read",
                 step="read hand-off",
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -1,6 +1,8 @@
 """Encodes messages as protobuf and decodes them."""
 
 from collections.abc import Iterable
+import math
+from typing import Any
 
 from sesameroad import errors
 from sesameroad.model import clocks
@@ -194,9 +196,7 @@
                         lane.team,
                         lane.running,
                         lane.queued,
-                        needs.Need(
-                            lane.cores, lane.memory_mb, lane.accelerators
-                        ),
+                        _decode_need(lane),
                     )
                     for lane in item.demand.lanes
                 ),
@@ -305,7 +305,7 @@
     tasks = tuple(
         work_module.Task(
             task.payload,
-            needs.Need(task.cores, task.memory_mb, task.accelerators),
+            _decode_need(task),
         )
         for task in relay.tasks
     )
@@ -366,6 +366,17 @@
     )
 
 
+def _decode_need(message: Any) -> needs.Need:
+    """Returns the need of a message that has the fields of one.
+
+    Raises:
+        PeerError: If the cores are negative or not a finite number.
+    """
+    if not 0 <= message.cores < math.inf:
+        raise errors.PeerError(f"{message.cores} cores", step="decode")
+    return needs.Need(message.cores, message.memory_mb, message.accelerators)
+
+
 def _decode_offer(offer: peer_pb2.JobOffer) -> messages.JobOffer:
     if not offer.indices:
         raise errors.PeerError("job offer without tasks", step="decode")
@@ -376,7 +387,7 @@
         service=offer.service,
         spec=offer.spec,
         indices=tuple(offer.indices),
-        need=needs.Need(offer.cores, offer.memory_mb, offer.accelerators),
+        need=_decode_need(offer),
         estimate_s=offer.estimate_ms / 1_000,
         priority=offer.priority,
         max_attempts=offer.max_attempts,
--- a/sesameroad/peering/links.py
+++ b/sesameroad/peering/links.py
@@ -382,7 +382,21 @@
                 case messages.RelayReply() | messages.FleetReply():
                     self._resolve(message)
                 case _:
-                    receive(self, message)
+                    self._handle(receive, message)
+
+    def _handle(self, receive: Receive, message: messages.Message) -> None:
+        """Passes on a message; one that fails must not break the link."""
+        try:
+            receive(self, message)
+        except Exception as error:  # noqa: BLE001  # The peer may send anything.
+            self._counters.malformed += 1
+            log.problem(
+                "message from a peer could not be handled",
+                step="receive",
+                peer=self._hello.instance_id,
+                message=type(message).__name__,
+                error=repr(error),
+            )
 
     async def _write(self) -> None:
         next_heartbeat = 0.0
--- a/sesameroad/platform/configuration.py
+++ b/sesameroad/platform/configuration.py
@@ -6,6 +6,7 @@
 
 from sesameroad import errors
 from sesameroad.jobs import catalogue
+from sesameroad.model import strict_json
 
 TABLE = "op"
 KEY = "config"
@@ -18,23 +19,23 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    priority: strict_json.Count = 0
+    max_attempts: strict_json.Count = 1
+    stretch: strict_json.Amount = 1.0
     # Not the whole target: time allowed in addition to stretch times the
     # job's own work.
-    target_latency_ms: float = 0
+    target_latency_ms: strict_json.Amount = 0
     # Present if only the advice service decides which endpoints may run a task.
     advice: Any = None
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
-    max_body_bytes: int = _DEFAULTS.max_body_bytes
-    idle_timeout_ms: float = _DEFAULTS.idle_timeout_s * _MS
+    max_body_bytes: strict_json.Count = _DEFAULTS.max_body_bytes
+    idle_timeout_ms: strict_json.Amount = _DEFAULTS.idle_timeout_s * _MS
 
 
 class _Document(msgspec.Struct, rename="kebab"):
-    version: int
+    version: strict_json.Count
     routes: list[_Route] = msgspec.field(default_factory=list)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -46,8 +47,8 @@
         ConfigurationError: If the document is malformed.
     """
     try:
-        document = msgspec.json.decode(content, type=_Document)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        document = strict_json.decode(content, _Document)
+    except errors.MalformedError as error:
         raise errors.ConfigurationError(
             str(error), step="read configuration", peer="platform"
         ) from error
@@ -59,8 +60,10 @@
                 host=route.host,
                 prefix=route.path_prefix,
                 service=route.service,
-                priority=route.priority,
-                max_attempts=max(1, route.max_attempts),
+                priority=min(route.priority, strict_json.MAX_INT32),
+                max_attempts=min(
+                    max(1, route.max_attempts), strict_json.MAX_INT32
+                ),
                 stretch=route.stretch,
                 allowance_s=route.target_latency_ms / _MS,
                 advised=route.advice is not None,
--- a/sesameroad/platform/endpoint_rows.py
+++ b/sesameroad/platform/endpoint_rows.py
@@ -1,44 +1,64 @@
 """Decodes the rows in which endpoints register themselves in the store."""
 
+import dataclasses
+from typing import Annotated
+
 import msgspec
 
+from sesameroad import errors
 from sesameroad.model import endpoints
 from sesameroad.model import needs
+from sesameroad.model import strict_json
 from sesameroad.platform import row_store
 
 TABLE = "servers"
 _MILLICORES = 1_000
 _STATES = {"ready": False, "draining": True}
+# Far above any endpoint; each slot costs memory where slots are divided.
+_MAX_SLOTS = 100_000
+_MAX_SHOWN = 40
+
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
 
 
 class _Capacity(msgspec.Struct, rename="kebab"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: strict_json.Count = 0
+    mem_mb: strict_json.Count = 0
+    gpu: strict_json.Count = 0
 
 
 class _EndpointRow(msgspec.Struct, rename="kebab"):
     # The pool of endpoints that it belongs to; queues name it as well.
-    service: str
-    address: str
-    zone: str
+    service: strict_json.Name
+    address: strict_json.HostPort
+    zone: strict_json.Name
     # "ready" or "draining"; a draining endpoint gets no new tasks.
     state: str
-    slots: int = 0
-    born: int = 0
+    slots: _Slots = 0
+    born: strict_json.Count = 0
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
-    labels: list[str] = msgspec.field(default_factory=list)
+    labels: list[strict_json.Name] = msgspec.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Unusable:
+    """A row that names no endpoint to use.
+
+    Attributes:
+        reason: What is wrong with it.
+    """
+
+    reason: str
 
 
-def decode(row: row_store.Row) -> endpoints.Endpoint | None:
-    """Returns the endpoint of a row, or None if the row is not usable."""
+def decode(row: row_store.Row) -> endpoints.Endpoint | Unusable:
+    """Returns the endpoint of a row, or why the row is not usable."""
     try:
-        entry = msgspec.json.decode(row.value, type=_EndpointRow)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
-    host, _, port = entry.address.rpartition(":")
-    if entry.state not in _STATES or not host or not port.isdecimal():
-        return None
+        entry = strict_json.decode(row.value, _EndpointRow)
+    except errors.MalformedError as error:
+        return Unusable(str(error))
+    if entry.state not in _STATES:
+        return Unusable(f"unknown state {entry.state[:_MAX_SHOWN]!r}")
     return endpoints.Endpoint(
         id=row.key,
         url=f"http://{entry.address}",
--- a/sesameroad/platform/job_api.py
+++ b/sesameroad/platform/job_api.py
@@ -1,22 +1,28 @@
 """HTTP API for jobs: decodes requests of callers and encodes responses."""
 
+import math
 import re
 from typing import Protocol
 
 from aiohttp import web
 import msgspec
 
+from sesameroad import errors
 from sesameroad.jobs import catalogue as catalogue_module
 from sesameroad.model import clocks
 from sesameroad.model import job_requests
 from sesameroad.model import needs
 from sesameroad.model import outcomes
+from sesameroad.model import strict_json
 
 _MS = 1_000
 _MILLICORES = 1_000
 # Time that a caller waits for its answer, in milliseconds.
 _TIMEOUT_HEADER = "Timeout-Ms"
 _DEFAULT_TIMEOUT_S = 30.0
+# Longer waits, and infinite ones, count as this. No job of best effort takes as
+# long.
+_MAX_TIMEOUT_S = 86_400.0
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
 _OVERLOAD_CAUSES = {
     outcomes.Cause.OVERLOAD,
@@ -26,20 +32,20 @@
 
 
 class _Step(msgspec.Struct, rename="kebab"):
-    count: int
+    count: strict_json.Count
     # Thousandths of a core.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    est_runtime_ms: float = 0
-    after: list[int] = msgspec.field(default_factory=list)
+    cpu: strict_json.Int32 = 0
+    mem_mb: strict_json.Int32 = 0
+    gpu: strict_json.Int32 = 0
+    est_runtime_ms: strict_json.Milliseconds = 0
+    after: list[strict_json.Count] = msgspec.field(default_factory=list)
     gang: bool = False
     # Label that the endpoint must carry.
     requires: str = ""
     # Label of the preferred endpoints: the rack that holds the data.
     affinity: str = ""
     # Maximum number of tasks of the step on one endpoint.
-    anti_affinity: int = 0
+    anti_affinity: strict_json.Int32 = 0
     long_running: bool = False
 
 
@@ -47,8 +53,8 @@
     steps: list[_Step]
     spec: str = ""
     best_effort: bool = False
-    repeat_count: int = 0
-    start_at_ms: int = 0
+    repeat_count: strict_json.Count = 0
+    start_at_ms: strict_json.Count = 0
 
 
 class Service(Protocol):
@@ -152,7 +158,7 @@
                 arrived_at=arrived_at,
                 timeout_s=timeout_s,
             )
-        except msgspec.MsgspecError as error:
+        except errors.MalformedError as error:
             return _json_response(400, {"error": str(error)})
         return _outcome_response(await self._service.submit(job_request, queue))
 
@@ -163,9 +169,9 @@
     """Decodes the body of a request.
 
     Raises:
-        msgspec.MsgspecError: If the body is malformed.
+        MalformedError: If the body is malformed.
     """
-    body = msgspec.json.decode(content, type=_Body)
+    body = strict_json.decode(content, _Body)
     return job_requests.JobRequest(
         key=key,
         spec=body.spec,
@@ -197,9 +203,12 @@
     if text is None:
         return _DEFAULT_TIMEOUT_S
     try:
-        return max(0.0, float(text) / _MS)
+        timeout_s = float(text) / _MS
     except ValueError:
         return None
+    if math.isnan(timeout_s):
+        return None
+    return min(max(0.0, timeout_s), _MAX_TIMEOUT_S)
 
 
 def _outcome_response(outcome: outcomes.Outcome) -> web.Response:
--- a/sesameroad/platform/order_client.py
+++ b/sesameroad/platform/order_client.py
@@ -6,9 +6,11 @@
 import aiohttp
 import msgspec
 
+from sesameroad import errors
 from sesameroad.leasing import orders
 from sesameroad.model import clocks
 from sesameroad.model import endpoints
+from sesameroad.model import strict_json
 from sesameroad.telemetry import job_metrics
 
 # An endpoint answers an order within a few milliseconds. A longer wait for a
@@ -38,15 +40,29 @@
 
 
 class _OrderAnswer(msgspec.Struct, rename="kebab"):
-    clock_ms: int = 0
+    clock_ms: strict_json.Count = 0
     reason: str = ""
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: strict_json.Count
+    checkpoint: Any
+    percent: strict_json.Amount
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    number: strict_json.Count
+    task: str
+    run: strict_json.Count
+    ending: Any
+
+
 class _RunLists(msgspec.Struct, rename="kebab"):
-    clock_ms: int
-    running: list[list[Any]]
-    ended: list[list[Any]]
-    born: int = 0
+    clock_ms: strict_json.Count
+    running: list[_RunningRow]
+    ended: list[_EndedRow]
+    born: strict_json.Count = 0
 
 
 class OrderClient:
@@ -171,14 +187,20 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 return response.status, await response.read()
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            ValueError,
+        ) as error:
+            # ValueError: the URL or a header of the answer is invalid.
             return orders.NoAnswer(f"{type(error).__name__}: {error}")
 
 
 def _decode_answer(content: bytes) -> _OrderAnswer:
     try:
-        return msgspec.json.decode(content, type=_OrderAnswer)
-    except msgspec.MsgspecError:
+        return strict_json.decode(content, _OrderAnswer)
+    except errors.MalformedError:
         return _OrderAnswer()
 
 
@@ -200,25 +222,26 @@
 
 def _decode_report(content: bytes) -> orders.Report | orders.NoAnswer:
     try:
-        lists = msgspec.json.decode(content, type=_RunLists)
-        # Rows of `running` are [task, run, checkpoint, percent], rows of
-        # `ended` are [number, task, run, ending, checkpoint].
-        return orders.Report(
-            clock_ms=lists.clock_ms,
-            born_ms=lists.born,
-            running=tuple(
-                orders.RunningTask(row[0], row[1], int(row[3]))
-                for row in lists.running
-            ),
-            ended=tuple(
-                orders.End(
-                    row[0],
-                    row[1],
-                    row[2],
-                    _ENDINGS.get(row[3], orders.Ending.OTHER),
-                )
-                for row in lists.ended
-            ),
-        )
-    except (msgspec.MsgspecError, IndexError, TypeError, ValueError) as error:
+        lists = strict_json.decode(content, _RunLists)
+    except errors.MalformedError as error:
         return orders.NoAnswer(f"malformed lists of runs: {error}")
+    return orders.Report(
+        clock_ms=lists.clock_ms,
+        born_ms=lists.born,
+        running=tuple(
+            orders.RunningTask(row.task, row.run, int(row.percent))
+            for row in lists.running
+        ),
+        ended=tuple(
+            orders.End(
+                row.number, row.task, row.run, _decode_ending(row.ending)
+            )
+            for row in lists.ended
+        ),
+    )
+
+
+def _decode_ending(ending: Any) -> orders.Ending:
+    if not isinstance(ending, str):
+        return orders.Ending.OTHER
+    return _ENDINGS.get(ending, orders.Ending.OTHER)
--- a/sesameroad/platform/row_store.py
+++ b/sesameroad/platform/row_store.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from sesameroad import errors
+from sesameroad.model import strict_json
 from sesameroad.platform import platform_client
 from sesameroad.telemetry import log
 
@@ -97,7 +98,7 @@
 
 class _EncodedRow(msgspec.Struct):
     key: str
-    ver: int = 0
+    ver: strict_json.Count = 0
     value: str = ""
     deleted: bool = False
     table: str = ""
@@ -105,12 +106,12 @@
 
 class _Page(msgspec.Struct, rename="kebab"):
     rows: list[_EncodedRow]
-    ver: int = 0
+    ver: strict_json.Count = 0
     has_more: bool = False
 
 
 class _Version(msgspec.Struct):
-    ver: int
+    ver: strict_json.Count
 
 
 class RowStore:
@@ -301,6 +302,6 @@
 
 def _decode(body: bytes, expected: type[_T], step: str) -> _T:
     try:
-        return msgspec.json.decode(body, type=expected)
-    except msgspec.MsgspecError as error:
+        return strict_json.decode(body, expected)
+    except errors.MalformedError as error:
         raise errors.PlatformError(str(error), step=step, peer=_PEER) from error
--- a/sesameroad/routing/sender.py
+++ b/sesameroad/routing/sender.py
@@ -14,6 +14,7 @@
 from sesameroad import errors
 from sesameroad.model import clocks
 from sesameroad.model import endpoints
+from sesameroad.model import strict_json
 from sesameroad.ownership import ledger as ledger_module
 from sesameroad.routing import results
 from sesameroad.scheduling import pending_task
@@ -234,11 +235,11 @@
             text = body[:_MAX_DETAIL_BYTES].decode(errors="replace")
             return results.RanAndFailed(status, text, leaving)
         try:
-            msgspec.json.decode(body, type=msgspec.Raw)
+            strict_json.decode(body, msgspec.Raw)
             # msgspec does not check the encoding of strings that it skips.
             if not body.isascii():
                 body.decode()
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (errors.MalformedError, UnicodeDecodeError) as error:
             return results.RanAndFailed(status, str(error), leaving)
         return results.Answered(body, leaving)
 
--- a/sesameroad/settings/node.py
+++ b/sesameroad/settings/node.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sesameroad import errors
+from sesameroad.model import strict_json
 
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 _HostPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
@@ -102,8 +103,8 @@
                 names the field.
         """
         try:
-            return msgspec.json.decode(text, type=cls)
-        except msgspec.MsgspecError as error:
+            return strict_json.decode(text, cls)
+        except errors.MalformedError as error:
             raise errors.SettingsError(
                 str(error), step="read settings", peer=source
             ) from error
--- a/sesameroad/settings/settings.py
+++ b/sesameroad/settings/settings.py
@@ -14,6 +14,7 @@
 from sesameroad import errors
 from sesameroad.configuration import document
 from sesameroad.model import instances
+from sesameroad.model import strict_json
 
 _Positive = Annotated[int, msgspec.Meta(ge=1)]
 _PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
@@ -143,10 +144,14 @@
                 message gives the name and path of the field.
         """
         try:
-            raw = msgspec.json.decode(text)
+            raw = strict_json.decode(text, Any)
             _refuse_unknown_fields(raw, cls, "$")
-            settings = msgspec.convert(raw, cls)
-        except (msgspec.MsgspecError, RecursionError) as error:
+            settings = strict_json.convert(raw, cls)
+        except (
+            errors.MalformedError,
+            msgspec.MsgspecError,
+            RecursionError,
+        ) as error:
             raise errors.SettingsError(
                 str(error), step="read settings", peer=source
             ) from error
--- a/sesameroad/telemetry/timeline.py
+++ b/sesameroad/telemetry/timeline.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Iterable
 import dataclasses
-import json
 from typing import Any
 
+from sesameroad import errors
+from sesameroad.model import strict_json
+
 _OMITTED_FIELDS = {
     "time",
     "level",
@@ -53,8 +55,8 @@
         if start < 0 or request not in text:
             continue
         try:
-            fields = json.loads(text[start:])
-        except json.JSONDecodeError:
+            fields = strict_json.decode(text[start:].strip(), Any)
+        except errors.MalformedError:
             unreadable += 1
             continue
         if isinstance(fields, dict) and fields.get("request") == request:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -55,6 +55,11 @@
         )
         self._process: subprocess.Popen[bytes] | None = None
 
+    @property
+    def running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self._process is not None and self._process.poll() is None
+
     def start(self) -> None:
         """Starts the process."""
         with self.log.open("ab") as log:
@@ -103,7 +108,7 @@
         store_port = await self._serve(self.store.application())
         instance_count, endpoint_count = self._counts
         for number in range(endpoint_count):
-            await self._add_endpoint(f"e{number}")
+            await self.add_endpoint(f"e{number}")
         await self.configure(version=1)
         directory = pathlib.Path(self._directory.name)
         for number in range(instance_count):
@@ -157,7 +162,8 @@
                         pass
                     await asyncio.sleep(0.05)
 
-    async def _add_endpoint(self, name: str) -> None:
+    async def add_endpoint(self, name: str) -> None:
+        """Starts an endpoint and lists it."""
         endpoint = endpoints.Endpoint(
             id=name,
             url="",
@@ -175,6 +181,10 @@
         )
         await self.store.put("servers", name, _endpoint_row(port))
 
+    async def remove_endpoint(self, name: str) -> None:
+        """Removes an endpoint from the list."""
+        await self.store.remove("servers", name)
+
     async def _serve(self, application: web.Application) -> int:
         runner = web.AppRunner(application, access_log=None)
         await runner.setup()
--- a/standins/store.py
+++ b/standins/store.py
@@ -103,6 +103,11 @@
         self.transact({"puts": [{"table": table, "key": key, "value": text}]})
         await self._notify()
 
+    async def remove(self, table: str, key: str) -> None:
+        """Removes a row unconditionally."""
+        self.transact({"remove": [{"table": table, "key": key}]})
+        await self._notify()
+
     def drop_history(self) -> None:
         """Drops the history; feeds from earlier versions are refused."""
         self._dropped_version = self._version
