Report a grant to a lender as held before its loan is over

Cause: an entry whose share an earlier allocator has lent reported only its fixed share as held, also when the next allocator had granted it more. The grant takes effect when the loan is over, without a message; until the next report the allocator gave out the difference again (35 tasks under a quota of 34).

Change: such an entry reports the limit that holds once its loan is over.

Measured: test_grant_to_a_lender_counts_as_held fails before and passes after.

--- a/sesameroad/scheduling/allocation.py
+++ b/sesameroad/scheduling/allocation.py
@@ -348,7 +348,8 @@
     ) -> dict[str, demands.SlotCount]:
         """Returns the slots held where they may differ from the fixed share.
 
-        A lent part counts as held, because it returns here without a message.
+        A lent part counts as held, because it returns here without a message,
+        and so does what has been granted since.
         """
         held = {}
         decided = resource.granted.keys() | resource.lent.keys()
@@ -358,7 +359,8 @@
             fixed_share = self._fixed_share(resource, name)
             limit = self._quota(resource, name)
             if name in resource.lent:
-                limit = max(limit, fixed_share)
+                # The limits that hold once the loan is over.
+                limit = max(fixed_share, resource.granted.get(name, 0))
             count = max(limit, resource.used[name])
             if count != fixed_share or name in decided:
                 held[name] = demands.SlotCount(name, count)
--- a/tests/test_allocation.py
+++ b/tests/test_allocation.py
@@ -82,6 +82,22 @@
         self.allocation.check_expiry()
         self.assertEqual(self.allocation.team_limit("red"), 2)
 
+    def test_grant_to_a_lender_counts_as_held(self):
+        """The limit that it gets once its loan is over must not be lent."""
+        self.allocation.apply(_granted(1, 1), now=0.0)
+        self.allocation.change_allocator()
+        self.clock.now = 1.0
+        granted = dataclasses.replace(
+            _granted(1, 2, team=4), valid_ms=9_000, endpoints=()
+        )
+        self.allocation.apply(granted, now=1.0)
+        self.assertEqual(self.allocation.team_limit("red"), 0)
+        [held] = self.allocation.held_teams().values()
+        self.assertEqual(held, demands.SlotCount("red", 4))
+        self.clock.now = quota_lease.LENT_S
+        self.allocation.check_expiry()
+        self.assertEqual(self.allocation.team_limit("red"), 4)
+
     def test_borrowed_quota_ends_with_its_allocator(self):
         """Its lenders may report to another allocator than this entry."""
         self.allocation.apply(_granted(1, 1, team=4), now=0.0)
