--- a/standins/simulated_endpoint.py
+++ b/standins/simulated_endpoint.py
@@ -22,6 +22,7 @@
     Attributes:
         silent: Orders are neither carried out nor answered.
         lose_answers: Orders are carried out, but not answered.
+        lose_start_answers: Starts are carried out, but not answered.
         late_s: If not 0, starts are carried out after this delay in seconds and
             not answered.
         unhealthy: Starts are refused.
@@ -32,6 +33,7 @@
 
     silent: bool = False
     lose_answers: bool = False
+    lose_start_answers: bool = False
     late_s: float = 0.0
     unhealthy: bool = False
     failing: bool = False
@@ -313,7 +315,7 @@
         if simulated.fault.silent:
             return await self._no_answer(0.3)
         answer = carry_out()
-        if simulated.fault.lose_answers:
+        if simulated.fault.lose_answers or simulated.fault.lose_start_answers:
             return await self._no_answer(0.3)
         return answer
 
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -109,6 +109,24 @@
         self.assertEqual(outcome, outcomes.Complete(()))
         self.assertEqual(site.history.overlapping, [])
 
+    async def test_run_whose_start_answer_is_lost_is_kept(self):
+        """Guards against running work again because only an answer was lost.
+
+        The lists of the endpoint show the run, whether it still runs when the
+        order times out or has ended before.
+        """
+        for run_s in (0.06, 0.2, 0.9):
+            site = _jobs.Site(count=2)
+            for endpoint in site.fleet.endpoints.values():
+                endpoint.fault.lose_start_answers = True
+            async with site.leader() as leader:
+                outcome = await leader.submit(
+                    site.job(count=4, run_s=run_s, deadline_s=5.0), site.origin
+                )
+            self.assertEqual(outcome, outcomes.Complete(()), run_s)
+            self.assertEqual(len(site.history.starts), 4, run_s)
+            self.assertEqual(site.history.overlapping, [], run_s)
+
     async def test_tasks_of_a_silent_endpoint_restart_after_its_lease(self):
         """Guards against two runs while an endpoint does not answer.
 
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -24,7 +24,8 @@
     }
 
 
-class ServeTest(unittest.IsolatedAsyncioTestCase):
+class InstancesTest(unittest.IsolatedAsyncioTestCase):
+    """Two instances and two endpoints, with calls as callers make them."""
 
     async def asyncSetUp(self):
         self.deployment = deployment.Deployment(
@@ -52,6 +53,9 @@
             body=_body(**options),
         )
 
+
+class ServeTest(InstancesTest):
+
     async def test_jobs_bad_input_and_configuration(self):
         """Guards against faults between the parts of an instance.
 
