Divide quotas in a module of their own

No change of behaviour.

Measured: tests.test_quota_lease, tests.test_allocation and tests.test_allocator pass.

--- a/sesameroad/scheduling/allocator.py
+++ b/sesameroad/scheduling/allocator.py
@@ -11,6 +11,7 @@
 from sesameroad.model import needs
 from sesameroad.scheduling import entry_state
 from sesameroad.scheduling import fair_share
+from sesameroad.scheduling import quota_division
 from sesameroad.scheduling import quota_lease
 from sesameroad.scheduling import rank
 
@@ -426,98 +427,10 @@
         capacities: Mapping[str, int],
         now: float,
     ) -> dict[str, dict[str, int]]:
-        """Divides quotas of teams or kinds whose fixed shares are too small.
-
-        Only entries that are known to keep to their limits (`quota_lease`) take
-        part. The others hold at least their fixed share, and are lowered to it
-        if more than the quota is held.
-
-        Returns:
-            The changed limits by entry and name.
-        """
-        wants: dict[str, dict[str, int]] = collections.defaultdict(dict)
-        for entry, state in active.items():
-            for (kind, team, _), lane in state.lanes.items():
-                name = team if resource == entry_state.TEAMS else kind
-                if name in capacities and bool(kind) == (
-                    resource == entry_state.KINDS
-                ):
-                    wants[name][entry] = (
-                        wants[name].get(entry, 0) + lane.running + lane.queued
-                    )
-        changed: dict[str, dict[str, int]] = {entry: {} for entry in active}
-        lenders = {
-            entry: state
-            for entry, state in active.items()
-            if _is_counted_on(state, now)
-        }
-        divided = {
-            name
-            for state in self._states.values()
-            for name in state.held[resource]
-            if name in capacities
-        }
-        for name in wants.keys() | divided:
-            by_entry = wants.get(name, {})
-            capacity = capacities[name]
-            held = {
-                entry: self._held_quota(state, resource, name, now)
-                for entry, state in self._states.items()
-            }
-            held_by_absent = sum(
-                rank.fixed_share(
-                    name,
-                    capacity,
-                    entries=len(self._members),
-                    position=position,
-                )
-                for position, entry in enumerate(self._members)
-                if entry not in self._states
-            )
-            free = capacity - held_by_absent - sum(held.values())
-            if free >= 0 and all(
-                by_entry.get(e, 0) <= held[e] for e in lenders
-            ):
-                continue
-            held_by_others = sum(
-                held[e] for e in self._states if e not in lenders
-            )
-            targets = {}
-            if lenders:
-                targets = fair_share.quota_targets(
-                    max(0, capacity - held_by_absent - held_by_others),
-                    {entry: by_entry.get(entry, 0) for entry in lenders},
-                    {
-                        entry: (
-                            state.limits_sent[resource].get(name, held[entry])
-                        )
-                        for entry, state in lenders.items()
-                    },
-                )
-            for entry, state in active.items():
-                fixed_share = self._fixed_share(name, capacity, state.position)
-                if (
-                    free < 0
-                    and entry not in lenders
-                    and held[entry] > fixed_share
-                ):
-                    targets[entry] = fixed_share
-            for entry, target in sorted(
-                targets.items(), key=lambda pair: pair[1] - held[pair[0]]
-            ):
-                sent = active[entry].limits_sent[resource]
-                if free >= 0:
-                    grant = min(target, held[entry] + free)
-                    free -= max(0, grant - held[entry])
-                else:
-                    # An entry may hold more than its limit, by running tasks
-                    # and lent parts. While more than the quota is held, no
-                    # limit is raised, not even to what its entry holds.
-                    grant = min(target, held[entry], sent.get(name, target))
-                if grant != sent.get(name, held[entry]):
-                    changed[entry][name] = grant
-                    sent[name] = grant
-        return changed
+        """Returns the limits of quotas to change, by entry and name."""
+        return quota_division.QuotaDivision(
+            resource, capacities, self._members, self._states, now
+        ).divide(active)
 
     def _held_slots(
         self, state: entry_state.EntryState, resource: int, now: float
@@ -549,34 +462,6 @@
                 held[name] = max(held[name], count)
         return held
 
-    def _held_quota(
-        self,
-        state: entry_state.EntryState,
-        resource: int,
-        name: str,
-        now: float,
-    ) -> int:
-        operations = self._document.operations
-        capacities = (
-            operations.team_quotas
-            if resource == entry_state.TEAMS
-            else operations.kind_ceilings
-        )
-        fixed_share = self._fixed_share(
-            name, capacities.get(name, 0), state.position
-        )
-        held = max(
-            state.held[resource].get(name, fixed_share),
-            *(limits[resource].get(name, 0) for _, limits in state.unconfirmed),
-            0,
-        )
-        if _is_counted_on(state, now):
-            return held
-        # Its limit may return to the fixed share without a message.
-        if now - state.reported_at < quota_lease.BORROWED_S:
-            return max(held, fixed_share)
-        return fixed_share
-
     def _fixed_share(self, name: str, capacity: int, position: int) -> int:
         return rank.fixed_share(
             name, capacity, entries=len(self._members), position=position
@@ -590,14 +475,6 @@
     state.sent_epochs.record(state.epoch, now)
 
 
-def _is_counted_on(state: entry_state.EntryState, now: float) -> bool:
-    """Returns whether an entry keeps to a limit below its fixed share."""
-    return (
-        state.unreachable_since is None
-        and now - state.confirmed_at < quota_lease.VALID_S
-    )
-
-
 def _differing(
     known: Mapping[str, int], new: Mapping[str, int]
 ) -> dict[str, int]:
