Have a leader in each data centre where instances have little processor time

Cause: one instance leads all endpoints up to 64, whatever its share of a core.

Change: the limit of 64 endpoints holds for a whole core and shrinks with the share of the instance that would lead. Deployments whose instances have a core, and those above 64 endpoints, are not affected. Several leaders in one data centre, and a leader that keeps serving under ten times its load, are still missing.

--- a/sesameroad/node/claim_policy.py
+++ b/sesameroad/node/claim_policy.py
@@ -24,10 +24,12 @@
 # The same if the last instance of the data centre resigned to stop. It is
 # longer than another instance there needs to claim, so that only one claims.
 _REMOTE_HANDOVER_DELAY_S = 0.5
-# Maximum number of endpoints of a single leader: about 1,000 starts per second
-# use up a core (docs/CAPACITY.md), and an endpoint takes about 15 per second.
-# Larger fleets have a leader in each data centre.
+# Maximum number of endpoints of a single leader with a whole core: about 1,000
+# starts per second use it up (docs/CAPACITY.md), and an endpoint takes about 15
+# per second. Larger fleets have a leader in each data centre.
 _MAX_SINGLE_LEADER_ENDPOINTS = 64
+# A leader uses one thread, so that more than one core does not help it.
+_CORE_MILLICORES = 1_000
 
 
 class ClaimPolicy:
@@ -64,9 +66,19 @@
 
     @property
     def single_leader(self) -> bool:
-        """Whether one leader can handle the endpoints of all data centres."""
+        """Whether one leader can handle the endpoints of all data centres.
+
+        The instance with the most processor time would be that leader. One with
+        a small share of a core handles as much less.
+        """
+        millicores = min(
+            max(member.processor_millicores for member in self.members),
+            _CORE_MILLICORES,
+        )
+        endpoint_count = len(tuple(self._endpoint_list.live))
         return (
-            len(tuple(self._endpoint_list.live)) <= _MAX_SINGLE_LEADER_ENDPOINTS
+            endpoint_count * _CORE_MILLICORES
+            <= _MAX_SINGLE_LEADER_ENDPOINTS * millicores
         )
 
     @property
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -75,6 +75,8 @@
 class _LeadersTest(unittest.IsolatedAsyncioTestCase):
     """Sets up an instance i1 of dc1; tests add its peers."""
 
+    processor_share = 1.0
+
     def setUp(self):
         patch = mock.patch.object(
             leaders.scheduler_module, "Scheduler", _Scheduler
@@ -107,6 +109,7 @@
                 metrics="10.0.0.1:4",
                 platform="10.0.0.1:5",
                 max_lease_ms=1_000,
+                processor_share=self.processor_share,
             ),
             mesh=self.mesh,
             registry=self.registry,
@@ -528,6 +531,49 @@
         self.assertIn("dc2", self.led())
 
 
+class WeakInstancesTest(_LeadersTest):
+    """Few endpoints, and instances with a small share of a core each.
+
+    The pattern: 45 endpoints in five data centres, under the limit of a single
+    leader, and instances with 0.12 of a core. One of them led all endpoints,
+    was short of processor time after two seconds and handed over to the next
+    one; nearly all jobs were refused.
+    """
+
+    processor_share = 0.12
+
+    def setUp(self):
+        super().setUp()
+        self.list_endpoints(9)
+
+    def list_endpoints(self, each):
+        self.endpoint_list.apply(
+            [
+                endpoints.Endpoint(id=f"{name}-{n}", url="", data_centre=name)
+                for name in ("dc1", "dc2")
+                for n in range(each)
+            ],
+            period_s=1.0,
+        )
+
+    async def test_each_data_centre_has_its_own_leader(self):
+        self.peer("i3", "dc2", millicores=120)
+        self.wait(2.0)
+        self.assertEqual(self.led(), {"dc1"})
+
+    async def test_few_enough_endpoints_have_a_single_leader(self):
+        self.list_endpoints(3)
+        self.peer("i3", "dc2", millicores=100)
+        self.wait(2.0)
+        self.assertEqual(self.led(), {"dc1", "dc2"})
+
+    async def test_one_instance_with_a_core_leads_all(self):
+        """Its share counts, as it would be the leader."""
+        self.peer("i3", "dc2", millicores=1_000)
+        self.wait(2.0)
+        self.assertEqual(self.led(), set())
+
+
 class LoopLagTest(unittest.TestCase):
 
     def test_process_with_many_late_timers_is_slow(self):
