Name the cause when no endpoint responds

Cause: while no endpoint responds the expected wait is infinite, and callers got "expected to wait inf s".

Change: the refusal says "no endpoint responds"; cause and status stay.

Measured: test_refusal_says_that_no_endpoint_responds fails before and passes after.

--- a/sesameroad/jobs/admission.py
+++ b/sesameroad/jobs/admission.py
@@ -109,9 +109,12 @@
             )
         if ends_at <= min(job.expires_at, job.deadline_at):
             return None
+        detail = "no endpoint responds"
+        if wait_s < math.inf:
+            detail = f"expected to wait {wait_s:.2f} s, longer than is of use"
         return outcomes.NotRun(
             outcomes.Cause.OVERLOAD,
-            f"expected to wait {wait_s:.2f} s, longer than is of use",
+            detail,
             max(_MIN_RETRY_S, min(wait_s, _MAX_RETRY_S)),
         )
 
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -266,6 +266,16 @@
         started = {task.partition(".")[0] for task in site.history.starts}
         self.assertFalse(started & set(refused))
 
+    async def test_refusal_says_that_no_endpoint_responds(self):
+        """An infinite wait was reported to callers as "inf s"."""
+        site = _jobs.Site(count=1)
+        site.fleet.endpoints["e0"].fault.silent = True
+        async with site.leader() as leader:
+            await asyncio.sleep(1.0)
+            answer = await leader.submit(site.job(), site.origin)
+        self.assertIsInstance(answer, outcomes.NotRun)
+        self.assertEqual(answer.detail, "no endpoint responds")
+
     async def test_job_that_cannot_meet_its_limit_is_refused_at_once(self):
         """Guards against a refusal too late for a retry elsewhere."""
         site = _jobs.Site(count=1)
