Share the setup of the tests with two instances

Cause: tests.test_odd_rows had its own copy of the setup and the calls of tests.test_serve.

Change: it uses InstancesTest, and removes both endpoints that were there before the odd rows, so that only one listed after them can serve.

--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -3,11 +3,9 @@
 import asyncio
 import base64
 import json
-import unittest
-
-import aiohttp
 
 from standins import deployment
+from tests import test_serve
 
 _DEEP = b"[" * 100_000 + b"]" * 100_000
 _DIGITS = b"9" * 401
@@ -77,33 +75,20 @@
 }
 
 
-class OddRowsTest(unittest.IsolatedAsyncioTestCase):
+class OddRowsTest(test_serve.InstancesTest):
     """Guards against instances that end, or stop following, at odd rows."""
 
-    async def asyncSetUp(self):
-        self.deployment = deployment.Deployment(
-            instance_count=2, endpoint_count=1
-        )
-        await self.deployment.__aenter__()
-        self.addAsyncCleanup(self.deployment.__aexit__)
-        self.session = aiohttp.ClientSession()
-        self.addAsyncCleanup(self.session.close)
-        self._keys = iter(range(1, 10_000))
-
-    async def _submit(self, instance, prefix=deployment.PATH_PREFIX):
-        step = {"count": 2, "cpu": 2_000, "est-runtime-ms": 50}
-        async with self.session.post(
-            f"http://{instance.web}{prefix}{next(self._keys):016x}",
-            json={"spec": "0.05/2.0", "steps": [step], "best-effort": True},
-            headers={"Host": deployment.HOST, "Timeout-Ms": "3000"},
-        ) as response:
-            return response.status
-
     async def _check_serving(self, prefix=deployment.PATH_PREFIX):
-        for instance in self.deployment.instances:
+        for number, instance in enumerate(self.deployment.instances):
             self.assertTrue(instance.running, instance.name)
-            for _ in range(4):
-                self.assertEqual(await self._submit(instance, prefix), 200)
+            for key in range(4):
+                status, _ = await self.call(
+                    "POST",
+                    f"{prefix}{number:08x}{key:08x}",
+                    instance=number,
+                    body=test_serve.job_body(run_s=0.05),
+                )
+                self.assertEqual(status, 200)
 
     def _logs(self):
         return [
@@ -134,7 +119,8 @@
         await self._check_serving()
         # An instance that still follows the list uses an endpoint added later.
         await self.deployment.add_endpoint("later")
-        await self.deployment.remove_endpoint("e0")
+        for name in ("e0", "e1"):
+            await self.deployment.remove_endpoint(name)
         await asyncio.sleep(_READ_S)
         await self._check_serving()
         self._check_logs()
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -14,7 +14,7 @@
 _CONFIGURATION_S = 2.0
 
 
-def _body(count=2, run_s=0.1, **changes):
+def job_body(count=2, run_s=0.1, **changes):
     step = {"count": count, "cpu": 6_000, "est-runtime-ms": run_s * 1_000}
     return {
         "spec": f"{run_s}/6.0",
@@ -50,7 +50,7 @@
             "POST",
             f"{deployment.PATH_PREFIX}{key}",
             instance=instance,
-            body=_body(**options),
+            body=job_body(**options),
         )
 
 
@@ -76,16 +76,16 @@
         for data, expected in (
             (b"{", 400),
             (b"{}", 400),
-            (json.dumps(_body(count=0)).encode(), 400),
-            (json.dumps(_body() | {"steps": []}).encode(), 400),
-            (json.dumps(_body() | {"best-effort": False}).encode(), 503),
+            (json.dumps(job_body(count=0)).encode(), 400),
+            (json.dumps(job_body() | {"steps": []}).encode(), 400),
+            (json.dumps(job_body() | {"best-effort": False}).encode(), 503),
             (b" " * 300_000, 413),
         ):
             status, _ = await self.call("POST", path, data=data)
             self.assertEqual(status, expected, data[:60])
         self.assertEqual((await self.call("POST", "/other/"))[0], 404)
         status, _ = await self.call(
-            "POST", f"{deployment.PATH_PREFIX}xyz", body=_body()
+            "POST", f"{deployment.PATH_PREFIX}xyz", body=job_body()
         )
         self.assertEqual(status, 400)
         self.assertEqual((await self.call("GET", path))[0], 410)
