--- a/sesameroad/model/strict_json.py
+++ b/sesameroad/model/strict_json.py
@@ -31,7 +31,7 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_EXACT)]
 # A duration in milliseconds that messages between instances carry.
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_INT32)]
-# The same, of either sign.
+# An integer of either sign that a float holds exactly.
 Whole = Annotated[int, msgspec.Meta(ge=-_MAX_EXACT, le=_MAX_EXACT)]
 # A finite number that is not negative.
 Amount = Annotated[float, msgspec.Meta(ge=0, le=float(_MAX_EXACT))]
