Log restarts of endpoints and unanswered stops

Cause: after a run was given up, the logs did not show whether its endpoint had started again, whether the list or a report said so, or how often a stop was sent. The hypotheses on runs at the same time could not be told apart.

Change: a line for each restart that a report or the list shows, with both start times and the listed runs; a line for each unanswered stop; the state and age of a lost run. No decision changes.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -290,6 +290,14 @@
             if report.born_ms < born_ms:
                 # The answer predates the restart that the endpoint list shows.
                 return
+            log.event(
+                "endpoint started again",
+                step="run",
+                peer=leased.endpoint.id,
+                born_ms=report.born_ms,
+                former_born_ms=born_ms,
+                listed=[f"{r.task}#{r.run}" for r in report.running],
+            )
             leased.describe(
                 endpoints.as_restarted(leased.endpoint, report.born_ms)
             )
@@ -422,6 +430,8 @@
             task=run.task,
             run=run.number,
             reason=cause,
+            state=run.state.value,
+            sent_ms_ago=int((self._clock.monotonic() - run.sent_at) * 1_000),
         )
         self._retry(run, cause)
 
--- a/sesameroad/leasing/endpoint_pool.py
+++ b/sesameroad/leasing/endpoint_pool.py
@@ -112,6 +112,13 @@
                 and before.born_ms
                 and endpoint.born_ms
             ):
+                log.event(
+                    "the list shows another start of an endpoint",
+                    step="run",
+                    peer=name,
+                    born_ms=endpoint.born_ms,
+                    former_born_ms=before.born_ms,
+                )
                 self.restarted(leased)
 
     def restarted(self, leased: leased_endpoint.LeasedEndpoint) -> None:
--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -7,6 +7,7 @@
 from sesameroad.leasing import orders
 from sesameroad.leasing import runs
 from sesameroad.model import clocks
+from sesameroad.telemetry import log
 
 # Time for which an endpoint holds a long poll (the order "look") if no run
 # ends. This is also the renewal interval, so that a lease of 1 s survives a
@@ -260,5 +261,13 @@
                 # An unknown run of an earlier leader ends with its lease.
                 if stop.run is None or stop.task not in leased.runs:
                     return
+                log.problem(
+                    "stop without an answer",
+                    step="stop",
+                    peer=leased.endpoint.id,
+                    request=stop.run.key,
+                    task=stop.task,
+                    run=stop.number,
+                )
                 await asyncio.sleep(_STOP_RETRY_S)
                 leased.orders.put_nowait(stop)
