Reproduce runs at the same time on restarted endpoints

Cause: the simulated endpoint kept its clock over a restart, answered polls of its former incarnation and forgot a run when a second one of the same task ended, so that it could not show what an order does in the next incarnation.

Change: a restart sets the clock to 0 and drops connections; runs at the same time are recorded by endpoint; stops can be lost.

--- a/standins/simulated_endpoint.py
+++ b/standins/simulated_endpoint.py
@@ -24,7 +24,9 @@
         lose_answers: Orders are carried out, but not answered.
         lose_start_answers: Starts are carried out, but not answered.
         late_s: If not 0, starts are carried out after this delay in seconds and
-            not answered.
+            not answered, by whichever incarnation runs then.
+        lost_stops: Number of next stops that are neither carried out nor
+            answered.
         unhealthy: Starts are refused.
         failing: Runs fail at the end of their run time.
         hanging: Runs do not end unless they are stopped.
@@ -35,6 +37,7 @@
     lose_answers: bool = False
     lose_start_answers: bool = False
     late_s: float = 0.0
+    lost_stops: int = 0
     unhealthy: bool = False
     failing: bool = False
     hanging: bool = False
@@ -60,7 +63,7 @@
     """Runs on all endpoints of a fleet, as the endpoints saw them.
 
     Attributes:
-        running: Endpoint by task of each run that has not ended.
+        running: Endpoints by task of the runs that have not ended.
         starts: Task of each start, in order.
         done: Task of each successful run, in order.
         overlapping: Tasks that were started while another run of the same task
@@ -70,7 +73,7 @@
     """
 
     def __init__(self) -> None:
-        self.running: dict[str, str] = {}
+        self.running: dict[str, list[str]] = {}
         self.starts: list[str] = []
         self.done: list[str] = []
         self.overlapping: list[str] = []
@@ -82,11 +85,13 @@
         if task in self.running:
             self.overlapping.append(task)
         self.starts.append(task)
-        self.running[task] = endpoint_id
+        self.running.setdefault(task, []).append(endpoint_id)
 
-    def end(self, task: str) -> None:
+    def end(self, task: str, endpoint_id: str) -> None:
         """Records the end of a run."""
-        self.running.pop(task, None)
+        self.running[task].remove(endpoint_id)
+        if not self.running[task]:
+            del self.running[task]
 
 
 class SimulatedEndpoint:
@@ -124,22 +129,33 @@
         self._lease_until_ms = 0
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._changed = asyncio.Event()
+        # Difference between its clock and that of the fleet.
+        self._clock_offset_ms = 500_000
 
     @property
     def clock_ms(self) -> int:
-        """Monotonic clock of the endpoint."""
-        return int(self._clock.monotonic() * 1_000) + 500_000
+        """Monotonic clock of the endpoint, which a restart sets to 0."""
+        return int(self._clock.monotonic() * 1_000) + self._clock_offset_ms
 
-    def crash(self) -> None:
-        """Restarts the endpoint, which loses its runs, its ends and its token."""
+    def crash(self, *, born_ms: int | None = None) -> None:
+        """Restarts the endpoint, which holds and knows nothing of before.
+
+        Args:
+            born_ms: Wall time of the start; by default 1 s after the former one.
+        """
         for task in list(self.running):
             self._drop(task)
         self.ended.clear()
         self.end_count = self.token = 0
         self._last_barred_run.clear()
-        self.endpoint = endpoints.as_restarted(
-            self.endpoint, self.endpoint.born_ms + 1_000
-        )
+        self._clock_offset_ms -= self.clock_ms
+        self._lease_until_ms = 0
+        if self._expiry_timer is not None:
+            self._expiry_timer.cancel()
+        if born_ms is None:
+            born_ms = self.endpoint.born_ms + 1_000
+        self.endpoint = dataclasses.replace(self.endpoint, born_ms=born_ms)
+        self._changed.set()
 
     def start(
         self, *, task: str, run: int, spec: str, token: int, until_ms: int
@@ -189,7 +205,7 @@
         current = self.running.get(task)
         if current is not None and current.run <= run:
             asyncio.get_running_loop().call_later(
-                0.04, self._end, task, orders.Ending.STOPPED
+                0.04, self._end_stopped, task, current
             )
         return orders.Accepted(self.clock_ms)
 
@@ -204,6 +220,7 @@
         if until_ms is not None:
             self._extend(until_ms)
         self.ended = [end for end in self.ended if end.number > seen]
+        born_ms = self.endpoint.born_ms
         if not self.ended and wait_s > 0:
             self._changed.clear()
             try:
@@ -211,6 +228,8 @@
                     await self._changed.wait()
             except TimeoutError:
                 pass
+        if self.endpoint.born_ms != born_ms:
+            return orders.NoAnswer("the connection was lost with the endpoint")
         now = self._clock.monotonic()
         return orders.Report(
             clock_ms=self.clock_ms,
@@ -241,6 +260,11 @@
         for task in list(self.running):
             self._end(task, orders.Ending.LAPSED)
 
+    def _end_stopped(self, task: str, stopped: _Run) -> None:
+        """Ends a run that was stopped, unless another one has followed."""
+        if self.running.get(task) is stopped:
+            self._end(task, orders.Ending.STOPPED)
+
     def _end(self, task: str, ending: orders.Ending) -> None:
         run_state = self._drop(task)
         if run_state is None:
@@ -259,7 +283,7 @@
     def _drop(self, task: str) -> _Run | None:
         run_state = self.running.pop(task, None)
         if run_state is not None:
-            self._history.end(task)
+            self._history.end(task, self.endpoint.id)
             if run_state.timer is not None:
                 run_state.timer.cancel()
         return run_state
@@ -325,7 +349,8 @@
         """Sends an order to stop a run."""
         simulated = self.endpoints[endpoint.id]
         await asyncio.sleep(self._delay_s)
-        if simulated.fault.silent:
+        if simulated.fault.silent or simulated.fault.lost_stops:
+            simulated.fault.lost_stops = max(0, simulated.fault.lost_stops - 1)
             return await self._no_answer(0.3)
         answer = simulated.stop(task=task, run=run, token=token)
         if simulated.fault.lose_answers:
--- /dev/null
+++ b/tests/test_restarted_endpoint.py
@@ -0,0 +1,150 @@
+"""Tests leaders with endpoints that restart under their id, in virtual time.
+
+A restarted endpoint holds and knows nothing of before. Its leader learns of the
+restart only later, from a report or from the list of endpoints.
+"""
+
+import asyncio
+
+from sesameroad.model import outcomes
+from tests import _jobs
+from tests import _virtual
+
+
+class RestartedEndpointTest(_virtual.VirtualTimeTest):
+
+    def _submit(self, site, leader, *, run_s, jobs=6, first=0, **options):
+        """Submits jobs of different run times, numbered from the first."""
+        return [
+            asyncio.create_task(
+                leader.submit(
+                    site.job(
+                        f"{number:016x}",
+                        run_s=run_s + 0.13 * number,
+                        deadline_s=20,
+                        **options,
+                    ),
+                    site.origin,
+                )
+            )
+            for number in range(first, first + jobs)
+        ]
+
+    def _assert_each_ran_once(self, site, answers):
+        self.assertEqual(answers, [outcomes.Complete(())] * len(answers))
+        self.assertEqual(site.history.overlapping, [])
+        done = site.history.done
+        self.assertEqual(len(done), len(set(done)))
+
+    async def test_start_after_an_unnoticed_restart_is_not_given_up(self):
+        """Guards against a second run of a task that began after a restart.
+
+        Idle endpoints are not polled, so the report that shows the restart
+        also shows what has been started since.
+        """
+        site = _jobs.Site(count=3)
+        async with site.leader() as leader:
+            await leader.submit(site.job(count=6, run_s=0.1), site.origin)
+            await asyncio.sleep(1.0)
+            for endpoint in site.fleet.endpoints.values():
+                endpoint.crash()
+            answers = await asyncio.gather(
+                *self._submit(site, leader, run_s=0.2, cores=4.0)
+            )
+        self._assert_each_ran_once(site, answers)
+
+    async def test_end_after_an_unnoticed_restart_counts(self):
+        """Guards against running a task again that is done.
+
+        The numbers of ends start anew, so the acknowledgement of an end of the
+        former incarnation must not cover one of the next.
+        """
+        for run_s in (0.002, 0.02, 0.1):
+            site = _jobs.Site(count=1)
+            async with site.leader() as leader:
+                await leader.submit(site.job(count=6, run_s=0.1), site.origin)
+                await asyncio.sleep(1.0)
+                site.fleet.endpoints["e0"].crash()
+                answers = await asyncio.gather(
+                    *self._submit(site, leader, jobs=2, run_s=run_s, count=1)
+                )
+            self._assert_each_ran_once(site, answers)
+
+    async def test_list_may_show_the_former_start_time(self):
+        """Guards against giving up runs because the list is out of date.
+
+        An instance that is cut off from the store keeps a list that is older
+        than the reports of the endpoints.
+        """
+        site = _jobs.Site(count=3)
+        async with site.leader() as leader:
+            submitted = self._submit(site, leader, run_s=0.9, cores=4.0)
+            await asyncio.sleep(0.1)
+            site.fleet.endpoints["e0"].crash()
+            for _ in range(20):
+                await asyncio.sleep(0.09)
+                leader.update(site.endpoints)
+            answers = await asyncio.gather(*submitted)
+        self._assert_each_ran_once(site, answers)
+
+    async def test_list_shows_a_restart_after_runs_have_begun(self):
+        """Guards against giving up runs of the incarnation that is listed."""
+        site = _jobs.Site(count=1)
+        async with site.leader() as leader:
+            await leader.submit(site.job(count=2, run_s=0.1), site.origin)
+            await asyncio.sleep(1.0)
+            endpoint = site.fleet.endpoints["e0"]
+            endpoint.crash()
+            submitted = self._submit(site, leader, jobs=2, run_s=0.5, cores=4.0)
+            await asyncio.sleep(0.0015)
+            leader.update([endpoint.endpoint])
+            answers = await asyncio.gather(*submitted)
+        self._assert_each_ran_once(site, answers)
+
+    async def test_start_time_may_go_back(self):
+        """Guards against ignoring an endpoint whose wall clock was set back.
+
+        Its reports show an earlier start time than before the restart.
+        """
+        site = _jobs.Site(count=1)
+        async with site.leader() as leader:
+            submitted = self._submit(site, leader, run_s=0.5, cores=4.0, jobs=2)
+            await asyncio.sleep(0.1)
+            site.fleet.endpoints["e0"].crash(born_ms=400)
+            answers = await asyncio.gather(*submitted)
+            await asyncio.sleep(1.0)
+            starts = len(site.history.starts)
+            answers += await asyncio.gather(
+                *self._submit(site, leader, run_s=0.1, jobs=1, first=2)
+            )
+        self._assert_each_ran_once(site, answers)
+        self.assertEqual(len(site.history.starts), starts + 2)
+
+    async def test_late_start_is_refused_by_the_next_incarnation(self):
+        """Guards against a start that is carried out after a restart.
+
+        The former incarnation had barred the run, and the end of its lease is
+        far in the future of a clock that starts anew.
+        """
+        for crash_s in (0.2, 0.35, 0.5, 0.8, 1.2):
+            site = _jobs.Site(count=4)
+            late = site.fleet.endpoints["e0"]
+            async with site.leader() as leader:
+                late.fault.late_s = 1.5
+                submitted = self._submit(
+                    site, leader, run_s=2.0, cores=8.0, jobs=2
+                )
+                await asyncio.sleep(0.1)
+                late.fault.late_s = 0.0
+                await asyncio.sleep(crash_s - 0.1)
+                late.crash()
+                leader.update(
+                    endpoint.endpoint
+                    for endpoint in site.fleet.endpoints.values()
+                )
+                # Other endpoints are free, so its tasks are started there.
+                late.fault.unhealthy = True
+                await asyncio.sleep(0.3)
+                late.fault.unhealthy = False
+                answers = await asyncio.gather(*submitted)
+            self._assert_each_ran_once(site, answers)
