Poll an endpoint until it answers, also without runs

Callers saw: jobs refused while endpoints were free.

Cause: an endpoint whose last run was given up while it did not answer had no run left, so that it was not polled again, and no poll could end its silence. It got no more runs until its leader changed.

--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -141,9 +141,9 @@
 
     def _is_poll_due(self) -> bool:
         leased = self._leased
-        if not leased.reconciled or leased.orphans:
+        if not leased.reconciled or leased.silent_since is not None:
             return True
-        return leased.has_sent_runs
+        return bool(leased.orphans) or leased.has_sent_runs
 
     async def _poll(self) -> None:
         leased = self._leased
--- a/tests/test_restarted_endpoint.py
+++ b/tests/test_restarted_endpoint.py
@@ -165,3 +165,24 @@
             answers = await asyncio.gather(*submitted)
         self._assert_each_ran_once(site, answers)
         self.assertEqual(len(site.history.starts), 4)
+
+    async def test_endpoint_is_used_again_after_its_lease_has_expired(self):
+        """Guards against an endpoint that is never polled again.
+
+        Without runs there was no poll that could end its silence.
+        """
+        site = _jobs.Site(count=1)
+        endpoint = site.fleet.endpoints["e0"]
+        async with site.leader() as leader:
+            submitted = self._submit(site, leader, run_s=0.5, jobs=1)
+            await asyncio.sleep(0.1)
+            endpoint.fault.silent = True
+            await asyncio.sleep(3.0)
+            leader.cancel(site.job(f"{0:016x}").name, site.origin.id)
+            await asyncio.gather(*submitted)
+            endpoint.fault.silent = False
+            await asyncio.sleep(1.0)
+            answers = await asyncio.gather(
+                *self._submit(site, leader, run_s=0.1, jobs=1, first=1)
+            )
+        self.assertEqual(answers, [outcomes.Complete(())])
