Keep the raised token of an endpoint that was released

Cause: an endpoint that was unlisted, released and listed again was held with the plain token, which it refuses after a raised one. The leader would have taken that for another leader and resigned.

Change: the pool holds a new endpoint with the highest number of fences of a released one.

Measured: the test failed before with a refused token; it passes now.

--- a/sesameroad/leasing/endpoint_pool.py
+++ b/sesameroad/leasing/endpoint_pool.py
@@ -31,6 +31,7 @@
         "_sessions",
         "_lease_s",
         "_orders",
+        "_released_fences",
         "_unlisted",
     )
 
@@ -57,6 +58,9 @@
         self._leased: dict[str, leased_endpoint.LeasedEndpoint] = {}
         self._sessions: dict[str, asyncio.Task[None]] = {}
         self._unlisted: set[str] = set()
+        # Most fences of a released endpoint: one that is listed again refuses
+        # lower tokens than it has seen.
+        self._released_fences = 0
 
     def __len__(self) -> int:
         return len(self._leased)
@@ -134,6 +138,7 @@
         leased = leased_endpoint.LeasedEndpoint(
             endpoint, lease=leases.Lease(duration_s=self._lease_s)
         )
+        leased.fences = self._released_fences
         leased.invalidate(self._clock.monotonic())
         self._leased[endpoint.id] = leased
         session = endpoint_session.EndpointSession(
@@ -168,6 +173,7 @@
 
     def _release(self, name: str) -> None:
         leased = self._leased.pop(name)
+        self._released_fences = max(self._released_fences, leased.fences)
         self._unlisted.discard(name)
         task = self._sessions.pop(name, None)
         if task is not None and task is not asyncio.current_task():
--- a/tests/test_restarted_endpoint.py
+++ b/tests/test_restarted_endpoint.py
@@ -149,6 +149,29 @@
                 answers = await asyncio.gather(*submitted)
             self._assert_each_ran_once(site, answers)
 
+    async def test_endpoint_that_is_listed_again_takes_orders(self):
+        """Guards against orders with a lower token than an earlier one.
+
+        A leader that an endpoint refuses for a higher token takes it for that
+        of another leader, and resigns.
+        """
+        site = _jobs.Site(count=2)
+        async with site.leader() as leader:
+            site.fleet.endpoints["e0"].crash()
+            await leader.submit(
+                site.job(count=4, run_s=0.1, deadline_s=9), site.origin
+            )
+            await asyncio.sleep(1.0)
+            leader.update(site.endpoints[1:])
+            await asyncio.sleep(1.0)
+            leader.update(site.endpoints)
+            answers = await asyncio.gather(
+                *self._submit(site, leader, run_s=0.3, cores=4.0)
+            )
+        self._assert_each_ran_once(site, answers)
+        self.assertEqual(site.fenced, [])
+        self.assertGreater(site.fleet.endpoints["e0"].end_count, 0)
+
     async def test_other_endpoint_at_the_address_does_not_end_runs(self):
         """Guards against giving up runs of an endpoint that has moved.
 
