Send stops without an answer again within the time that is left

Cause: a stop without an answer was sent again 0.4 s later (0.3 s timeout and 0.1 s pause), while polls renewed the lease of the endpoint. A leader notices a silent origin up to 0.85 s after the loss, and the caller comes again 1.3 s after it. A run of which two stops were lost went on beyond that, next to the runs of the next attempt at a leader that holds other endpoints.

Change: a stop waits for its answer for 0.06 s and is sent again 0.07 s after the former one, six times in the 0.4 s that are left. Stops are idempotent. Each unanswered one still costs one connection. An endpoint that refuses connections gets at most one stop in 0.07 s on each of the two connections for orders, and other orders wait 0.07 s instead of 0.4 s behind a lost stop.

The stand-in takes the timeout of stops from the client, so that the tests notice a change of it.

With many runs on an endpoint the two connections for orders are the limit.

--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -29,8 +29,9 @@
 # Concurrent orders to one endpoint, each on its own connection, so that a lost
 # answer does not block the others.
 _ORDER_CONNECTIONS = 2
-# Delay before a stop without an answer is sent again.
-_STOP_RETRY_S = 0.1
+# Time from a stop without an answer to the next one, also if the endpoint refuses
+# connections at once. Other orders wait for the connection as long.
+_STOP_PERIOD_S = 0.07
 
 
 class Events(Protocol):
@@ -243,6 +244,7 @@
         """Sends a stop; repeats it until answered or the run is removed."""
         leased = self._leased
         token = self._events.token
+        sent_at = self._clock.monotonic()
         answer = await self._orders.stop(
             leased.endpoint, task=stop.task, run=stop.number, token=token
         )
@@ -269,5 +271,5 @@
                     task=stop.task,
                     run=stop.number,
                 )
-                await asyncio.sleep(_STOP_RETRY_S)
+                await asyncio.sleep(max(0.0, sent_at + _STOP_PERIOD_S - now))
                 leased.orders.put_nowait(stop)
--- a/sesameroad/platform/order_client.py
+++ b/sesameroad/platform/order_client.py
@@ -16,6 +16,11 @@
 # An endpoint answers an order within a few milliseconds. A longer wait for a
 # lost answer would delay the task, whose caller waits only 1.5 s in total.
 _ORDER_TIMEOUT_S = 0.3
+# A stop without an answer is repeated. Six fit into the 0.4 s from the moment at
+# which a leader notices that an origin is silent until the callers of that origin
+# come again. A timeout closes the connection, and a new one is expensive, so the
+# timeout is well above the usual time of an answer.
+STOP_TIMEOUT_S = 0.06
 # Per endpoint: one for status requests and two for orders.
 _CONNECTIONS_PER_ENDPOINT = 3
 _KEEPALIVE_S = 60.0
@@ -116,14 +121,14 @@
             "deadline-ms": lease_until_ms,
             "fencing-token": token,
         }
-        return await self._order(endpoint, "start", body)
+        return await self._order(endpoint, "start", body, _ORDER_TIMEOUT_S)
 
     async def stop(
         self, endpoint: endpoints.Endpoint, *, task: str, run: int, token: int
     ) -> orders.Answer:
         """Stops a run; a start of the run that arrives later is rejected."""
         body = {"task": task, "run": run, "fencing-token": token}
-        return await self._order(endpoint, "stop", body)
+        return await self._order(endpoint, "stop", body, STOP_TIMEOUT_S)
 
     async def poll(
         self,
@@ -153,12 +158,16 @@
         return answer
 
     async def _order(
-        self, endpoint: endpoints.Endpoint, order: str, body: dict[str, Any]
+        self,
+        endpoint: endpoints.Endpoint,
+        order: str,
+        body: dict[str, Any],
+        timeout_s: float,
     ) -> orders.Answer:
         started_at = clocks.elapsed_s()
         path = f"/api/run-{order}"
         answer: orders.Answer
-        match await self._post(endpoint, path, body, _ORDER_TIMEOUT_S):
+        match await self._post(endpoint, path, body, timeout_s):
             case orders.NoAnswer() as answer:
                 pass
             case (status, content) if status == _OK:
--- a/standins/simulated_endpoint.py
+++ b/standins/simulated_endpoint.py
@@ -11,6 +11,7 @@
 from sesameroad.leasing import orders
 from sesameroad.model import clocks
 from sesameroad.model import endpoints
+from sesameroad.platform import order_client
 
 _DONE = orders.Ending.DONE
 
@@ -351,10 +352,10 @@
         await asyncio.sleep(self._delay_s)
         if simulated.fault.silent or simulated.fault.lost_stops:
             simulated.fault.lost_stops = max(0, simulated.fault.lost_stops - 1)
-            return await self._no_answer(0.3)
+            return await self._no_answer(order_client.STOP_TIMEOUT_S)
         answer = simulated.stop(task=task, run=run, token=token)
         if simulated.fault.lose_answers:
-            return await self._no_answer(0.3)
+            return await self._no_answer(order_client.STOP_TIMEOUT_S)
         return answer
 
     async def poll(
--- a/tests/test_order_client.py
+++ b/tests/test_order_client.py
@@ -72,6 +72,29 @@
         self.assertIsInstance(answer, orders.NoAnswer)
         self.assertLess(time.monotonic() - began_at, _LIMIT_S)
 
+    async def test_stop_without_an_answer_ends_at_its_own_timeout(self):
+        """Guards against stops that are repeated too late.
+
+        A stop has to reach an endpoint several times before a caller returns.
+        """
+        timeouts = []
+
+        class Session:
+
+            def post(self, url, *, timeout, **_):
+                timeouts.append(timeout.total)
+                raise TimeoutError
+
+        client = order_client.OrderClient(
+            Session(), metrics=job_metrics.JobMetrics()
+        )
+        endpoint = endpoints.Endpoint(
+            id="e1", url="http://e1", data_centre="dc1"
+        )
+        answer = await client.stop(endpoint, task="t", run=1, token=1)
+        self.assertIsInstance(answer, orders.NoAnswer)
+        self.assertEqual(timeouts, [order_client.STOP_TIMEOUT_S])
+
     async def test_orders_wait_for_a_connection_no_longer_than_their_timeout(
         self,
     ):
