Test callers that come again while the leader changes

No test covered a repeated attempt that is not marked as moved at a next leader that can list the runs of the former one, attempts that one leader gets in different parts, or the wait of a moved job beside a clock that is 2% slow.

--- /dev/null
+++ b/tests/test_repeated_attempts.py
@@ -0,0 +1,121 @@
+"""Tests callers that come again while leaders change, in virtual time.
+
+A caller whose connection broke submits its job again 1.3 s later, at any
+instance and so possibly at another leader. That attempt is not marked as moved.
+The runs of the former attempt must have ended by then, or the next leader must
+know them.
+"""
+
+import asyncio
+
+from sesameroad.model import outcomes
+from standins import simulated_endpoint
+from tests import _jobs
+from tests import _virtual
+
+# Time after which a caller submits its job again.
+_RETURN_S = 1.3
+
+
+def _part(job, *indices):
+    return job.part(indices)
+
+
+class RepeatedAttemptTest(_virtual.VirtualTimeTest):
+
+    def _assert_none_overlapped(self, site, **parameters):
+        with self.subTest(**parameters):
+            self.assertEqual(site.history.overlapping, [])
+
+    async def test_next_leader_finds_the_runs_of_a_lost_origin(self):
+        """Guards against a start beside a run that the next leader can list."""
+        for lost_s in (0.1, 0.3, 0.5, 0.7):
+            site = _jobs.Site(count=2)
+            job = site.job(count=2, cores=16.0, run_s=3.0, deadline_s=9)
+            async with site.leader(token=1) as first:
+                submitted = asyncio.create_task(first.submit(job, site.origin))
+                await asyncio.sleep(0.3 + lost_s)
+            await submitted
+            site.add("e2", 16.0)
+            site.add("e3", 16.0)
+            async with site.leader(token=2) as second:
+                await asyncio.sleep(_RETURN_S - lost_s - 0.05)
+                await second.submit(job, _jobs.Origin("other"))
+            self._assert_none_overlapped(site, lost_s=lost_s)
+
+    async def test_later_attempt_at_the_same_leader_waits(self):
+        """Guards against tasks of two attempts of one leader side by side."""
+        for first_parts, next_parts in (
+            (((0, 1, 2, 3),), ((0, 1), (2, 3))),
+            (((0, 1), (2, 3)), ((0, 1, 2, 3),)),
+            (((0, 1), (2, 3)), ((0, 1, 2), (3,))),
+            (((0, 1, 2), (3,)), ((0,), (1, 2, 3))),
+        ):
+            site = _jobs.Site(count=4)
+            job = site.job(count=4, run_s=0.4, deadline_s=9)
+            async with site.leader() as leader:
+                submitted = [
+                    asyncio.create_task(
+                        leader.submit(_part(job, *indices), site.origin)
+                    )
+                    for indices in first_parts
+                ]
+                await asyncio.sleep(0.2)
+                other = _jobs.Origin("other")
+                answers = await asyncio.gather(
+                    *(
+                        leader.submit(_part(job, *indices), other)
+                        for indices in next_parts
+                    )
+                )
+                for task in submitted:
+                    task.cancel()
+            with self.subTest(first=first_parts, next=next_parts):
+                self.assertEqual(
+                    answers, [outcomes.Complete(())] * len(answers)
+                )
+                self.assertEqual(site.history.overlapping, [])
+
+    async def test_moved_job_waits_for_a_lease_on_a_slow_clock(self):
+        """Guards against a wait that is shorter than the longest lease.
+
+        The clock of the endpoint is 2% slow, and the lease was renewed just
+        before the leader was lost. The next leader does not know the endpoint.
+        """
+        for lost_s in (0.002, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5):
+            site = _jobs.Site(count=2)
+            for endpoint in site.endpoints:
+                site.fleet.endpoints[endpoint.id] = _SlowEndpoint(
+                    endpoint, history=site.history, clock=site.clock
+                )
+            job = site.job(count=2, cores=16.0, run_s=3.0, deadline_s=9)
+            async with site.leader(token=1) as first:
+                submitted = asyncio.create_task(first.submit(job, site.origin))
+                await asyncio.sleep(lost_s)
+            await submitted
+            self.assertEqual(len(site.history.running), 2)
+            site.endpoints.clear()
+            site.add("e2", 16.0)
+            site.add("e3", 16.0)
+            async with site.leader(token=2) as second:
+                outcome = await second.submit(job, site.origin, moved=True)
+            self.assertEqual(outcome, outcomes.Complete(()))
+            self._assert_none_overlapped(site, lost_s=lost_s)
+
+
+class _SlowEndpoint(simulated_endpoint.SimulatedEndpoint):
+    """An endpoint whose clock is 2% slow."""
+
+    _RATE = 0.98
+
+    @property
+    def clock_ms(self):
+        return int(self._clock.monotonic() * 1_000 * self._RATE) + 500_000
+
+    def _extend(self, until_ms):
+        super()._extend(until_ms)
+        self._expiry_timer.cancel()
+        left_s = (self._lease_until_ms - self.clock_ms) / 1_000 / self._RATE
+        self._expiry_timer = asyncio.get_running_loop().call_later(
+            max(0.0, left_s), self._expire
+        )
