Reproduce runs that outlive the return of a lost origin's caller

A leader renews the lease of an endpoint for 1 s with each poll, also while an origin of the runs has been silent for up to 0.85 s. If it then loses the endpoint, or is lost itself, the runs go on until 1.9 s after the loss of their origin. The caller comes again after 1.3 s, and a leader that does not know the runs starts its tasks.

Failing: test_endpoint_cut_off_after_its_origin if the endpoint is cut off 0.5 or 0.7 s after the origin, not 0.1 or 0.3 s; test_leader_lost_after_the_origin if the leader is lost 0.5 or 0.7 s after the origin and the next one holds other endpoints, gets no answer from the endpoint, or does not have it on its list.

--- a/tests/test_repeated_attempts.py
+++ b/tests/test_repeated_attempts.py
@@ -7,14 +7,29 @@
 """
 
 import asyncio
+import contextlib
 
 from sesameroad.model import outcomes
 from standins import simulated_endpoint
 from tests import _jobs
 from tests import _virtual
 
-# Time after which a caller submits its job again.
+# Time after which a caller submits its job again, and time of silence after
+# which an origin counts as lost.
 _RETURN_S = 1.3
+_SILENCE_S = 0.75
+
+
+@contextlib.asynccontextmanager
+async def _second_leader(site):
+    """Opens a leader that holds endpoints of its own, e2 and e3."""
+    listed = site.endpoints
+    site.endpoints = []
+    site.add("e2", 16.0)
+    site.add("e3", 16.0)
+    async with site.leader(token=2) as second:
+        site.endpoints = listed
+        yield second
 
 
 def _part(job, *indices):
@@ -27,6 +42,68 @@
         with self.subTest(**parameters):
             self.assertEqual(site.history.overlapping, [])
 
+    async def test_endpoint_cut_off_after_its_origin(self):
+        """Guards against a lease that outlives the return of the caller.
+
+        The leader can't stop runs on an endpoint that it can't reach, and has
+        renewed their lease until then although their origin was silent.
+        """
+        for cut_s in (0.1, 0.3, 0.5, 0.7):
+            site = _jobs.Site(count=2)
+            job = site.job(count=2, cores=16.0, run_s=3.0, deadline_s=9)
+            async with (
+                site.leader(token=1) as first,
+                _second_leader(site) as second,
+            ):
+                submitted = asyncio.create_task(first.submit(job, site.origin))
+                await asyncio.sleep(0.3)
+                # The origin is lost now.
+                await asyncio.sleep(cut_s)
+                site.fleet.endpoints["e0"].fault.silent = True
+                await asyncio.sleep(_SILENCE_S - cut_s)
+                site.origin.live = False
+                await asyncio.sleep(_RETURN_S - _SILENCE_S)
+                await second.submit(job, _jobs.Origin("other"))
+                await submitted
+            self._assert_none_overlapped(site, cut_s=cut_s)
+
+    async def test_leader_lost_after_the_origin(self):
+        """Guards against runs that neither leader stops.
+
+        The leader is lost before it notices the loss of the origin. The runs
+        go on until their lease ends, which it had renewed until then.
+        """
+        for lost_s in (0.1, 0.2, 0.3, 0.5, 0.7):
+            for next_leader in ("other endpoints", "silent", "not listed"):
+                site = _jobs.Site(count=2)
+                job = site.job(count=2, cores=16.0, run_s=3.0, deadline_s=9)
+                async with contextlib.AsyncExitStack() as stack:
+                    async with site.leader(token=1) as first:
+                        submitted = asyncio.create_task(
+                            first.submit(job, site.origin)
+                        )
+                        await asyncio.sleep(0.3)
+                        # The origin is lost now.
+                        await asyncio.sleep(lost_s)
+                    await submitted
+                    site.add("e2", 16.0)
+                    site.add("e3", 16.0)
+                    match next_leader:
+                        case "other endpoints":
+                            del site.endpoints[:2]
+                        case "silent":
+                            site.fleet.endpoints["e0"].fault.silent = True
+                        case "not listed":
+                            del site.endpoints[0]
+                    second = await stack.enter_async_context(
+                        site.leader(token=2)
+                    )
+                    await asyncio.sleep(_RETURN_S - lost_s - 0.05)
+                    await second.submit(job, _jobs.Origin("other"))
+                self._assert_none_overlapped(
+                    site, lost_s=lost_s, next_leader=next_leader
+                )
+
     async def test_next_leader_finds_the_runs_of_a_lost_origin(self):
         """Guards against a start beside a run that the next leader can list."""
         for lost_s in (0.1, 0.3, 0.5, 0.7):
