Reproduce stops that wait for starts without an answer

Stops are sent in the order of the queue on the two connections for orders of an endpoint. A start occupies one for 0.3 s if its answer is lost. With four starts in front, the stops for a lost origin are sent after its caller has come again.

Failing: test_stops_do_not_wait_for_starts_without_an_answer with 4 and 8 starts, not with 2.

--- a/tests/test_repeated_attempts.py
+++ b/tests/test_repeated_attempts.py
@@ -153,6 +153,54 @@
                 )
                 self.assertEqual(site.history.overlapping, [])
 
+    async def test_stops_do_not_wait_for_starts_without_an_answer(self):
+        """Guards against stops that come late as starts occupy connections.
+
+        An endpoint has two connections for orders, and a start waits 0.3 s for
+        its answer. Other jobs have starts in the queue when the loss of an
+        origin is noticed.
+        """
+        for starts in (2, 4, 8):
+            site = _jobs.Site(count=1, cores=64.0)
+            job = site.job(count=2, run_s=3.0, deadline_s=9)
+            async with (
+                site.leader(token=1) as first,
+                _second_leader(site) as second,
+            ):
+                submitted = asyncio.create_task(first.submit(job, site.origin))
+                await asyncio.sleep(0.3)
+                site.fleet.endpoints["e0"].fault.lose_start_answers = True
+                others = [
+                    asyncio.create_task(
+                        first.submit(
+                            site.job(
+                                f"{number:016x}",
+                                count=1,
+                                cores=1.0,
+                                run_s=1.0,
+                                deadline_s=9,
+                            ),
+                            _jobs.Origin(f"alive {number}"),
+                        )
+                    )
+                    for number in range(starts)
+                ]
+                await asyncio.sleep(0.01)
+                site.origin.live = False
+                await asyncio.sleep(_RETURN_S - _SILENCE_S)
+                running = [
+                    task
+                    for task in site.history.running
+                    if task.startswith(job.key)
+                ]
+                await second.submit(job, _jobs.Origin("other"))
+                await submitted
+                for task in others:
+                    task.cancel()
+            with self.subTest(starts=starts):
+                self.assertEqual(running, [])
+                self.assertEqual(site.history.overlapping, [])
+
     async def test_moved_job_waits_for_a_lease_on_a_slow_clock(self):
         """Guards against a wait that is shorter than the longest lease.
 
