Reproduce two runs after attempts in different parts at two leaders

A leader knows the runs of its own endpoints only. Where several leaders serve a job, a later attempt may be divided differently from the former one. Its part at one leader stops the former runs, or is refused for lack of room beside them, and its tasks at another leader start at once.

Failing: test_later_attempt_is_partitioned_differently (the former origin is alive and has not noticed that its caller is gone) and test_lent_part_is_not_refused_ beside_its_runs (the leader is replaced 0.8 s after the loss of the origin).

--- a/tests/test_repeated_attempts.py
+++ b/tests/test_repeated_attempts.py
@@ -120,6 +120,29 @@
                 await second.submit(job, _jobs.Origin("other"))
             self._assert_none_overlapped(site, lost_s=lost_s)
 
+    async def test_later_attempt_is_partitioned_differently(self):
+        """Guards against tasks that a second leader starts too early.
+
+        The former attempt runs whole at one leader, as its origin is alive and
+        has not noticed that the caller is gone. The next one has a part there,
+        which stops the former attempt only now, and one at another leader.
+        """
+        site = _jobs.Site(count=2)
+        job = site.job(count=4, run_s=2.0, deadline_s=9)
+        async with (
+            site.leader(token=1) as first,
+            _second_leader(site) as second,
+        ):
+            submitted = asyncio.create_task(first.submit(job, site.origin))
+            await asyncio.sleep(0.3)
+            other = _jobs.Origin("other")
+            await asyncio.gather(
+                first.submit(_part(job, 0, 1), other),
+                second.submit(_part(job, 2, 3), other, lent=True),
+            )
+            await submitted
+        self._assert_none_overlapped(site)
+
     async def test_later_attempt_at_the_same_leader_waits(self):
         """Guards against tasks of two attempts of one leader side by side."""
         for first_parts, next_parts in (
@@ -227,6 +250,32 @@
             self.assertEqual(outcome, outcomes.Complete(()))
             self._assert_none_overlapped(site, lost_s=lost_s)
 
+    async def test_lent_part_is_not_refused_beside_its_runs(self):
+        """Guards against "no room" while tasks of the part run here.
+
+        The part then goes to another leader, which starts its tasks at once.
+        The leader was replaced before it noticed the loss of the origin, and
+        the next one has found the runs, but stops them only 0.5 s later.
+        """
+        site = _jobs.Site(count=1)
+        part = _part(site.job(count=2, run_s=3.0, deadline_s=9), 0, 1)
+        async with site.leader(token=1) as former:
+            submitted = asyncio.create_task(former.submit(part, site.origin))
+            await asyncio.sleep(0.3)
+            # The origin is lost now.
+            await asyncio.sleep(0.8)
+        await submitted
+        async with (
+            site.leader(token=3) as first,
+            _second_leader(site) as second,
+        ):
+            await asyncio.sleep(_RETURN_S - 0.9)
+            other = _jobs.Origin("other")
+            outcome = await first.submit(part, other, lent=True)
+            if isinstance(outcome, outcomes.NotRun):
+                await second.submit(part, other)
+        self._assert_none_overlapped(site)
+
 
 class _SlowEndpoint(simulated_endpoint.SimulatedEndpoint):
     """An endpoint whose clock is 2% slow."""
