Reproduce a job that goes on although it was cancelled

An offer is handled by a task of its own, a cancelling at once. If one envelope holds both, the cancelling finds no job, and the job starts afterwards and runs to its end, as its origin is alive.

Failing: test_cancel_that_arrives_with_its_job.

--- a/tests/test_repeated_attempts.py
+++ b/tests/test_repeated_attempts.py
@@ -8,8 +8,12 @@
 
 import asyncio
 import contextlib
+import functools
+from unittest import mock
 
 from sesameroad.model import outcomes
+from sesameroad.node import node
+from sesameroad.peering import messages
 from standins import simulated_endpoint
 from tests import _jobs
 from tests import _virtual
@@ -276,6 +280,37 @@
                 await second.submit(part, other)
         self._assert_none_overlapped(site)
 
+    async def test_cancel_that_arrives_with_its_job(self):
+        """Guards against a job that goes on although it was cancelled.
+
+        An envelope may contain the offer of a job and its cancelling.
+        """
+        site = _jobs.Site(count=2)
+        job = site.job(count=2, run_s=1.0, deadline_s=9)
+        link = mock.Mock()
+        link.hello.instance_id = "origin"
+        link.heard_recently = True
+        async with site.leader() as leader:
+
+            async def submit(data_centre, job, origin, **options):
+                del data_centre
+                return await leader.submit(job, origin, **options)
+
+            receiver = mock.Mock(
+                _leaders=mock.Mock(submit=submit, cancel=leader.cancel),
+                _offer_tasks=set(),
+            )
+            receiver._serve_offer = functools.partial(
+                node.Node._serve_offer, receiver
+            )
+            for message in (
+                messages.JobOffer(1, "dc1", job, False, False),
+                messages.JobCancel(job.name),
+            ):
+                node.Node._receive(receiver, link, message)
+            await asyncio.sleep(0.2)
+            self.assertEqual(site.history.running, {})
+
 
 class _SlowEndpoint(simulated_endpoint.SimulatedEndpoint):
     """An endpoint whose clock is 2% slow."""
