Test a claim that is written after its refusal

Cause: no test covered a caller-chosen key that was refused as not run because its claim took longer than 0.5 s, whose row is written later, and which is then sent again to another entry.

Change: the test has the row written after 2 s. Nothing may run before the key is sent again; it must then run once, at the entry that the row names.

On a scratch copy it fails if a claim that times out is taken as held, and if the home in the row is ignored.

--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -14,7 +14,10 @@
 
 
 class FakeTable:
-    """A table in memory that applies one given fault to each call in turn."""
+    """A table in memory that applies one given fault to each call in turn.
+
+    "late" applies a write only after its claimants have given up.
+    """
 
     def __init__(self, *faults):
         self.rows = {}
@@ -24,7 +27,7 @@
     async def write(self, writes, *, step):
         self.batches.append(len(writes))
         fault = next(self._faults, "")
-        if fault == "slow":
+        if fault in {"slow", "late"}:
             await asyncio.sleep(2.0)
         await asyncio.sleep(0.004)
         if fault in {"down", "slow"}:
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -208,6 +208,28 @@
         self.assertEqual(await a.outcome(key), DONE)
         self.assertEqual(sum(a.home.ran.values()), 2)
 
+    @_two_entries("late")
+    async def test_refusal_without_a_known_home_holds_for_one_attempt(
+        self, a, b
+    ):
+        """Guards against a second run after a claim that is written late.
+
+        The entry has told its caller "not run" by then, for example because it
+        was paused. The row names this entry, so the key runs only there, and
+        only when it is sent again.
+        """
+        self._assert_outcome(
+            await a.outcome("k"),
+            outcomes.NotRun,
+            outcomes.Cause.PLATFORM_DOWN,
+        )
+        await asyncio.sleep(3.0)
+        self.assertEqual(sum((a.home.ran + b.home.ran).values()), 0)
+        for entry in (b, a):
+            self.assertEqual(await entry.outcome("k"), DONE)
+        self.assertEqual(a.home.ran, {"storefront/k/0": 1})
+        self.assertEqual(sum(b.home.ran.values()), 0)
+
     @_two_entries()
     async def test_keys_of_a_stopped_home_are_answered_by_its_handoff(
         self, a, b
