Keep a new leader from using endpoints that have left

Cause: an instance that leads nothing reads the list of endpoints every 4 s, a leader every 0.8 s. The first read of a new leader was compared with the short period, so that a last read more than 2.8 s ago looked like an outage of the store.

Change: the time until a read counts as late is that of the period in which it was due, or of the request for it if that came earlier. Repeated reads after an error keep it, so that an outage is noticed as before.

Measured: tests.test_endpoint_watcher.EndpointWatcherTest. test_new_leader_drops_an_endpoint_that_left failed before and passes; the test of an outage that begins with the leadership passed before and passes. test_endpoint_list, test_decoders and test_leaders pass.

--- a/sesameroad/node/endpoint_list.py
+++ b/sesameroad/node/endpoint_list.py
@@ -68,7 +68,8 @@
 
         Args:
             listed: All endpoints that the store lists.
-            period_s: Regular time between reads, in seconds.
+            period_s: Time after the last read at which this one was due, in
+                seconds.
         """
         now = self._clock.monotonic()
         if self._read_at and now - self._read_at > period_s + _OUTAGE_S:
--- a/sesameroad/node/endpoint_watcher.py
+++ b/sesameroad/node/endpoint_watcher.py
@@ -63,15 +63,23 @@
     async def run(self) -> None:
         """Reads the list until cancelled."""
         table = dependency.Dependency("the endpoint table", step=_STEP)
+        period_s = due_s = self._period_s()
+        failed = False
         while True:
+            if not failed:
+                # A new leader reads before the long period of an idle instance
+                # ends, which must not look like an outage of the store.
+                due_s = min(period_s, self._endpoint_list.age_s)
             period_s = self._period_s()
             try:
                 snapshot = await self._store.read(
                     endpoint_rows.TABLE, step=_STEP
                 )
+                failed = False
                 table.record_success()
-                self._apply(snapshot, period_s)
+                self._apply(snapshot, due_s)
             except errors.PlatformError as error:
+                failed = True
                 table.record_failure(error)
                 period_s = _RETRY_S
             self._read_requested.clear()
@@ -113,7 +121,7 @@
             )
             self._changed()
 
-    def _apply(self, snapshot: row_store.Snapshot, period_s: float) -> None:
+    def _apply(self, snapshot: row_store.Snapshot, due_s: float) -> None:
         before = {e.id: e.leaving for e in self._endpoint_list.live}
         listed: list[endpoints.Endpoint] = []
         for row in snapshot.rows:
@@ -122,7 +130,7 @@
                     self._log_unusable(row, reason)
                 case endpoints.Endpoint() as endpoint:
                     listed.append(endpoint)
-        self._endpoint_list.apply(listed, period_s=period_s)
+        self._endpoint_list.apply(listed, period_s=due_s)
         after = {e.id: e.leaving for e in self._endpoint_list.live}
         if after != before:
             log.event(
