Apply a cancel of a peer after the offer that it follows

Cause: an offer of a job begins in a task of its own, in the next turn of the event loop, but a cancel was applied at once. If both arrived in one envelope, the cancel found no job. The job then ran although its origin had given it up, since the origin itself was alive.

Change: a cancel is applied in the next turn as well, after the offers that were received before it.

Measured: tests.test_node.NodeTest. test_cancel_of_a_job_does_not_overtake_its_offer failed before (cancel, then submit) and passes; test_configuration_forwarding and test_serve pass. What a whole fleet gains from it was not measured.

--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -388,7 +388,11 @@
                 self._offer_tasks.add(task)
                 task.add_done_callback(self._offer_tasks.discard)
             case messages.JobCancel(name=name):
-                self._leaders.cancel(name, link.hello.instance_id)
+                # The task of an offer starts in the next turn of the event
+                # loop. A cancel that came with the offer must not overtake it.
+                asyncio.get_running_loop().call_soon(
+                    self._leaders.cancel, name, link.hello.instance_id
+                )
             case messages.EndpointUpdate(listing=content):
                 self._endpoint_watcher.adopt(
                     content, source=link.hello.instance_id
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,66 @@
+"""Messages of peers at an instance."""
+
+import asyncio
+import types
+import unittest
+
+from sesameroad.model import clocks
+from sesameroad.model import outcomes
+from sesameroad.node import node
+from sesameroad.peering import messages
+from sesameroad.settings import node as node_settings
+
+
+class _Leaders:
+    """Fake leaders that record the jobs of a peer."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def submit(self, data_centre, job, origin, *, moved, lent):
+        self.calls.append(("submit", job.name))
+        return outcomes.Complete(())
+
+    def cancel(self, name, origin_id):
+        self.calls.append(("cancel", name))
+
+    async def close(self):
+        pass
+
+
+class NodeTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        self.node = node.Node(
+            node_settings.NodeSettings(
+                instance_id="i1",
+                data_centre="dc1",
+                data_centres={"dc1": "r"},
+                web="127.0.0.1:1",
+                ready="127.0.0.1:2",
+                peer="127.0.0.1:3",
+                metrics="127.0.0.1:4",
+                platform="127.0.0.1:5",
+                max_lease_ms=1_000,
+            ),
+            clock=clocks.Clock(),
+        )
+        self.addAsyncCleanup(self.node._close)
+        self.leaders = self.node._leaders = _Leaders()
+
+    async def test_cancel_of_a_job_does_not_overtake_its_offer(self):
+        """Guards against a run of a job that its origin has given up.
+
+        The messages of an envelope are handled in one turn of the event loop.
+        A cancel found no job, and the job of its offer began after it.
+        """
+        link = types.SimpleNamespace(
+            hello=messages.Hello("i2", "dc1", "1"), send=lambda message: None
+        )
+        job = types.SimpleNamespace(name="job", key="job")
+        self.node._receive(link, messages.JobOffer(1, "dc1", job))
+        self.node._receive(link, messages.JobCancel("job"))
+        await asyncio.sleep(0.01)
+        self.assertEqual(
+            self.leaders.calls, [("submit", "job"), ("cancel", "job")]
+        )
