Drop endpoints with an unusable row after an outage too

Cause: for 2.5 s after an outage of the store, endpoints without a usable row stay in use, as their rows may only have expired. A row that exists but names no endpoint to use is newer than the former description, which stayed in use.

Change: only endpoints without any row are kept.

Measured: tests.test_endpoint_watcher.EndpointWatcherTest. test_endpoint_with_an_odd_row_is_not_kept_after_an_outage failed before and passes; test_endpoint_list, test_decoders and test_odd_rows pass.

--- a/sesameroad/node/endpoint_list.py
+++ b/sesameroad/node/endpoint_list.py
@@ -1,5 +1,6 @@
 """The list of endpoints in use, which survives outages of the store."""
 
+from collections.abc import Container
 from collections.abc import Iterable
 
 from sesameroad.model import clocks
@@ -62,7 +63,11 @@
         return True
 
     def apply(
-        self, listed: Iterable[endpoints.Endpoint], *, period_s: float
+        self,
+        listed: Iterable[endpoints.Endpoint],
+        *,
+        period_s: float,
+        unusable: Container[str] = (),
     ) -> None:
         """Applies a complete list that was just read from the store.
 
@@ -70,6 +75,7 @@
             listed: All endpoints that the store lists.
             period_s: Time after the last read at which this one was due, in
                 seconds.
+            unusable: Ids with a row that names no endpoint to use.
         """
         now = self._clock.monotonic()
         if self._read_at and now - self._read_at > period_s + _OUTAGE_S:
@@ -77,5 +83,10 @@
         self._read_at = now
         updated = {endpoint.id: endpoint for endpoint in listed}
         if now < self._recovered_at:
-            updated = {**self._endpoints, **updated}
+            kept = {
+                name: endpoint
+                for name, endpoint in self._endpoints.items()
+                if name not in unusable
+            }
+            updated = {**kept, **updated}
         self._endpoints = updated
--- a/sesameroad/node/endpoint_watcher.py
+++ b/sesameroad/node/endpoint_watcher.py
@@ -124,13 +124,15 @@
     def _apply(self, snapshot: row_store.Snapshot, due_s: float) -> None:
         before = {e.id: e.leaving for e in self._endpoint_list.live}
         listed: list[endpoints.Endpoint] = []
+        unusable: set[str] = set()
         for row in snapshot.rows:
             match endpoint_rows.decode(row):
                 case endpoint_rows.Unusable(reason=reason):
+                    unusable.add(row.key)
                     self._log_unusable(row, reason)
                 case endpoints.Endpoint() as endpoint:
                     listed.append(endpoint)
-        self._endpoint_list.apply(listed, period_s=due_s)
+        self._endpoint_list.apply(listed, period_s=due_s, unusable=unusable)
         after = {e.id: e.leaving for e in self._endpoint_list.live}
         if after != before:
             log.event(
--- a/tests/test_endpoint_watcher.py
+++ b/tests/test_endpoint_watcher.py
@@ -18,17 +18,17 @@
 
     def __init__(self, *names):
         self.names = names
+        self.malformed = ()
         self.failing = False
-        self.reads = 0
         self.delay_s = 0.0
 
     async def read(self, table, *, step):
-        self.reads += 1
-        names = self.names
+        rows = [_row(name) for name in self.names]
+        rows += [row_store.Row(name, 2, b"") for name in self.malformed]
         await asyncio.sleep(self.delay_s)
         if self.failing:
             raise errors.PlatformError("down", step=step)
-        return row_store.Snapshot(tuple(map(_row, names)), 1, True)
+        return row_store.Snapshot(tuple(rows), 1, True)
 
 
 def _row(name):
@@ -88,3 +88,14 @@
         await asyncio.sleep(0.5)
         self.assertEqual(self._names(), {"a", "b"})
         self.task.cancel()
+
+    async def test_endpoint_with_an_odd_row_is_not_kept_after_an_outage(self):
+        """Guards against a former description in place of a newer odd row."""
+        await self._start("a", "b")
+        self.store.failing = True
+        await asyncio.sleep(10.0)
+        self.store.failing = False
+        self.store.names, self.store.malformed = (), ("b",)
+        await asyncio.sleep(0.5)
+        self.assertEqual(self._names(), {"a"})
+        self.task.cancel()
