Read the endpoints again if a claim comes during a read

Cause: the request of a new leader for the current list was cleared at the end of a read. If it came during the read, the leader used the older list for the whole period of an idle instance, 4 s, longer than the 3 s within which a leaving endpoint must get no more work.

Change: the request is cleared before the read.

Measured: tests.test_endpoint_watcher.EndpointWatcherTest. test_request_during_a_read_is_not_lost failed before and passes; test_endpoint_list and test_decoders pass.

--- a/sesameroad/node/endpoint_watcher.py
+++ b/sesameroad/node/endpoint_watcher.py
@@ -71,6 +71,9 @@
                 # ends, which must not look like an outage of the store.
                 due_s = min(period_s, self._endpoint_list.age_s)
             period_s = self._period_s()
+            # A request during the read is for a later list than the one that
+            # is being read.
+            self._read_requested.clear()
             try:
                 snapshot = await self._store.read(
                     endpoint_rows.TABLE, step=_STEP
@@ -82,7 +85,6 @@
                 failed = True
                 table.record_failure(error)
                 period_s = _RETRY_S
-            self._read_requested.clear()
             try:
                 async with asyncio.timeout(period_s):
                     await self._read_requested.wait()
--- a/tests/test_endpoint_watcher.py
+++ b/tests/test_endpoint_watcher.py
@@ -99,3 +99,18 @@
         await asyncio.sleep(0.5)
         self.assertEqual(self._names(), {"a"})
         self.task.cancel()
+
+    async def test_request_during_a_read_is_not_lost(self):
+        """Guards against a new leader that waits for the end of a long period.
+
+        It then used a list from before its claim for 4 s.
+        """
+        await self._start("a", "b")
+        self.store.delay_s = 0.1
+        self.watcher.read_now()
+        await asyncio.sleep(0.05)
+        self.store.names = ("a",)
+        self._lead()
+        await asyncio.sleep(0.2)
+        self.assertEqual(self._names(), {"a"})
+        self.task.cancel()
