Ignore leaving marks in answers from a former address

Cause: the mark in an answer applied to whatever endpoint now has the id. If an endpoint restarted under its id at another address while an answer of its former incarnation was in flight, the new incarnation got no work for 30 s, on all entries.

Change: a mark is ignored if the endpoint is served at another address. At the same address it counts, also after a restart, because the list lags and the answer may come from the new incarnation.

Measured: tests.test_connection_pool.ConnectionPoolTest. test_leaving_mark_from_the_former_address_is_not_reported failed before and passes; the test of changes at the same address passed before and passes, as do the other tests of the module.

--- a/sesameroad/routing/connection_pool.py
+++ b/sesameroad/routing/connection_pool.py
@@ -224,7 +224,7 @@
                 results.Answered(leaving=True)
                 | results.RanAndFailed(leaving=True)
                 | results.Refused(leaving=True)
-            ):
+            ) if not self._has_moved(endpoint):
                 self._leaving(endpoint.id)
         if pending.hedge and not isinstance(result, results.Answered):
             # The result of the first send decides the outcome.
@@ -232,6 +232,15 @@
         retry.record_result(pending, endpoint.id, result)
         self._settle(pending, result)
 
+    def _has_moved(self, endpoint: endpoints.Endpoint) -> bool:
+        """Returns whether its successor is served at another address.
+
+        An answer from the address that is served may come from the successor,
+        because the list lags.
+        """
+        served = self._served.get(endpoint.id)
+        return served is not None and served.endpoint.url != endpoint.url
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(_TICK_S)
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -227,6 +227,37 @@
         await asyncio.sleep(0.05)
         self.assertEqual(len(self.sender.sent), 1)
 
+    async def test_leaving_mark_from_the_former_address_is_not_reported(self):
+        """Guards against a restarted endpoint that gets no work for 30 s."""
+        self.sender.delays["http://old"] = 0.1
+        self.sender.results["http://old"] = results.Answered(
+            b"{}", leaving=True
+        )
+        self.pool.update([fixtures.endpoint(url="http://old")])
+        self.entry.submit("a")
+        await asyncio.sleep(0.02)
+        self.pool.update([fixtures.endpoint(url="http://new")])
+        await self.entry.settle(1)
+        self.assertEqual(self.entry.leaving, [])
+
+    async def test_leaving_mark_counts_after_a_change_at_the_same_address(self):
+        """The list lags, so an answer may come from after the restart."""
+        self.sender.delays["http://a"] = 0.1
+        self.sender.results["http://a"] = results.Answered(b"{}", leaving=True)
+        for key, changed in {
+            "slots": [fixtures.endpoint(url="http://a", slots=3)],
+            "restart": [fixtures.endpoint(url="http://a", born_ms=2)],
+            "removal": [],
+        }.items():
+            self.entry.settled.clear()
+            self.entry.leaving.clear()
+            self.pool.update([fixtures.endpoint(url="http://a")])
+            self.entry.submit(key)
+            await asyncio.sleep(0.02)
+            self.pool.update(changed)
+            await self.entry.settle(1)
+            self.assertEqual(self.entry.leaving, ["e1"], key)
+
     async def test_straggling_idempotent_request_is_sent_twice(self):
         """A request past the 99th percentile must not wait for a slow endpoint."""
         self.sender.delays["http://slow"] = 3.0
