Reset the health of an endpoint that restarts at its address

Cause: the state of an endpoint was kept, and the results of sends were counted, by id and URL. Failures of a former incarnation at the same URL ejected the new one, for up to 30 s.

Change: the start time is compared as well. Sources that name none, as before, show a restart only by another URL.

Measured: tests.test_endpoint_health.EndpointHealthTest. test_restarted_endpoint_starts_afresh failed before and passes, as do the other tests of the module and of test_connection_pool.

--- a/sesameroad/routing/endpoint_health.py
+++ b/sesameroad/routing/endpoint_health.py
@@ -104,9 +104,9 @@
         return any(s.blocked_until for s in self._states.values())
 
     def add(self, endpoint: endpoints.Endpoint) -> None:
-        """Adds or updates an endpoint; a new URL resets its state."""
+        """Adds or updates an endpoint; a restart or new URL resets its state."""
         known = self._states.get(endpoint.id)
-        if known is not None and known.endpoint.url == endpoint.url:
+        if known is not None and _is_same(known.endpoint, endpoint):
             known.endpoint = endpoint
             return
         self._states[endpoint.id] = _State(endpoint)
@@ -153,7 +153,7 @@
     ) -> None:
         """Updates the state after a send and its duration in seconds."""
         state = self._states.get(endpoint.id)
-        if state is None or state.endpoint.url != endpoint.url:
+        if state is None or not _is_same(state.endpoint, endpoint):
             return
         now = self._clock.monotonic()
         match result:
@@ -306,6 +306,11 @@
             state.slowness += (ratio - state.slowness) * _SMOOTHING
 
 
+def _is_same(one: endpoints.Endpoint, other: endpoints.Endpoint) -> bool:
+    """Returns whether two descriptions of an id are of one incarnation."""
+    return (one.url, one.born_ms) == (other.url, other.born_ms)
+
+
 def _block(state: _State, until: float) -> None:
     state.blocked_until = max(state.blocked_until, until)
     state.in_flight_before_probe = None
--- a/tests/test_endpoint_health.py
+++ b/tests/test_endpoint_health.py
@@ -178,3 +178,11 @@
         self.health.add(fixtures.endpoint("e0", url="http://127.0.0.1:2"))
         self._observe(0, _BAD, times=5)
         self.assertEqual(self.health.ejected, [])
+
+    async def test_restarted_endpoint_starts_afresh(self):
+        """Results from before a restart must not count after it."""
+        self._observe(0, _BAD, times=5)
+        self.health.add(fixtures.endpoint("e0", born_ms=2))
+        self.assertEqual(self.health.ejected, [])
+        self._observe(0, _LOST, times=5)
+        self.assertEqual(self.health.ejected, [])
