End the leaving mark of an endpoint that the list had dropped

Cause: a mark ends early only if a list after it did not show the endpoint live and a newer one does. A mark made when the list no longer showed the endpoint live, from a late answer or a peer, did not count that list, so that the endpoint got no work for 30 s after its restart.

Change: the list at the time of the mark counts as well, unless the mark was made on a newer list.

Measured: tests.test_directory.DirectoryTest. test_mark_of_an_endpoint_that_left_ends_with_its_restart failed before and passes; the test of a mark made on a newer list passed before and passes, as do test_directory and test_gossip.

--- a/sesameroad/membership/directory.py
+++ b/sesameroad/membership/directory.py
@@ -120,7 +120,11 @@
         if listing_version is None:
             listing_version = self._listing.version
         mark = leaving_mark.LeavingMark(
-            endpoint_id, listing_version, self._clock.monotonic() - age_s
+            endpoint_id,
+            listing_version,
+            self._clock.monotonic() - age_s,
+            confirmed=listing_version <= self._listing.version
+            and not self._is_listed_live(endpoint_id),
         )
         if self._is_expired(mark):
             return False
--- a/sesameroad/membership/leaving_mark.py
+++ b/sesameroad/membership/leaving_mark.py
@@ -15,7 +15,8 @@
         endpoint_id: The endpoint.
         listing_version: Version of the list when the mark was made.
         made_at: Monotonic time when it was made, in seconds.
-        confirmed: Whether a later list did not show the endpoint as live.
+        confirmed: Whether the list at that time or a later one did not show the
+            endpoint as live.
     """
 
     endpoint_id: str
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -95,6 +95,28 @@
         self.assertEqual(self._live(), ["dc1-e1", "dc1-e2"])
         self.assertEqual(self.directory.leaving_marks, ())
 
+    def test_mark_of_an_endpoint_that_left_ends_with_its_restart(self):
+        """Guards against a restarted endpoint that gets no work for 30 s.
+
+        A late answer of its former incarnation arrived after the list had
+        stopped showing it.
+        """
+        self.directory.apply(_listing(2, _endpoint(2)))
+        self.assertTrue(self.directory.mark_leaving("dc1-e1"))
+        self.directory.apply(_listing(3, *self.endpoints))
+        self.assertEqual(self._live(), ["dc1-e1", "dc1-e2"])
+
+    def test_mark_made_on_a_newer_list_is_not_ended_by_that_list(self):
+        """Guards against work for an endpoint that left after its restart."""
+        self.directory.apply(_listing(2, _endpoint(2)))
+        self.assertTrue(
+            self.directory.mark_leaving("dc1-e1", listing_version=3)
+        )
+        self.directory.apply(_listing(3, *self.endpoints))
+        self.assertEqual(self._live(), ["dc1-e2"])
+        self.directory.apply(_listing(4, *self.endpoints))
+        self.assertEqual(self._live(), ["dc1-e2"])
+
     def test_old_mark_of_a_peer_does_not_come_back(self):
         """A peer that is cut off from the platform may keep an old mark."""
         self.directory.apply(_listing(2, *self.endpoints))
