Ignore leaving marks from before a restart that the list has shown

Cause: a mark that is known when a list stops showing its endpoint live ends with the next list that shows it live. A mark that a peer with an old list sends after both lists did not end, and went on to all entries: the restarted endpoint got no work until the mark was 30 s old.

Change: the last list version that did not show an endpoint live is kept for 30 s after it was listed last. Marks made up to that version are compared with it, whatever the order of arrival.

Measured: tests.test_directory.DirectoryTest. test_mark_from_before_a_restart_does_not_come_back failed before and passes; test_gossip and test_partition pass.

--- a/sesameroad/membership/directory.py
+++ b/sesameroad/membership/directory.py
@@ -29,6 +29,7 @@
         "_endpoints",
         "_listing",
         "_marks",
+        "_not_live",
         "_seeds",
     )
 
@@ -43,6 +44,9 @@
         self._listing = listing_module.Listing(version=0)
         self._drained = document.DrainedSet()
         self._marks: dict[str, leaving_mark.LeavingMark] = {}
+        # Endpoints that recent lists did not show as live: the version of the
+        # last such list, and the time since which they are not listed at all.
+        self._not_live: dict[str, tuple[int, float]] = {}
         self._endpoints: dict[str, endpoints.Endpoint] = {}
         self._by_data_centre: dict[str, list[endpoints.Endpoint]] = {}
 
@@ -73,6 +77,7 @@
         """Applies a list if it is newer; returns whether it was."""
         if listing.version <= self._listing.version:
             return False
+        former = self._endpoints
         self._listing = listing
         self._endpoints = {e.id: e for e in listing.endpoints}
         self._by_data_centre = {}
@@ -80,6 +85,7 @@
             self._by_data_centre.setdefault(endpoint.data_centre, []).append(
                 endpoint
             )
+        self._record_not_live(former)
         for mark in self._marks.values():
             if not self._is_listed_live(mark.endpoint_id):
                 mark.confirmed = True
@@ -123,8 +129,7 @@
             endpoint_id,
             listing_version,
             self._clock.monotonic() - age_s,
-            confirmed=listing_version <= self._listing.version
-            and not self._is_listed_live(endpoint_id),
+            confirmed=listing_version <= self._last_not_live(endpoint_id),
         )
         if self._is_expired(mark):
             return False
@@ -195,6 +200,30 @@
         endpoint = self._endpoints.get(endpoint_id)
         return endpoint is not None and not endpoint.leaving
 
+    def _record_not_live(self, former: Iterable[str]) -> None:
+        """Records the endpoints that the current list does not show as live.
+
+        Marks that peers send later may be older than this list. Marks older
+        than the maximum lag of the list have ended.
+        """
+        now = self._clock.monotonic()
+        not_live: dict[str, tuple[int, float]] = {}
+        for endpoint_id, (_, listed_at) in self._not_live.items():
+            if now - listed_at < leaving_mark.LIST_LAG_S:
+                version = self._last_not_live(endpoint_id)
+                not_live[endpoint_id] = (version, listed_at)
+        for endpoint_id in {*former, *self._endpoints}:
+            if not self._is_listed_live(endpoint_id):
+                not_live[endpoint_id] = (self._listing.version, now)
+        self._not_live = not_live
+
+    def _last_not_live(self, endpoint_id: str) -> int:
+        """Returns the last version that did not show an endpoint as live."""
+        if not self._is_listed_live(endpoint_id):
+            return self._listing.version
+        version, _ = self._not_live.get(endpoint_id, (-1, 0.0))
+        return version
+
     def _is_expired(self, mark: leaving_mark.LeavingMark) -> bool:
         if mark.endpoint_id not in self._endpoints and mark.confirmed:
             return self.age_s(mark) >= leaving_mark.LIST_LAG_S
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -126,3 +126,32 @@
             )
         )
         self.assertEqual(self._live(), ["dc1-e1", "dc1-e2"])
+
+    def test_mark_from_before_a_restart_does_not_come_back(self):
+        """Guards against a peer with an old list that stops a live endpoint.
+
+        It sends its marks on each new stream, and they go on to all entries.
+        """
+        for gone in ((_endpoint(2),), (_endpoint(1, leaving=True),)):
+            version = self.directory.listing.version
+            self.directory.apply(_listing(version + 1, *gone))
+            self.directory.apply(_listing(version + 2, *self.endpoints))
+            for made_at in (version, version + 1):
+                self.assertFalse(
+                    self.directory.mark_leaving(
+                        "dc1-e1", listing_version=made_at, age_s=8.0
+                    )
+                )
+            self.assertEqual(self._live(), ["dc1-e1", "dc1-e2"])
+        self.assertTrue(
+            self.directory.mark_leaving("dc1-e1", listing_version=version + 2)
+        )
+
+    def test_endpoints_that_left_are_forgotten(self):
+        """Guards against memory that grows with each replaced endpoint."""
+        for version in range(2, 100):
+            self.clock.now += 1.0
+            self.directory.apply(_listing(version, _endpoint(version)))
+        self.assertLessEqual(
+            len(self.directory._not_live), leaving_mark.LIST_LAG_S
+        )
