Keep a repeated request running when its former connection is lost

Cause: a request that came again while its job was running waited for the call of the first attempt. When the loss of the first connection was noticed, its call ended the job, and the later attempt lost its connection too. A request that came during a cancel of its job joined the job that was ending.

Change: a job counts the calls that wait for it and ends once all have left. A request that comes while its job is being cancelled waits for the end of that and begins anew.

Measured: tests.test_node.RepeatedRequestTest. test_later_attempt_is_answered_after_the_first_has_ended and test_request_that_comes_during_a_cancel_begins_again failed before with a cancelled call and pass; the test that a job ends with its last caller passed before and passes. test_serve, test_operator_reports and test_configuration_forwarding pass.

--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import math
 from typing import Self
 
@@ -58,6 +59,14 @@
 _HANDOVER_S = 0.8
 
 
+@dataclasses.dataclass(slots=True)
+class _RunningJob:
+    """A job and the number of calls that wait for it."""
+
+    task: asyncio.Task[outcomes.Outcome]
+    callers: int = 0
+
+
 class Node:
     """One instance, from its settings to its graceful shutdown."""
 
@@ -79,7 +88,7 @@
         self._supervisor = supervisor.Supervisor()
         self._runners: list[web.ServerRunner] = []
         self._offer_tasks: set[asyncio.Task[None]] = set()
-        self._running_jobs: dict[str, asyncio.Task[outcomes.Outcome]] = {}
+        self._running_jobs: dict[str, _RunningJob] = {}
         self._metrics = job_metrics.JobMetrics(self._figures)
         self._client = platform_client.PlatformClient.open(
             f"http://{settings.platform}",
@@ -254,21 +263,38 @@
         )
 
     async def _run(self, job: jobs.Job) -> outcomes.Outcome:
-        """Runs a job for a caller; cancelling the call ends the job."""
-        started_at = self._clock.monotonic()
+        """Runs a job for a caller; it ends once all its callers have left.
+
+        A caller may repeat its request while the job is running, and the loss
+        of its former connection may be noticed only after that.
+        """
         running = self._running_jobs.get(job.key)
-        if running is not None:
-            # The caller has repeated its request while the job is running.
-            return await asyncio.shield(running)
-        task = asyncio.create_task(self._coordinator.run(job))
-        self._running_jobs[job.key] = task
-        outcome: outcomes.Outcome | None = None
+        while running is not None and running.task.cancelling():
+            await asyncio.wait([running.task])
+            running = self._running_jobs.get(job.key)
+        if running is None:
+            running = self._begin(job)
+        running.callers += 1
         try:
-            outcome = await task
+            return await asyncio.shield(running.task)
         finally:
-            self._running_jobs.pop(job.key, None)
-            self._log_answer(job, outcome, started_at)
-        return outcome
+            running.callers -= 1
+            if not running.callers and not running.task.done():
+                running.task.cancel()
+                await asyncio.wait([running.task])
+
+    def _begin(self, job: jobs.Job) -> _RunningJob:
+        started_at = self._clock.monotonic()
+        running = _RunningJob(asyncio.create_task(self._coordinator.run(job)))
+        self._running_jobs[job.key] = running
+
+        def end(task: asyncio.Task[outcomes.Outcome]) -> None:
+            del self._running_jobs[job.key]
+            ended = not task.cancelled() and task.exception() is None
+            self._log_answer(job, task.result() if ended else None, started_at)
+
+        running.task.add_done_callback(end)
+        return running
 
     def _capacity(self, service: str, need: needs.Need) -> int:
         """Returns how many tasks of a need fit on all endpoints together."""
@@ -286,10 +312,10 @@
 
     def cancel(self, key: str) -> bool:
         """Cancels a job; returns whether this instance knows it."""
-        task = self._running_jobs.get(key)
-        if task is None:
+        running = self._running_jobs.get(key)
+        if running is None:
             return False
-        task.cancel()
+        running.task.cancel()
         return True
 
     def pending(self, queue: str) -> int:
