Give up loans when the allocator restarts under its id

Cause: the allocator was compared by instance id only. If it restarted and its new stream replaced the former one before that was noticed as lost, entries kept the parts of quotas that the former incarnation had lent them. The new one renews them in its first 1.5 s, although it does not know the lenders, which return to their fixed share on their own.

Change: entries compare the incarnation of the allocator too, and a new one counts as another allocator. An entry that itself lends or borrows and restarts is still not covered.

A quota that is exceeded by it was not reproduced.

--- a/sesameroad/entry/membership_updates.py
+++ b/sesameroad/entry/membership_updates.py
@@ -69,7 +69,8 @@
             for entry in entries
             if entry.data_centre == self._data_centre
         ]
-        reachable_entries = [self._instance_id, *self._peers_of_data_centre()]
+        incarnations = self._peers_of_data_centre()
+        reachable_entries = [self._instance_id, *incarnations]
         live = directory.live_endpoints(self._data_centre)
         self._pool.set_entries(max(len(listed_entries), len(reachable_entries)))
         self._pool.update(live)
@@ -80,14 +81,16 @@
             reachable=reachable_entries,
             listed=listed_entries,
             leaving=self._leaving_entries(),
+            incarnations=incarnations,
         )
 
-    def _peers_of_data_centre(self) -> list[str]:
-        return [
-            link.hello.instance_id
+    def _peers_of_data_centre(self) -> dict[str, str]:
+        """Returns the incarnations of live peers by instance id."""
+        return {
+            link.hello.instance_id: link.hello.incarnation
             for link in self._mesh.peers.values()
             if link.hello.data_centre == self._data_centre
-        ]
+        }
 
     def _leaving_entries(self) -> list[str]:
         """Returns the ids of entries that any source reports as leaving."""
--- a/sesameroad/scheduling/allocation_agent.py
+++ b/sesameroad/scheduling/allocation_agent.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import math
 
 from sesameroad.configuration import document
@@ -45,6 +46,7 @@
         "_allocation",
         "_allocator",
         "_allocator_id",
+        "_allocator_incarnation",
         "_clock",
         "_decide_at",
         "_decide_gap_s",
@@ -86,6 +88,7 @@
         self._send = send
         self._allocator: allocator.Allocator | None = None
         self._allocator_id = ""
+        self._allocator_incarnation = ""
         self._decide_at = math.inf
         self._decided_at = -math.inf
         self._decide_gap_s = _MIN_DECIDE_GAP_S
@@ -118,6 +121,7 @@
         reachable: Iterable[str],
         listed: Iterable[str] = (),
         leaving: Iterable[str] = (),
+        incarnations: Mapping[str, str] | None = None,
     ) -> None:
         """Applies a new configuration or new members.
 
@@ -131,6 +135,7 @@
                 their fixed share of quotas.
             leaving: Entries that are leaving; none of them becomes the
                 allocator.
+            incarnations: Incarnation of each other reachable entry.
         """
         live = tuple(live)
         reachable = set(reachable)
@@ -141,8 +146,14 @@
         now = self._clock.monotonic()
         self._allocation.set_entries(len(members), members.index(self._entry))
         allocator_id = candidates[0] if candidates else ""
-        if allocator_id != self._allocator_id:
+        # An allocator that restarts under its id has lost what it lent.
+        incarnation = (incarnations or {}).get(allocator_id, "")
+        if (allocator_id, incarnation) != (
+            self._allocator_id,
+            self._allocator_incarnation,
+        ):
             self._allocator_id = allocator_id
+            self._allocator_incarnation = incarnation
             self._allocator = (
                 allocator.Allocator(now=now)
                 if allocator_id == self._entry
