Test restarted endpoints over processes and HTTP

Cause: the incident on runs at the same time was reproduced in virtual time only. Stand-ins of endpoints over HTTP could not restart, close connections or carry out orders late.

Change: a deployment restarts an endpoint under its id, at the same or another address, with its row written at once, later or not at all. A share of starts and stops can be held, carried out by whichever incarnation runs then, and not answered.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import random
 import signal
 import subprocess
 import sys
@@ -24,6 +25,8 @@
 PATH_PREFIX = "/jobs/"
 _READY_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 15.0
+# Time between attempts of an endpoint to write its row while the store is down.
+_ROW_RETRY_S = 0.2
 
 
 class Instance:
@@ -92,13 +95,28 @@
 
 
 class Deployment:
-    """Store and endpoints in this process, instances in separate ones."""
+    """Store and endpoints in this process, instances in separate ones.
 
-    def __init__(self, *, instance_count: int, endpoint_count: int) -> None:
+    Attributes:
+        store: The store.
+        history: Runs on all endpoints.
+        late_orders: Choice of the orders that endpoints carry out late.
+        endpoints: The endpoints.
+        instances: The instances.
+    """
+
+    def __init__(
+        self, *, instance_count: int, endpoint_count: int, seed: int = 0
+    ) -> None:
         self.store = store.Store()
         self.history = simulated_endpoint.RunHistory()
         self.endpoints: list[simulated_endpoint.SimulatedEndpoint] = []
         self.instances: list[Instance] = []
+        self.late_orders = simulated_endpoint_server.LateOrders(
+            random.Random(seed)
+        )
+        self._servers: dict[str, simulated_endpoint_server.EndpointServer] = {}
+        self._row_writes: dict[str, asyncio.Task[None]] = {}
         self._counts = (instance_count, endpoint_count)
         self._runners: list[web.AppRunner] = []
         self._directory = tempfile.TemporaryDirectory()
@@ -125,6 +143,10 @@
             instance.signal(signal.SIGKILL)
         for instance in self.instances:
             instance.wait()
+        for write in self._row_writes.values():
+            write.cancel()
+        for server in self._servers.values():
+            await server.close()
         for runner in self._runners:
             await runner.cleanup()
         self._directory.cleanup()
@@ -176,15 +198,58 @@
             endpoint, history=self.history, clock=clocks.Clock()
         )
         self.endpoints.append(simulated)
-        port = await self._serve(
-            simulated_endpoint_server.application(simulated)
+        server = simulated_endpoint_server.EndpointServer(
+            simulated, late_orders=self.late_orders
         )
-        await self.store.put("servers", name, _endpoint_row(port))
+        self._servers[name] = server
+        await server.open(fleet.free_port())
+        await self._write_row(name)
+
+    async def restart_endpoint(
+        self,
+        name: str,
+        *,
+        down_s: float,
+        listed: float | None,
+        moves: bool = False,
+    ) -> None:
+        """Restarts an endpoint under its id, and returns when it is back.
+
+        Args:
+            name: Its id.
+            down_s: Time for which it cannot be connected to, in seconds.
+            listed: Time from its return until it writes its row, in seconds;
+                None if the row stays as it is. It is written later if the store
+                is down then.
+            moves: Whether it comes back at a new address.
+        """
+        server = self._servers[name]
+        port = fleet.free_port() if moves else server.port
+        if (write := self._row_writes.pop(name, None)) is not None:
+            write.cancel()
+        await server.restart(down_s=down_s, port=port)
+        if listed is not None:
+            self._row_writes[name] = asyncio.create_task(
+                self._write_row_after(name, listed)
+            )
 
     async def remove_endpoint(self, name: str) -> None:
         """Removes an endpoint from the list."""
         await self.store.remove("servers", name)
 
+    async def _write_row_after(self, name: str, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        while self.store.fault is store.Fault.DOWN:  # noqa: ASYNC110
+            await asyncio.sleep(_ROW_RETRY_S)
+        await self._write_row(name)
+
+    async def _write_row(self, name: str) -> None:
+        server = self._servers[name]
+        born_ms = server.simulated.endpoint.born_ms
+        await self.store.put(
+            "servers", name, _endpoint_row(server.port, born_ms=born_ms)
+        )
+
     async def _serve(self, application: web.Application) -> int:
         runner = web.AppRunner(application, access_log=None)
         await runner.setup()
@@ -194,14 +259,14 @@
         return port
 
 
-def _endpoint_row(port: int) -> dict[str, Any]:
+def _endpoint_row(port: int, *, born_ms: int) -> dict[str, Any]:
     return {
         "service": "service",
         "address": f"127.0.0.1:{port}",
         "zone": "dc1",
         "state": "ready",
         "slots": 8,
-        "born": 1_000,
+        "born": born_ms,
         "capacity": {"cpu": 16_000, "mem-mb": 32_768, "gpu": 0},
         "labels": ["a", "r1"],
     }
