Move some restarted endpoints in the seeded series

Cause: in the series, endpoints came back at their former address only.

Change: a quarter of those that write their row come back at another address, where nobody finds them before the row is written.

--- a/tests/test_restarted_endpoint_processes.py
+++ b/tests/test_restarted_endpoint_processes.py
@@ -33,6 +33,8 @@
 # Longer than a lease, after which nothing runs that no instance wants to run.
 _REST_S = 3.0
 _SERIES_S = 9.0
+# Share of the restarted endpoints with a new row that change their address.
+_MOVED_SHARE = 0.25
 _OK = 200
 _REFUSED = (429, 503)
 _RESENT = (502, 504)
@@ -378,10 +380,13 @@
             await asyncio.sleep(random_.uniform(0.2, 3.5))
             if time.monotonic() >= end_at:
                 return
+            listed = random_.choice((0.0, 0.3, 1.5, None))
             await self.deployment.restart_endpoint(
                 name,
                 down_s=random_.choice((0.01, 0.1, 0.5)),
-                listed=random_.choice((0.0, 0.3, 1.5, None)),
+                listed=listed,
+                # Without its row, nobody would find it at another address.
+                moves=listed is not None and random_.random() < _MOVED_SHARE,
             )
 
     async def _stop_store_at_times(self, end_at):
