Test leaders with endpoints that restart while orders are lost or late

Two runs of one task ran at the same time. The faults that can cause it were tested one by one, and not in series.

The simulated endpoint can be down for a while at a restart.

--- a/standins/simulated_endpoint.py
+++ b/standins/simulated_endpoint.py
@@ -13,6 +13,7 @@
 from sesameroad.model import endpoints
 
 _DONE = orders.Ending.DONE
+_REFUSED_CONNECTION = orders.NoAnswer("the connection was refused")
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,6 +105,7 @@
         ended: Ends that have not been acknowledged.
         end_count: Number of ends since it started.
         running: Runs that have not ended, by task.
+        incarnation: Number of restarts so far.
     """
 
     def __init__(
@@ -121,6 +123,7 @@
         self.ended: list[orders.End] = []
         self.end_count = 0
         self.running: dict[str, _Run] = {}
+        self.incarnation = 0
         self._last_barred_run: dict[str, int] = {}
         self._history = history
         self._clock = clock
@@ -131,18 +134,27 @@
         self._changed = asyncio.Event()
         # Difference between its clock and that of the fleet.
         self._clock_offset_ms = 500_000
+        self._down_until = 0.0
+
+    @property
+    def down(self) -> bool:
+        """Whether it is restarting, so that connections are refused."""
+        return self._clock.monotonic() < self._down_until
 
     @property
     def clock_ms(self) -> int:
         """Monotonic clock of the endpoint, which a restart sets to 0."""
         return int(self._clock.monotonic() * 1_000) + self._clock_offset_ms
 
-    def crash(self, *, born_ms: int | None = None) -> None:
+    def crash(self, *, born_ms: int | None = None, down_s: float = 0.0) -> None:
         """Restarts the endpoint, which holds and knows nothing of before.
 
         Args:
             born_ms: Wall time of the start; by default 1 s after the former one.
+            down_s: Time in seconds until it accepts connections again.
         """
+        self.incarnation += 1
+        self._down_until = self._clock.monotonic() + down_s
         for task in list(self.running):
             self._drop(task)
         self.ended.clear()
@@ -331,6 +343,8 @@
             )
 
         await asyncio.sleep(self._delay_s)
+        if simulated.down:
+            return _REFUSED_CONNECTION
         if simulated.fault.late_s:
             asyncio.get_running_loop().call_later(
                 simulated.fault.late_s, carry_out
@@ -349,6 +363,8 @@
         """Sends an order to stop a run."""
         simulated = self.endpoints[endpoint.id]
         await asyncio.sleep(self._delay_s)
+        if simulated.down:
+            return _REFUSED_CONNECTION
         if simulated.fault.silent or simulated.fault.lost_stops:
             simulated.fault.lost_stops = max(0, simulated.fault.lost_stops - 1)
             return await self._no_answer(0.3)
@@ -370,6 +386,8 @@
         """Reads the lists of running and ended runs."""
         simulated = self.endpoints[endpoint.id]
         await asyncio.sleep(self._delay_s)
+        if simulated.down:
+            return _REFUSED_CONNECTION
         if simulated.fault.silent:
             return await self._no_answer(timeout_s)
         answer = await simulated.poll(
