--- a/tests/test_endpoint_faults.py
+++ b/tests/test_endpoint_faults.py
@@ -668,7 +668,7 @@
 class EndpointFaultsTest(unittest.TestCase):
     """Guards against two runs of a task at the same time, and lost endpoints."""
 
-    @_properties.examples(40)
+    @_properties.examples(60)
     @hypothesis.given(_schedules())
     def test_each_task_has_one_run_at_a_time(self, schedule):
         """Guards against faults that only do harm in series.
