Send a stop again that met a raised token

Cause: a stop that was refused for the token that this leader had raised meanwhile was dropped. The run went on until the lease limit ended it with all other runs of the endpoint, or without a limit until the deadline of its job.

Change: such a stop is queued again, with the raised token.

Measured: the test failed before with a second start of the other run; it passes now.

--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -184,7 +184,11 @@
         now = self._clock.monotonic()
         match answer:
             case orders.Report():
-                self._record_report(answer, asked_at, token=token, seen=seen)
+                leased.silent_since = None
+                if reports_required == leased.reports_required:
+                    self._record_report(
+                        answer, asked_at, token=token, seen=seen
+                    )
             case orders.Refused(refusal=orders.Refusal.FENCED):
                 self._events.on_fenced(leased, leader_token)
                 # Another leader holds the endpoint; its lease is not renewed
@@ -342,9 +346,10 @@
             leased.endpoint,
             task=stop.task,
             run=stop.number,
-            token=leader_token + fences,
+            token=token,
         )
         now = self._clock.monotonic()
+        token = leader_token + fences
         match answer:
             case orders.Accepted():
                 self._update_clock(answer.clock_ms, sent_at, fences=fences)
@@ -352,7 +357,11 @@
                     stop.run.confirmed_at = now
                 leased.wake()
             case orders.Refused(refusal=orders.Refusal.FENCED):
-                self._report_fenced(leader_token, fences=fences)
+                if token < self._events.token + leased.fences:
+                    # This leader has raised the token meanwhile.
+                    leased.stops.put_nowait(stop)
+                else:
+                    self._events.on_fenced(leased, leader_token)
             case orders.Refused() | orders.NoAnswer():
                 # An unknown run of an earlier leader ends with its lease.
                 if stop.run is None or stop.task not in leased.runs:
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -40,9 +40,13 @@
 class Site:
     """Endpoints of one data centre and the leaders that hold them."""
 
-    def __init__(self, *, count: int = 2, cores: float = 16.0):
+    def __init__(
+        self, *, count: int = 2, cores: float = 16.0, delay_s: float = 0.001
+    ):
         self.clock = _virtual.Clock()
-        self.fleet = simulated_endpoint.SimulatedFleet(clock=self.clock)
+        self.fleet = simulated_endpoint.SimulatedFleet(
+            clock=self.clock, delay_s=delay_s
+        )
         self.endpoints = []
         for number in range(count):
             self.add(f"e{number}", cores)
--- a/tests/test_fences.py
+++ b/tests/test_fences.py
@@ -56,3 +56,38 @@
             outcome = await leader.submit(job, site.origin)
         self.assertEqual(outcome, outcomes.Complete(()))
         self.assertEqual(site.history.overlapping, [])
+
+    async def test_stop_that_meets_a_raised_token_is_sent_again(self):
+        """Guards against a run that is never stopped, and its neighbours.
+
+        The token is raised while the stop is on its way. The endpoint lapsed
+        with all of its runs in the end.
+        """
+        site = _jobs.Site(count=1)
+        endpoint = site.fleet.endpoints["e0"]
+        stop = site.fleet.stop
+        delay_s = 0.0
+
+        async def stop_late(*args, **order):
+            await asyncio.sleep(delay_s)
+            return await stop(*args, **order)
+
+        site.fleet.stop = stop_late
+        async with site.leader() as leader:
+            _, first = self._submit(
+                site, leader, "a", run_s=0.05, cores=8.0, count=2
+            )
+            await first
+            await asyncio.sleep(1.0)
+            endpoint.crash()
+            job, cancelled = self._submit(
+                site, leader, "b", run_s=9.0, cores=8.0
+            )
+            _, other = self._submit(site, leader, "c", run_s=4.0, cores=8.0)
+            await asyncio.sleep(0.235)
+            delay_s = 0.04
+            leader.cancel(job.name, site.origin.id)
+            await asyncio.sleep(0.1)
+            delay_s = 0.0
+            await asyncio.gather(cancelled, other)
+        self.assertEqual(site.history.starts.count(f"{'c' * 16}.0.0.0"), 1)
