Ignore a report that was requested before the token was raised

Cause: a report that was requested before a token was raised counted as one with the raised token. The leader took the endpoint for one that had accepted the token and resigned when it refused it, and a start with a token in between could still take effect.

Change: a report counts only if no newer one has been required since it was requested.

--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -167,6 +167,7 @@
         lease_until_ms = None
         # The lease of an unresponsive endpoint is not renewed, so its runs are
         # certain to have ended one lease later and can start elsewhere.
+        reports_required = leased.reports_required
         if (
             leased.runs
             and leased.lease.clock_known
@@ -224,7 +225,6 @@
     ) -> None:
         leased = self._leased
         now = self._clock.monotonic()
-        leased.silent_since = None
         leased.accepted_token = True
         leased.polled_at = now
         former_born_ms = leased.born_ms
--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -51,6 +51,8 @@
         held_up_until: Time until which a start without an answer may still be
             carried out.
         polled_at: Time of the last answer to a poll, 0 before.
+        reports_required: Number of times that its lists had to be read anew. A
+            report that was requested before the last time does not count.
         seen: Number of the last end that has been processed.
         acknowledged: Number of the last end that has been acknowledged to the
             endpoint.
@@ -88,6 +90,7 @@
         "orphans_since",
         "lease",
         "polled_at",
+        "reports_required",
         "seen",
         "silent_since",
         "slowness",
@@ -106,6 +109,7 @@
         self.accepted_token = False
         self.held_up_until = 0.0
         self.polled_at = 0.0
+        self.reports_required = 0
         self.seen = 0
         self.acknowledged = 0
         self.reconciled = False
@@ -153,6 +157,7 @@
     def require_report(self) -> None:
         """Starts no run until the lists of the endpoint have been read."""
         self.reconciled = False
+        self.reports_required += 1
         self._wake.set()
 
     def record_unanswered_start(self, now: float) -> None:
--- a/tests/test_fences.py
+++ b/tests/test_fences.py
@@ -91,3 +91,20 @@
             delay_s = 0.0
             await asyncio.gather(cancelled, other)
         self.assertEqual(site.history.starts.count(f"{'c' * 16}.0.0.0"), 1)
+
+    async def test_report_from_before_a_raised_token_does_not_count(self):
+        """Guards against taking an endpoint for one that has seen the token.
+
+        The leader would resign when the endpoint refuses it.
+        """
+        for moment in range(20):
+            site = _jobs.Site(count=1, delay_s=0.04)
+            async with site.leader(token=1) as leader:
+                await self._submit(site, leader, "a", run_s=0.2, cores=8.0)[1]
+                await asyncio.sleep(0.42 + 0.01 * moment)
+                leader.raise_token(1_000)
+                await asyncio.sleep(2)
+                self.assertTrue(leader.is_established("dc1"), moment)
+                self.assertEqual(
+                    site.fleet.endpoints["e0"].token, 1_000, moment
+                )
