Fence an endpoint that answers neither a start nor its stop

Cause: a finished run of which neither the start nor a stop was answered stayed known. The lease limit of its job then ended the other runs of the endpoint.

Change: the token is raised after an unanswered stop of an unanswered start. The next report shows whether the run has begun.

Measured: the test failed before, the other run lapsed; it passes now.

--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -376,3 +376,7 @@
                 )
                 await asyncio.sleep(max(0.0, sent_at + _STOP_PERIOD_S - now))
                 leased.stops.put_nowait(stop)
+                if not stop.run.confirmed_at and stop.run.token == token:
+                    # The next report shows whether the run has begun; its start
+                    # has no effect after it.
+                    leased.fence()
--- a/tests/test_fences.py
+++ b/tests/test_fences.py
@@ -92,6 +92,28 @@
             await asyncio.gather(cancelled, other)
         self.assertEqual(site.history.starts.count(f"{'c' * 16}.0.0.0"), 1)
 
+    async def test_run_without_any_answer_does_not_end_its_neighbours(self):
+        """Guards against an endpoint that lapses for a run that never began.
+
+        Its start and all of its stops are lost, but polls are answered.
+        """
+        site = _jobs.Site(count=1)
+        endpoint = site.fleet.endpoints["e0"]
+        async with site.leader() as leader:
+            _, other = self._submit(site, leader, "c", run_s=3.0, cores=4.0)
+            await asyncio.sleep(0.1)
+            endpoint.fault.late_s = 50.0
+            endpoint.fault.lost_stops = 10**6
+            job, cancelled = self._submit(
+                site, leader, "b", run_s=3.0, cores=4.0
+            )
+            await asyncio.sleep(0.4)
+            endpoint.fault.late_s = 0.0
+            leader.cancel(job.name, site.origin.id)
+            await cancelled
+            self.assertEqual(await other, outcomes.Complete(()))
+        self.assertEqual(site.history.starts, [f"{'c' * 16}.0.0.0"])
+
     async def test_report_from_before_a_raised_token_does_not_count(self):
         """Guards against taking an endpoint for one that has seen the token.
 
