Estimate the clock of an endpoint at times before its last reading

Cause: the clock at the sending of an order was derived from a later reading with the drift subtracted in the wrong direction, so that an answer could look like one from before a restart.

Change: the full time is subtracted for times before the reading. A clock that has gone back is forgotten until the next report.

--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -334,6 +334,7 @@
     def _report_fenced(self, leader_token: int, *, fences: int) -> None:
         """Reports a higher token, unless this leader has raised it meanwhile."""
         if fences == self._leased.fences:
+            leased.lease.reset_clock()
             self._events.on_fenced(self._leased, leader_token)
 
     async def _stop(self, stop: runs.StopOrder) -> None:
--- a/sesameroad/leasing/leases.py
+++ b/sesameroad/leasing/leases.py
@@ -56,7 +56,10 @@
         """
         if self._clock_ms is None:
             return False
-        return clock_ms + _ROUNDING_MS < self._estimate_ms(sent_at)
+        earliest_ms = self._estimate_ms(sent_at)
+        if sent_at < self._read_at:
+            earliest_ms = self._clock_ms - (self._read_at - sent_at) * 1_000
+        return clock_ms + _ROUNDING_MS < earliest_ms
 
     def reset_clock(self) -> None:
         """Forgets the clock, which starts anew when the endpoint restarts."""
