Bound the polls and stops of endpoints that do not answer

Cause: an endpoint that might have a start held up was polled each 0.05 s while it was down, and the stops of unclaimed runs were queued again while earlier ones waited.

Change: a pause of 0.2 s without runs, and no further stops before the queue is empty.

Measured: tests.test_fences, test_restarted_endpoint and test_endpoint_faults pass.

--- a/sesameroad/jobs/takeover.py
+++ b/sesameroad/jobs/takeover.py
@@ -98,6 +98,9 @@
         if now - self._started_at > _RESUBMIT_TIMEOUT_S:
             self._done.clear()
         for leased in pool:
+            if not leased.stops.empty():
+                # Stops of the last time have not been sent yet.
+                continue
             unclaimed = now - leased.orphans_since >= _RESUBMIT_TIMEOUT_S
             for task, number in leased.orphans.items():
                 if unclaimed or self._table.has_run(task):
--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -25,6 +25,9 @@
 # runs.
 _RETRY_S = 0.05
 _SLOW_RETRY_S = 0.5
+# Pause between polls of an endpoint without runs that may have a start held up. A
+# restart must be noticed before the start is carried out.
+_HELD_UP_RETRY_S = 0.2
 # Delay before ends are acknowledged by a separate poll, as another run may come
 # whose polls acknowledge them. A poll per second and endpoint is cheap compared
 # to one per task.
@@ -257,8 +260,12 @@
         """Records an unanswered poll and waits before the next one."""
         self._record_silence(now)
         leased = self._leased
-        patient = not leased.runs and now >= leased.held_up_until
-        await asyncio.sleep(_SLOW_RETRY_S if patient else _RETRY_S)
+        if leased.runs:
+            await asyncio.sleep(_RETRY_S)
+        elif now < leased.held_up_until:
+            await asyncio.sleep(_HELD_UP_RETRY_S)
+        else:
+            await asyncio.sleep(_SLOW_RETRY_S)
 
     def _record_silence(self, now: float) -> None:
         """Suspends starts and renewals; drops runs once the lease ends."""
