--- a/sesameroad/jobs/placer.py
+++ b/sesameroad/jobs/placer.py
@@ -68,7 +68,8 @@
             index = active.waiting[0]
             task = active.job.task(index)
             if self._table.has_run(task) or task in candidates.orphans:
-                # A run of an earlier attempt is still being stopped.
+                # A run of an earlier attempt, or of an order that was carried
+                # out late, is still being stopped.
                 blocked.append(active.waiting.popleft())
                 continue
             leased = ranking.best
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -228,7 +228,7 @@
         return False
 
     def runs_end_by(self, leased: leased_endpoint.LeasedEndpoint) -> float:
-        """Returns the time by which any run on an endpoint must have ended."""
+        """Returns the earliest time by which a run there must have ended."""
         now = self._clock.monotonic()
         earliest = math.inf
         for run in leased.runs.values():
--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -11,7 +11,7 @@
 
 # Time for which an endpoint holds a long poll (the order "look") if no run
 # ends. This is also the renewal interval, so that a lease of 1 s survives a
-# silence of 0.4 s.
+# silence of 0.4 s while the origins of the runs are heard.
 _WAIT_MS = 250
 # Duration of a long poll while a stop is in progress, which takes at most 50
 # ms.
@@ -32,9 +32,9 @@
 # whose polls acknowledge them. A poll per second and endpoint is cheap compared
 # to one per task.
 _ACKNOWLEDGE_S = 0.5
-# Longest time between polls after which ends may still be acknowledged while
-# runs are sent. Within it no endpoint can have started again and ended a run,
-# whose end would have the number of an earlier one.
+# Longest time between an answer and the next poll after which ends may still be
+# acknowledged while runs are sent. After more, the endpoint may have started
+# again and ended a run, whose end has the number of an earlier one.
 _CONTINUOUS_S = 0.05
 # Concurrent starts and stops at one endpoint, each on its own connection, so
 # that a lost answer does not block the others.
@@ -53,7 +53,7 @@
         """Fencing token of all orders."""
 
     def runs_end_by(self, leased: leased_endpoint.LeasedEndpoint) -> float:
-        """Returns the time by which any run on an endpoint must have ended."""
+        """Returns the earliest time by which a run there must have ended."""
 
     def may_start(self, run: runs.Run) -> bool:
         """Returns whether a run may start; called just before its order."""
@@ -167,10 +167,10 @@
         seen = leased.seen if self._may_acknowledge(asked_at) else 0
         leader_token = self._events.token
         token = leader_token + leased.fences
+        reports_required = leased.reports_required
         lease_until_ms = None
         # The lease of an unresponsive endpoint is not renewed, so its runs are
         # certain to have ended one lease later and can start elsewhere.
-        reports_required = leased.reports_required
         if (
             leased.runs
             and leased.lease.clock_known
@@ -334,6 +334,7 @@
         if not clock_ms or fences != leased.fences:
             return
         if leased.lease.shows_restart(clock_ms, sent_at):
+            leased.lease.reset_clock()
             leased.fence()
         else:
             leased.lease.update_clock(clock_ms, self._clock.monotonic())
@@ -341,7 +342,6 @@
     def _report_fenced(self, leader_token: int, *, fences: int) -> None:
         """Reports a higher token, unless this leader has raised it meanwhile."""
         if fences == self._leased.fences:
-            leased.lease.reset_clock()
             self._events.on_fenced(self._leased, leader_token)
 
     async def _stop(self, stop: runs.StopOrder) -> None:
@@ -349,6 +349,7 @@
         leased = self._leased
         leader_token = self._events.token
         fences = leased.fences
+        token = leader_token + fences
         sent_at = self._clock.monotonic()
         answer = await self._orders.stop(
             leased.endpoint,
@@ -357,7 +358,6 @@
             token=token,
         )
         now = self._clock.monotonic()
-        token = leader_token + fences
         match answer:
             case orders.Accepted():
                 self._update_clock(answer.clock_ms, sent_at, fences=fences)
@@ -382,9 +382,9 @@
                     task=stop.task,
                     run=stop.number,
                 )
-                await asyncio.sleep(max(0.0, sent_at + _STOP_PERIOD_S - now))
-                leased.stops.put_nowait(stop)
                 if not stop.run.confirmed_at and stop.run.token == token:
                     # The next report shows whether the run has begun; its start
                     # has no effect after it.
                     leased.fence()
+                await asyncio.sleep(max(0.0, sent_at + _STOP_PERIOD_S - now))
+                leased.stops.put_nowait(stop)
--- a/sesameroad/leasing/runs.py
+++ b/sesameroad/leasing/runs.py
@@ -38,7 +38,8 @@
             requested later must show the run, or the run is gone.
         sent_at: Time at which the start was sent, 0 before.
         token: Fencing token of the start.
-        end_by: Time by which it must have ended, once its job is finished.
+        end_by: Time by which it must have ended, once its job is finished. It
+            limits the lease of its endpoint.
         stop_sent: Whether a stop is queued or was answered.
         percent: Progress in the last report.
         progressed_at: Time at which the progress last changed.
