--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -59,7 +59,8 @@
         reconciled: Whether its lists have been read since this leader holds it.
         unknown_until: Time until which unknown runs of an earlier leader may be
             active if the lists have not been read.
-        orphans: Runs of an earlier leader that are not assigned to a job yet.
+        orphans: Listed runs, by task, that this leader has not started and that
+            are not assigned to a job yet.
         orphans_since: Time at which they were found.
         silent_since: Time of the first poll in a row without an answer, None if
             the last one was answered.
