Wait for the stream before the check of simultaneous dials

Cause: the test failed once beside other load, with no stream at the moment of its check. A pause of the process that is longer than the timeout of its streams, 0.4 s, closes them until the next dial.

Change: the test waits until both sides have a stream, and then checks as before which one is left and that it stays.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -54,6 +54,8 @@
                     node.mesh.update([a.listed(), b.listed()])
                 await _peers.until(lambda: a.peers and b.peers)
                 await asyncio.sleep(2 * _peers.TIMEOUT_S)
+                # A pause of this process closes the stream for a moment.
+                await _peers.until(lambda: a.peers and b.peers)
                 self.assertTrue(a.mesh.peers["b"].outgoing)
                 self.assertFalse(b.mesh.peers["a"].outgoing)
                 replaced = a.mesh.counters.replaced
