End runs at once when another endpoint answers at their address

Cause: an answer of another endpoint counted as silence, so that the runs of an endpoint that had been replaced at its address waited for the end of their lease.

Change: it ends the runs that were sent to the address that answered.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -379,6 +379,17 @@
         )
         self._on_fenced(leased.endpoint.data_centre)
 
+    def on_replaced(
+        self, leased: leased_endpoint.LeasedEndpoint, url: str
+    ) -> None:
+        """Marks the runs as lost that were sent to an address of an endpoint.
+
+        The endpoint may run others at the address that the list shows now.
+        """
+        for run in list(leased.runs.values()):
+            if run.sent_at and run.url == url:
+                self._mark_lost(leased, run, "another endpoint answers")
+
     def on_all_ended(
         self, leased: leased_endpoint.LeasedEndpoint, cause: str
     ) -> None:
--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -107,6 +107,11 @@
     ) -> None:
         """Called when the endpoint has seen a higher token than the order's."""
 
+    def on_replaced(
+        self, leased: leased_endpoint.LeasedEndpoint, url: str
+    ) -> None:
+        """Called when another endpoint answers at an address of this one."""
+
     def on_all_ended(
         self, leased: leased_endpoint.LeasedEndpoint, cause: str
     ) -> None:
@@ -177,8 +182,9 @@
             and leased.silent_since is None
         ):
             lease_until_ms = self._extend_lease(asked_at)
+        endpoint = leased.endpoint
         answer = await self._orders.poll(
-            leased.endpoint,
+            endpoint,
             token=token,
             seen=seen,
             lease_until_ms=lease_until_ms,
@@ -200,8 +206,17 @@
                 self._record_silence(now)
                 await asyncio.sleep(_RETRY_S)
             case orders.Refused() | orders.NoAnswer():
+                self._check_replaced(answer, endpoint.url)
                 await self._wait_after_silence(now)
 
+    def _check_replaced(self, answer: orders.PollAnswer, url: str) -> None:
+        """Reports an answer that shows another endpoint at the address."""
+        match answer:
+            case orders.Refused(refusal=orders.Refusal.MISDIRECTED):
+                self._events.on_replaced(self._leased, url)
+            case _:
+                pass
+
     def _extend_lease(self, now: float) -> int:
         leased = self._leased
         return leased.lease.extend(now, end_by=self._events.runs_end_by(leased))
@@ -296,9 +311,11 @@
         fences = leased.fences
         run.token = leader_token + fences
         run.sent_at = sent_at
+        endpoint = leased.endpoint
+        run.url = endpoint.url
         leased.wake()
         answer = await self._orders.start(
-            leased.endpoint,
+            endpoint,
             task=run.task,
             run=run.number,
             spec=run.spec,
@@ -317,6 +334,7 @@
             case orders.Refused():
                 self._update_clock(answer.clock_ms, sent_at, fences=fences)
                 self._events.on_refused(leased, run, answer.refusal)
+                self._check_replaced(answer, endpoint.url)
             case orders.NoAnswer():
                 leased.expect_held_up_start(now)
                 self._events.on_unanswered(leased, run, answer.detail)
@@ -351,8 +369,9 @@
         fences = leased.fences
         token = leader_token + fences
         sent_at = self._clock.monotonic()
+        endpoint = leased.endpoint
         answer = await self._orders.stop(
-            leased.endpoint,
+            endpoint,
             task=stop.task,
             run=stop.number,
             token=token,
@@ -371,6 +390,7 @@
                 else:
                     self._events.on_fenced(leased, leader_token)
             case orders.Refused() | orders.NoAnswer():
+                self._check_replaced(answer, endpoint.url)
                 # An unknown run of an earlier leader ends with its lease.
                 if stop.run is None or stop.task not in leased.runs:
                     return
--- a/sesameroad/leasing/orders.py
+++ b/sesameroad/leasing/orders.py
@@ -20,8 +20,8 @@
 class Refusal(enum.Enum):
     """Reason for which an endpoint refused an order without effect.
 
-    MISDIRECTED: Another endpoint answers at the address. That says nothing
-        about the runs of the addressed one, which may have moved.
+    MISDIRECTED: Another endpoint answers at the address. The runs that were
+        sent there have ended; the addressed endpoint may have moved.
     """
 
     FENCED = "fenced"
--- a/sesameroad/leasing/runs.py
+++ b/sesameroad/leasing/runs.py
@@ -38,6 +38,7 @@
             requested later must show the run, or the run is gone.
         sent_at: Time at which the start was sent, 0 before.
         token: Fencing token of the start.
+        url: Address to which the start was sent, "" if it is not known.
         end_by: Time by which it must have ended, once its job is finished. It
             limits the lease of its endpoint.
         stop_sent: Whether a stop is queued or was answered.
@@ -59,6 +60,7 @@
     confirmed_at: float = 0.0
     sent_at: float = 0.0
     token: int = 0
+    url: str = ""
     end_by: float = math.inf
     stop_sent: bool = False
     percent: int = 0
--- a/standins/simulated_endpoint.py
+++ b/standins/simulated_endpoint.py
@@ -347,7 +347,10 @@
             )
 
         await asyncio.sleep(self._delay_s)
-        if simulated.fault.misdirected:
+        if (
+            simulated.fault.misdirected
+            or endpoint.url != simulated.endpoint.url
+        ):
             return _MISDIRECTED
         if simulated.down:
             return _REFUSED_CONNECTION
@@ -369,7 +372,10 @@
         """Sends an order to stop a run."""
         simulated = self.endpoints[endpoint.id]
         await asyncio.sleep(self._delay_s)
-        if simulated.fault.misdirected:
+        if (
+            simulated.fault.misdirected
+            or endpoint.url != simulated.endpoint.url
+        ):
             return _MISDIRECTED
         if simulated.down:
             return _REFUSED_CONNECTION
@@ -394,7 +400,10 @@
         """Reads the lists of running and ended runs."""
         simulated = self.endpoints[endpoint.id]
         await asyncio.sleep(self._delay_s)
-        if simulated.fault.misdirected:
+        if (
+            simulated.fault.misdirected
+            or endpoint.url != simulated.endpoint.url
+        ):
             return _MISDIRECTED
         if simulated.down:
             return _REFUSED_CONNECTION
