Show two runs of a task after a start that is held up over a restart

Cause: a task whose start got no answer is started elsewhere when its lease has expired, though the start may still be carried out by the next life of the endpoint, which knows neither the stop nor the raised token.

--- a/review/bed.py
+++ b/review/bed.py
@@ -40,7 +40,8 @@
 MAX_HOLD_S = 1.0
 _BEAT_S = 1.5
 _READY_TIMEOUT_S = 30.0
-_CASE_TIMEOUT_S = 112.0
+_CASE_TIMEOUT_S = 110.0
+_CLOSE_TIMEOUT_S = 4.0
 _STOP_TAKES_S = 0.02
 _OK = 200
 _CONFLICT = 409
@@ -119,6 +120,8 @@
         starts: All starts that it has carried out.
         running: Runs that have not ended, by task.
         holds_answered: Holds that this life of it has answered.
+        holds_up_next_start: Whether the next start is held up on its way.
+        held_up: Starts that are held up, with the times of their arrival.
     """
 
     def __init__(
@@ -139,6 +142,8 @@
         self.starts: list[Start] = []
         self.running: dict[str, Run] = {}
         self.holds_answered = 0
+        self.holds_up_next_start = False
+        self.held_up: list[tuple[float, dict[str, Any]]] = []
         self._bed = bed
         self._state = "ready"
         self._seq = 0
@@ -175,7 +180,7 @@
             ]
         )
         self._runner = web.AppRunner(
-            application, access_log=None, shutdown_timeout=0.0
+            application, access_log=None, shutdown_timeout=0.1
         )
         await self._runner.setup()
         host = self._bed.executor_host
@@ -272,6 +277,35 @@
         body = await self._read(request)
         if body is None:
             return web.json_response({}, status=_MISDIRECTED)
+        if self.holds_up_next_start:
+            self.holds_up_next_start = False
+            self.held_up.append((self._bed.record.now(), body))
+            self._bed.record.add(
+                f"the start of {body['task']} run {body['run']} on {self.id}"
+                " is held up and gets no answer"
+            )
+            while request.transport is not None:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+            return web.Response()
+        return self._carry_out_start(body)
+
+    def carry_out_held_up(self) -> float:
+        """Carries out the first start that was held up, in its present life.
+
+        Returns:
+            How late it is, in seconds.
+        """
+        sent_at, body = self.held_up.pop(0)
+        late_s = self._bed.record.now() - sent_at
+        self._bed.record.add(
+            f"the start of {body['task']} run {body['run']} arrives at"
+            f" {self.id}, {late_s:.3f} s late"
+        )
+        response = self._carry_out_start(body)
+        self._bed.record.add(f"its status there is {response.status}")
+        return late_s
+
+    def _carry_out_start(self, body: dict[str, Any]) -> web.Response:
         task, number = body["task"], body["run"]
         if self._is_fenced(body):
             return self._answer(_CONFLICT, reason="fence")
@@ -535,7 +569,7 @@
     async def open(self) -> None:
         """Starts the store."""
         self._runner = web.AppRunner(
-            self.store.application(), access_log=None, shutdown_timeout=0.0
+            self.store.application(), access_log=None, shutdown_timeout=0.1
         )
         await self._runner.setup()
         host, port = f"{self.network}.101", self.next_port()
@@ -728,7 +762,7 @@
         except Exception as error:  # noqa: BLE001
             bed.record.add(f"the case could not run: {error!r}")
         finally:
-            await bed.close()
+            await _close(bed)
             (folder / "record.txt").write_text(
                 "\n".join(bed.record.lines) + "\n"
             )
@@ -736,6 +770,15 @@
     return code
 
 
+async def _close(bed: Bed) -> None:
+    """Ends the processes first; the stand-ins end with this one at the latest."""
+    try:
+        async with asyncio.timeout(_CLOSE_TIMEOUT_S):
+            await bed.close()
+    except TimeoutError:
+        bed.record.add("a stand-in did not close in time")
+
+
 def main(case: Case, file: str) -> None:
     """Plays a case and exits with 1 if the rule was broken, else 0 or 2."""
     folder = pathlib.Path(file).resolve().parent
