--- a/review/bed.py
+++ b/review/bed.py
@@ -747,6 +747,10 @@
 
 async def _play(case: Case, folder: pathlib.Path) -> int:
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    task = asyncio.current_task()
+    assert task is not None
+    # Whoever ends the script early still has its processes ended.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     with tempfile.TemporaryDirectory() as temporary:
         bed = Bed(pathlib.Path(temporary))
         code = _NOT_RUN
@@ -759,6 +763,8 @@
             if not broken:
                 bed.record.add("the rule held")
             code = _BROKEN if broken else _HELD
+        except asyncio.CancelledError:
+            bed.record.add("the script was ended early")
         except Exception as error:  # noqa: BLE001
             bed.record.add(f"the case could not run: {error!r}")
         finally:
