Let the review's scripts wait until all entries are in touch

Cause: a start counts as a disruption for contact-ms, and the scripts sent their first request 1.5 s after it. LOST excludes such requests.

--- a/review/bed.py
+++ b/review/bed.py
@@ -38,6 +38,7 @@
 ACK_TIMEOUT_S = 4.0
 STOP_S = 0.05
 MAX_HOLD_S = 1.0
+CONTACT_S = 3.0
 _BEAT_S = 1.5
 _READY_TIMEOUT_S = 30.0
 _CASE_TIMEOUT_S = 110.0
@@ -652,7 +653,9 @@
         async with asyncio.timeout(_READY_TIMEOUT_S):
             while not self._has_leader():  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
-        await asyncio.sleep(1.0)
+        # A machine is in touch once its start lies this far back.
+        await asyncio.sleep(CONTACT_S + 0.5)
+        self.record.add("all entries are in touch")
         return self.entries
 
     def _has_leader(self) -> bool:
