Log what becomes of runs that an earlier leader started

A log showed which runs a leader had found, but neither which of them it went on with nor when the others had ended. Two leaders that hold one endpoint could not be told apart from a run that is attributed to the wrong incarnation.

A leader now logs each run that it takes over, and the stops and the end of each run that no job claims, with the time since it was listed.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -414,7 +414,7 @@
     ) -> None:
         run = leased.runs.get(end.task)
         if run is None or run.number != end.run:
-            leased.orphans.pop(end.task, None)
+            self._takeover.record_end(leased, end.task)
             if end.ending is orders.Ending.DONE and not leased.acknowledged:
                 self._takeover.record_done(end.task)
             return
--- a/sesameroad/jobs/takeover.py
+++ b/sesameroad/jobs/takeover.py
@@ -50,6 +50,8 @@
             for task, number in orphans.items()
             if leased.orphans.get(task) != number
         }
+        for task in leased.orphans.keys() - orphans.keys():
+            self._log_unclaimed("unclaimed run has ended", leased, task)
         leased.orphans = orphans
         if not found:
             return False
@@ -63,6 +65,14 @@
         )
         return True
 
+    def record_end(
+        self, leased: leased_endpoint.LeasedEndpoint, task: str
+    ) -> None:
+        """Records the end of a run that this leader does not know."""
+        if task in leased.orphans:
+            self._log_unclaimed("unclaimed run has ended", leased, task)
+            del leased.orphans[task]
+
     def record_done(self, task: str) -> None:
         """Records the success of a task whose job is not known yet."""
         self._done.add(task)
@@ -104,6 +114,7 @@
             unclaimed = now - leased.orphans_since >= _RESUBMIT_TIMEOUT_S
             for task, number in leased.orphans.items():
                 if unclaimed or self._table.has_run(task):
+                    self._log_unclaimed("unclaimed run stopped", leased, task)
                     leased.stops.put_nowait(runs.StopOrder(task, number))
 
     def _adopt_run(
@@ -120,3 +131,25 @@
         run.state = runs.State.RUNNING
         run.sent_at = run.confirmed_at = self._clock.monotonic()
         self._table.add_run(active, leased, run)
+        log.event(
+            "run of an earlier leader continues",
+            step="run",
+            peer=leased.endpoint.id,
+            request=run.key,
+            task=run.task,
+            run=number,
+        )
+
+    def _log_unclaimed(
+        self, message: str, leased: leased_endpoint.LeasedEndpoint, task: str
+    ) -> None:
+        log.event(
+            message,
+            step="run",
+            peer=leased.endpoint.id,
+            task=task,
+            run=leased.orphans[task],
+            listed_ms_ago=int(
+                (self._clock.monotonic() - leased.orphans_since) * 1_000
+            ),
+        )
