--- a/sesameroad/jobs/takeover.py
+++ b/sesameroad/jobs/takeover.py
@@ -10,8 +10,9 @@
 from sesameroad.telemetry import log
 
 # Time for origins to submit the jobs of an earlier leader again before their
-# runs are stopped. Origins learn of the new leader within one heartbeat.
-_RESUBMIT_TIMEOUT_S = 0.5
+# runs are stopped. A new leader tells all of them at once. The leases of other
+# runs on the endpoint are not renewed before, so this is short against 1 s.
+_RESUBMIT_TIMEOUT_S = 0.2
 
 
 class Takeover:
--- a/standins/simulated_endpoint.py
+++ b/standins/simulated_endpoint.py
@@ -108,6 +108,7 @@
         token: Highest fencing token that it has seen.
         ended: Ends that have not been acknowledged.
         end_count: Number of ends since it started.
+        lease_until_ms: End of the lease on its clock.
         running: Runs that have not ended, by task.
         incarnation: Number of restarts so far.
     """
@@ -133,7 +134,7 @@
         self._clock = clock
         self._lease_s = lease_s
         self._run_s = run_s
-        self._lease_until_ms = 0
+        self.lease_until_ms = 0
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._changed = asyncio.Event()
         # Difference between its clock and that of the fleet.
@@ -165,7 +166,7 @@
         self.end_count = self.token = 0
         self._last_barred_run.clear()
         self._clock_offset_ms -= self.clock_ms
-        self._lease_until_ms = 0
+        self.lease_until_ms = 0
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
         if born_ms is None:
@@ -265,10 +266,10 @@
 
     def _extend(self, until_ms: int) -> None:
         limit = self.clock_ms + int(self._lease_s * 1_000)
-        self._lease_until_ms = max(self._lease_until_ms, min(until_ms, limit))
+        self.lease_until_ms = max(self.lease_until_ms, min(until_ms, limit))
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
-        left_s = (self._lease_until_ms - self.clock_ms) / 1_000
+        left_s = (self.lease_until_ms - self.clock_ms) / 1_000
         loop = asyncio.get_running_loop()
         self._expiry_timer = loop.call_later(max(0.0, left_s), self._expire)
 
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -5,9 +5,11 @@
 import math
 
 from sesameroad.jobs import scheduler as scheduler_module
+from sesameroad.leasing import orders
 from sesameroad.model import endpoints
 from sesameroad.model import jobs
 from sesameroad.model import needs
+from sesameroad.platform import order_client
 from sesameroad.telemetry import job_metrics
 from standins import simulated_endpoint
 from tests import _virtual
@@ -37,6 +39,38 @@
         self._lost_at = asyncio.get_running_loop().time() - silent_s
 
 
+class CutOrders:
+    """Orders of one leader, which other leaders' orders do not depend on.
+
+    Attributes:
+        cut: Ids of the endpoints to which the leader has lost its path. Answers
+            that are on their way are lost as well.
+    """
+
+    def __init__(self, fleet: simulated_endpoint.SimulatedFleet):
+        self._fleet = fleet
+        self.cut = set()
+
+    async def start(self, endpoint, **order):
+        return await self._send(self._fleet.start, endpoint, 0.3, order)
+
+    async def stop(self, endpoint, **order):
+        timeout_s = order_client.STOP_TIMEOUT_S
+        return await self._send(self._fleet.stop, endpoint, timeout_s, order)
+
+    async def poll(self, endpoint, **order):
+        timeout_s = order["timeout_s"]
+        return await self._send(self._fleet.poll, endpoint, timeout_s, order)
+
+    async def _send(self, send, endpoint, timeout_s, order):
+        if endpoint.id not in self.cut:
+            answer = await send(endpoint, **order)
+            if endpoint.id not in self.cut:
+                return answer
+        await asyncio.sleep(timeout_s)
+        return orders.NoAnswer("cut off")
+
+
 class Site:
     """Endpoints of one data centre and the leaders that hold them."""
 
@@ -72,10 +106,10 @@
         return endpoint
 
     @contextlib.asynccontextmanager
-    async def leader(self, token: int = 1):
+    async def leader(self, token: int = 1, *, orders_=None):
         scheduler = scheduler_module.Scheduler(
             token=token,
-            orders_=self.fleet,
+            orders_=orders_ or self.fleet,
             lease_s=1.0,
             clock=self.clock,
             on_fenced=self.fenced.append,
--- /dev/null
+++ b/tests/test_inherited_leases.py
@@ -0,0 +1,195 @@
+"""Tests leases of runs that an earlier leader has started, in virtual time.
+
+A lease belongs to an endpoint. A leader that can't reach the endpoint any more
+starts the tasks of its runs elsewhere once the lease has expired, and the caller
+of a lost origin submits its job again after 1.3 s. Another leader that holds the
+endpoint meanwhile must not keep such runs alive.
+"""
+
+import asyncio
+import contextlib
+import itertools
+
+from tests import _jobs
+from tests import _virtual
+
+# Time after which a caller submits its job again.
+_RETURN_S = 1.3
+# Times of a claim after the former leader was lost or lost its path.
+_CLAIMS_S = (0.1, 0.3, 0.5, 0.6, 0.7, 0.75, 0.8, 0.85, 0.9, 0.95)
+# Times within a period of the polls that renew the lease.
+_PHASES_S = (0.0, 0.1, 0.2)
+_LOST_STOPS = (0, 2, 5)
+
+
+def _job(site, key):
+    return site.job(key * 16, count=1, cores=8.0, run_s=4.0, deadline_s=9)
+
+
+async def _play_cut(*, claim_s, phase_s, lost_stops):
+    """Plays the loss of an endpoint to a leader on the other side of a cut.
+
+    The endpoint runs a task of each of two jobs. The origin of one of them is
+    cut off with it and offers its job to the next leader. The other one stays
+    with the former leader.
+
+    Args:
+        claim_s: Time from the loss until the next leader claims the endpoint.
+        phase_s: Time of the loss within a period of the polls.
+        lost_stops: Number of stops that the endpoint does not answer.
+
+    Returns:
+        Tasks that ran twice at the same time.
+    """
+    site = _jobs.Site(count=1)
+    path = _jobs.CutOrders(site.fleet)
+    other = _jobs.Origin("other")
+    jobs = _job(site, "a"), _job(site, "b")
+    async with contextlib.AsyncExitStack() as stack:
+        first = await stack.enter_async_context(
+            site.leader(token=1, orders_=path)
+        )
+        tasks = [
+            asyncio.create_task(first.submit(jobs[0], other)),
+            asyncio.create_task(first.submit(jobs[1], site.origin)),
+        ]
+        await asyncio.sleep(0.3 + phase_s)
+        cut_off = list(site.endpoints)
+        site.add("e1", 16.0)
+        first.update(site.endpoints)
+        path.cut.add("e0")
+        site.origin.lose()
+        await asyncio.sleep(claim_s)
+        site.endpoints = cut_off
+        site.fleet.endpoints["e0"].fault.lost_stops = lost_stops
+        second = await stack.enter_async_context(site.leader(token=2))
+        tasks.append(
+            asyncio.create_task(
+                second.submit(jobs[1], _jobs.Origin("cut off"), moved=True)
+            )
+        )
+        await asyncio.gather(*tasks)
+    return site.history.overlapping
+
+
+async def _play_loss(*, claim_s, lost_stops):
+    """Plays the loss of an origin together with its leader.
+
+    The next leader continues the run of another origin on the same endpoint, and
+    the caller of the lost one comes to a leader of other endpoints.
+
+    Args:
+        claim_s: Time from the loss until the next leader claims the endpoint.
+        lost_stops: Number of stops that the endpoint does not answer.
+
+    Returns:
+        Tasks that ran twice at the same time.
+    """
+    site = _jobs.Site(count=1)
+    other = _jobs.Origin("other")
+    lost, kept = _job(site, "a"), _job(site, "b")
+    async with contextlib.AsyncExitStack() as stack:
+        async with site.leader(token=1) as first:
+            submitted = [
+                asyncio.create_task(first.submit(lost, site.origin)),
+                asyncio.create_task(first.submit(kept, other)),
+            ]
+            await asyncio.sleep(0.3)
+            site.origin.lose()
+        await asyncio.gather(*submitted)
+        await asyncio.sleep(claim_s)
+        second = await stack.enter_async_context(site.leader(token=2))
+        moved = asyncio.create_task(second.submit(kept, other, moved=True))
+        site.fleet.endpoints["e0"].fault.lost_stops = lost_stops
+        site.endpoints = []
+        site.add("e1", 16.0)
+        third = await stack.enter_async_context(site.leader(token=3))
+        await asyncio.sleep(max(0.0, _RETURN_S - site.origin.silent_s))
+        await third.submit(lost, _jobs.Origin("returned"))
+        await moved
+    return site.history.overlapping
+
+
+class InheritedLeaseTest(_virtual.VirtualTimeTest):
+
+    async def _assert_none_overlap(self, play, **choices):
+        seen = {}
+        for values in itertools.product(*choices.values()):
+            overlapping = await play(**dict(zip(choices, values, strict=True)))
+            if overlapping:
+                seen[values] = overlapping
+        self.assertEqual(seen, {}, list(choices))
+
+    async def test_run_that_stays_with_the_former_leader_is_not_renewed(self):
+        """Guards against a lease that the former leader takes as expired.
+
+        The next leader renewed it for the run of its own origin, while the
+        former one started the task of the other run elsewhere.
+        """
+        await self._assert_none_overlap(
+            _play_cut,
+            claim_s=_CLAIMS_S,
+            phase_s=_PHASES_S,
+            lost_stops=_LOST_STOPS,
+        )
+
+    async def test_run_of_a_lost_origin_is_not_renewed(self):
+        """Guards against a run that goes on when its caller comes again.
+
+        The next leader renewed its lease for the run of another origin.
+        """
+        await self._assert_none_overlap(
+            _play_loss, claim_s=_CLAIMS_S, lost_stops=_LOST_STOPS
+        )
+
+    async def test_lease_is_not_renewed_before_the_lists_are_read(self):
+        """Guards against renewals for runs that another leader has started.
+
+        The leader raises its token after that, and does not know them yet.
+        """
+        site = _jobs.Site(count=1)
+        endpoint = site.fleet.endpoints["e0"]
+        async with site.leader(token=1) as leader:
+            submitted = asyncio.create_task(
+                leader.submit(_job(site, "a"), site.origin)
+            )
+            # Just before the next renewal.
+            await asyncio.sleep(0.72)
+            renewed_until_ms = endpoint.lease_until_ms
+            job = _job(site, "b")
+            endpoint.start(
+                task=job.task(0),
+                run=1,
+                spec=job.spec,
+                token=2,
+                until_ms=renewed_until_ms,
+            )
+            leader.raise_token(3)
+            await asyncio.sleep(0.15)
+            self.assertEqual(len(site.history.running), 2)
+            self.assertEqual(endpoint.lease_until_ms, renewed_until_ms)
+            await submitted
+
+    async def test_claimed_runs_survive_the_end_of_unclaimed_ones(self):
+        """Guards against lost work beside a run that nobody claims.
+
+        The lease is renewed only after that run was stopped. A leader that was
+        killed is followed by the next one after 0.3 s.
+        """
+        for phase_s in _PHASES_S:
+            site = _jobs.Site(count=1)
+            other = _jobs.Origin("other")
+            lost, kept = _job(site, "a"), _job(site, "b")
+            async with site.leader(token=1) as first:
+                submitted = [
+                    asyncio.create_task(first.submit(lost, site.origin)),
+                    asyncio.create_task(first.submit(kept, other)),
+                ]
+                await asyncio.sleep(0.3 + phase_s)
+            await asyncio.gather(*submitted)
+            await asyncio.sleep(0.3)
+            async with site.leader(token=2) as second:
+                await second.submit(kept, other, moved=True)
+            self.assertEqual(
+                site.history.starts, [lost.task(0), kept.task(0)], phase_s
+            )
--- a/tests/test_repeated_attempts.py
+++ b/tests/test_repeated_attempts.py
@@ -320,7 +320,7 @@
     def _extend(self, until_ms):
         super()._extend(until_ms)
         self._expiry_timer.cancel()
-        left_s = (self._lease_until_ms - self.clock_ms) / 1_000 / self._RATE
+        left_s = (self.lease_until_ms - self.clock_ms) / 1_000 / self._RATE
         self._expiry_timer = asyncio.get_running_loop().call_later(
             max(0.0, left_s), self._expire
         )
