Start a task nowhere else while its held-up start may come

Cause: a start got no answer, its endpoint crashed, and the leader took the run as ended when the lease had expired. The next incarnation knows neither the stop nor the token nor the clock of the start and carries it out, while the task runs elsewhere, until the next poll.

Change: a start that was neither accepted nor listed when the lease of a silent endpoint expires blocks its task in every attempt at this leader, until a report of the endpoint has answered the raised token, or until 12 s and one lease after it was sent. A run that begins in the last moment lasts for one lease. A job that can't end in time because of it is answered at once, outcome unknown, and its other runs are stopped; so are later attempts while the endpoint is silent. They are not refused as "not run". Starts that were accepted or listed are given up with the lease as before.

Not covered: an incarnation that ends after it has reported without the run; an address that another endpoint has for a while; attempts at another leader.

--- a/sesameroad/jobs/ending.py
+++ b/sesameroad/jobs/ending.py
@@ -22,6 +22,14 @@
     return outcomes.NotRun(outcomes.Cause.NOT_STEWARD, "no leader here")
 
 
+def held_up() -> outcomes.Unknown:
+    """Returns the outcome of a job that a former start of a task blocks."""
+    return outcomes.Unknown(
+        outcomes.Cause.ENDPOINT_LOST,
+        "a start may still be carried out by a silent endpoint",
+    )
+
+
 def abandoned(
     active: active_job.ActiveJob, cause: outcomes.Cause, detail: str
 ) -> outcomes.Outcome:
--- a/sesameroad/jobs/placer.py
+++ b/sesameroad/jobs/placer.py
@@ -2,6 +2,7 @@
 
 from sesameroad.jobs import active_job
 from sesameroad.jobs import backlog as backlog_module
+from sesameroad.jobs import held_up_starts as held_up_starts_module
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placement
 from sesameroad.leasing import endpoint_pool
@@ -21,7 +22,7 @@
 class Placer:
     """Assigns waiting tasks to endpoints and queues their start orders."""
 
-    __slots__ = ("_backlog", "_pool", "_table")
+    __slots__ = ("_backlog", "_held_up_starts", "_pool", "_table")
 
     def __init__(
         self,
@@ -29,10 +30,12 @@
         pool: endpoint_pool.EndpointPool,
         table: job_table.JobTable,
         backlog: backlog_module.Backlog,
+        held_up_starts: held_up_starts_module.HeldUpStarts,
     ) -> None:
         self._pool = pool
         self._table = table
         self._backlog = backlog
+        self._held_up_starts = held_up_starts
 
     def place(self, now: float) -> None:
         """Starts waiting tasks while there is capacity."""
@@ -69,9 +72,13 @@
         while active.waiting:
             index = active.waiting[0]
             task = active.job.task(index)
-            if self._table.has_run(task) or task in candidates.orphans:
+            if (
+                self._table.has_run(task)
+                or task in candidates.orphans
+                or self._held_up_starts.blocks(task)
+            ):
                 # A run of an earlier attempt, or of an order that was carried
-                # out late, is still being stopped.
+                # out late, is still being stopped, or may still begin.
                 blocked.append(active.waiting.popleft())
                 continue
             leased = ranking.best
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -9,6 +9,7 @@
 from sesameroad.jobs import admission
 from sesameroad.jobs import backlog
 from sesameroad.jobs import ending
+from sesameroad.jobs import held_up_starts
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placer
 from sesameroad.jobs import takeover
@@ -68,8 +69,12 @@
         self._admission = admission.Admission(
             backlog=self._backlog, pool=self._pool
         )
+        self._held_up_starts = held_up_starts.HeldUpStarts()
         self._placer = placer.Placer(
-            pool=self._pool, table=self._table, backlog=self._backlog
+            pool=self._pool,
+            table=self._table,
+            backlog=self._backlog,
+            held_up_starts=self._held_up_starts,
         )
         self._wake = asyncio.Event()
         self._stopped = False
@@ -173,7 +178,10 @@
             if moved:
                 self._pool.expect_held_up_starts()
             self._takeover.adopt(active, self._pool)
-            is_known = bool(active.runs or active.done)
+            if self._held_up_starts.blocks_any(active):
+                # An earlier attempt has sent a start that may still come.
+                active.started = True
+            is_known = active.started
             if lent and not is_known and not self._placer.has_room(job, now):
                 return outcomes.NotRun(
                     outcomes.Cause.NO_ROOM, "no room at once"
@@ -189,6 +197,7 @@
         future = active.join(origin)
         if active.done >= job.count:
             self._finish(active, outcomes.Complete(()))
+        self._answer_held_up(active)
         return await future
 
     def cancel(self, name: str, origin_id: str) -> None:
@@ -251,6 +260,7 @@
         self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run
     ) -> None:
         """Handles a confirmed start."""
+        run.held_up_until = 0.0
         if run.state is runs.State.STARTING:
             run.state = runs.State.RUNNING
         leased.wake()
@@ -328,6 +338,7 @@
         now = self._clock.monotonic()
         first = not leased.reconciled
         leased.reconciled = True
+        self._held_up_starts.remove_fenced(leased, token)
         for end in report.ended:
             if end.number <= leased.seen:
                 continue
@@ -341,6 +352,7 @@
                 leased.record_progress(run, entry.percent, now)
         for run in list(leased.runs.values()):
             if listed.get(run.task) == run.number:
+                run.held_up_until = 0.0
                 if run.state is runs.State.STARTING:
                     run.state = runs.State.RUNNING
                     run.confirmed_at = now
@@ -400,7 +412,7 @@
     def on_all_ended(
         self, leased: leased_endpoint.LeasedEndpoint, cause: str
     ) -> None:
-        """Marks all runs that were sent to an endpoint as lost."""
+        """Gives up all runs that were sent to an endpoint."""
         leased.orphans.clear()
         self._give_up_runs(leased, cause)
 
@@ -416,7 +428,9 @@
         """Marks the runs as lost whose lease has expired without a report.
 
         Another leader may have renewed it if the origin of a run has moved its
-        job there. An origin that is heard from now on has not.
+        job there. An origin that is heard from now on has not. A start without
+        an answer may still be carried out if the endpoint starts again, so its
+        task starts nowhere else for now.
         """
         now = self._clock.monotonic()
         for run in list(leased.runs.values()):
@@ -425,7 +439,11 @@
             active = self._table.job_of(run)
             if active is not None:
                 active.resumes_after = now
+            if now < run.held_up_until:
+                self._held_up_starts.add(leased, run)
             self._mark_lost(leased, run, cause)
+            if active is not None:
+                self._answer_held_up(active)
 
     # Ends of runs.
 
@@ -558,6 +576,11 @@
                 self._stop_run(self._table.endpoint_of(run), run)
         self._table.close(active)
 
+    def _answer_held_up(self, active: active_job.ActiveJob) -> None:
+        """Ends a job that a held-up start blocks for longer than is of use."""
+        if self._held_up_starts.outlast(active):
+            self._finish(active, ending.held_up())
+
     def _log_end(
         self, active: active_job.ActiveJob, outcome: outcomes.Outcome
     ) -> None:
@@ -573,6 +596,7 @@
         while True:
             await asyncio.sleep(_CHECK_PERIOD_S)
             now = self._clock.monotonic()
+            self._held_up_starts.remove_expired(now)
             for active in self._table:
                 self._check(active, now)
             for active, refusal in list(self._admission.refusals(now)):
--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -313,6 +313,7 @@
         fences = leased.fences
         run.token = leader_token + fences
         run.sent_at = sent_at
+        run.held_up_until = sent_at + runs.HELD_UP_S
         endpoint = leased.endpoint
         run.url = endpoint.url
         leased.wake()
--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -28,9 +28,6 @@
 # fraction of its declared run time. It is stopped and started elsewhere.
 _HANG_S = 0.4
 _HANG_RATIO = 0.5
-# Time for which an order without an answer may be held up on its way. On the
-# platform, orders were carried out up to 12 s late.
-_HELD_UP_S = 12.0
 # Tolerance for rounding errors in sums of fractional cores.
 _TOLERANCE = 1e-6
 
@@ -167,7 +164,7 @@
         Stops and tokens prevent it in the present incarnation only, so that a
         restart must be noticed and fenced.
         """
-        self.held_up_until = now + _HELD_UP_S
+        self.held_up_until = now + runs_module.HELD_UP_S
         self._wake.set()
 
     def record_incarnation(self, born_ms: int) -> bool:
--- a/sesameroad/leasing/leases.py
+++ b/sesameroad/leasing/leases.py
@@ -36,6 +36,11 @@
         """Whether the endpoint's clock has been read."""
         return self._clock_ms is not None
 
+    @property
+    def longest_s(self) -> float:
+        """Time within which a run without a renewal has ended."""
+        return self._duration_s / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_S
+
     @property
     def latest_end(self) -> float:
         """Time at which everything started or renewed so far has ended."""
--- a/sesameroad/leasing/runs.py
+++ b/sesameroad/leasing/runs.py
@@ -4,6 +4,10 @@
 import enum
 import math
 
+# Time for which an order without an answer may be held up on its way. On the
+# platform, orders were carried out up to 12 s late.
+HELD_UP_S = 12.0
+
 
 class State(enum.Enum):
     """State of a run that has not ended, as known to the leader.
@@ -38,6 +42,8 @@
             requested later must show the run, or the run is gone.
         sent_at: Time at which the start was sent, 0 before.
         token: Fencing token of the start.
+        held_up_until: Time until which the start may be carried out late, 0 if
+            it was accepted or listed.
         url: Address to which the start was sent, "" if it is not known.
         end_by: Time by which it must have ended, once its job is finished. It
             limits the lease of its endpoint.
@@ -60,6 +66,7 @@
     confirmed_at: float = 0.0
     sent_at: float = 0.0
     token: int = 0
+    held_up_until: float = 0.0
     url: str = ""
     end_by: float = math.inf
     stop_sent: bool = False
--- /dev/null
+++ b/tests/test_held_up_starts.py
@@ -0,0 +1,253 @@
+"""Tests starts that are held up while their endpoint restarts, in virtual time.
+
+The next incarnation knows neither the stop nor the token nor the clock that would
+keep it from carrying out such a start.
+"""
+
+import asyncio
+import unittest
+
+from sesameroad.jobs import active_job
+from sesameroad.jobs import held_up_starts
+from sesameroad.leasing import leased_endpoint
+from sesameroad.leasing import leases
+from sesameroad.model import outcomes
+from tests import _jobs
+from tests import _virtual
+
+
+class HeldUpStartTest(_virtual.VirtualTimeTest):
+
+    def _passed_s(self, site):
+        """Returns the time since the clock of the site has started."""
+        return site.clock.monotonic() - self._began_at
+
+    def _site(self, **options):
+        site = _jobs.Site(**options)
+        self._began_at = site.clock.monotonic()
+        return site
+
+    def _submit(self, site, leader, job, **options):
+        return asyncio.create_task(leader.submit(job, site.origin, **options))
+
+    async def _hold_up(self, site, leader, job, *, late_s, down_s):
+        """Submits a job whose starts are held up as an endpoint crashes."""
+        late = site.fleet.endpoints["e0"]
+        late.fault.late_s = late_s
+        submitted = self._submit(site, leader, job)
+        await asyncio.sleep(0.05)
+        late.fault.late_s = 0.0
+        late.crash(down_s=down_s)
+        return submitted
+
+    def _assert_unknown(self, outcome):
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        self.assertIs(outcome.cause, outcomes.Cause.ENDPOINT_LOST)
+
+    async def test_start_is_carried_out_by_the_next_incarnation(self):
+        """Guards against a second run beside that of a start that came late.
+
+        The start arrives before the first order of the leader.
+        """
+        for step in range(8):
+            site = self._site(count=3)
+            job = site.job(count=1, run_s=4.0, cores=16.0, deadline_s=20)
+            down_s = 2.0 + 0.05 * step
+            async with site.leader() as leader:
+                outcome = await (
+                    await self._hold_up(
+                        site, leader, job, late_s=down_s + 0.07, down_s=down_s
+                    )
+                )
+            self.assertEqual(site.history.overlapping, [], step)
+            self.assertEqual(outcome, outcomes.Complete(()), step)
+            self.assertEqual(len(site.history.starts), 1)
+
+    async def test_later_attempt_does_not_run_beside_a_held_up_start(self):
+        """Guards against forgetting a held-up start with its job.
+
+        The caller is answered and comes again, or has left before.
+        """
+        for leaves in (False, True):
+            site = self._site(count=3)
+            job = site.job(count=1, run_s=1.0, cores=16.0, deadline_s=4)
+            async with site.leader() as leader:
+                submitted = await self._hold_up(
+                    site, leader, job, late_s=2.07, down_s=2.0
+                )
+                if leaves:
+                    await asyncio.sleep(0.5)
+                    leader.cancel(job.name, site.origin.id)
+                else:
+                    self._assert_unknown(await submitted)
+                    self.assertLess(self._passed_s(site), 1.3)
+                await submitted
+                while self._passed_s(site) < 2.4:
+                    job = site.job(count=1, run_s=1.0, cores=16.0, deadline_s=4)
+                    attempt = self._submit(site, leader, job)
+                    await asyncio.sleep(0.1)
+                self.assertEqual(await attempt, outcomes.Complete(()))
+            self.assertEqual(site.history.overlapping, [])
+
+    async def test_blocked_attempts_are_answered_at_once(self):
+        """Guards against callers that wait in vain, or hear "not run".
+
+        The endpoint does not come back. All other capacity is in use.
+        """
+        for count in (1, 2):
+            site = self._site(count=count)
+            job = site.job(count=1, run_s=1.0, cores=16.0, deadline_s=4)
+            async with site.leader() as leader:
+                self._assert_unknown(
+                    await (
+                        await self._hold_up(
+                            site, leader, job, late_s=50.0, down_s=99.0
+                        )
+                    )
+                )
+                other = self._submit(
+                    site,
+                    leader,
+                    site.job("b" * 16, count=1, run_s=1.0, cores=16.0),
+                )
+                for lent in (False, True):
+                    asked_at = site.clock.monotonic()
+                    self._assert_unknown(
+                        await self._submit(site, leader, job, lent=lent)
+                    )
+                    self.assertEqual(site.clock.monotonic(), asked_at)
+                await other
+
+    async def test_task_is_free_once_the_start_can_no_longer_come(self):
+        """Guards against a task that is blocked for good, or too briefly.
+
+        No order reaches the next incarnation. The run lasts for one lease.
+        """
+        site = self._site(count=2)
+        options = {"count": 1, "run_s": 3.0, "cores": 16.0, "deadline_s": 4}
+        job = site.job(**options)
+        async with site.leader() as leader:
+            await (
+                await self._hold_up(
+                    site, leader, job, late_s=11.99, down_s=11.9
+                )
+            )
+            late = site.fleet.endpoints["e0"]
+            late.fault.silent = True
+            while self._passed_s(site) < 12.0:
+                outcome = await leader.submit(site.job(**options), site.origin)
+                self._assert_unknown(outcome)
+                await asyncio.sleep(0.1)
+            self.assertEqual(site.history.starts, [job.task(0)])
+            options["deadline_s"] = 9
+            outcome = await leader.submit(site.job(**options), site.origin)
+            self.assertLess(self._passed_s(site), 16.4)
+        self.assertEqual(outcome, outcomes.Complete(()))
+        self.assertEqual(site.history.overlapping, [])
+
+    async def test_task_is_free_once_the_endpoint_has_seen_the_token(self):
+        """Guards against blocking a task whose start has no effect any more."""
+        for unlisted in (False, True):
+            site = self._site(count=2)
+            job = site.job(
+                count=1, run_s=1.0, cores=16.0, stretch=6.0, deadline_s=20
+            )
+            async with site.leader() as leader:
+                submitted = await self._hold_up(
+                    site, leader, job, late_s=3.0, down_s=1.5
+                )
+                if unlisted:
+                    leader.update(site.endpoints[1:])
+                await asyncio.sleep(1.2)
+                self.assertEqual(site.history.starts, [])
+                self.assertEqual(await submitted, outcomes.Complete(()))
+                self.assertLess(self._passed_s(site), 2.9)
+                # The start is refused when it arrives.
+                await asyncio.sleep(1.0)
+            self.assertEqual(site.history.starts, [job.task(0)])
+
+    async def test_endpoint_that_is_no_longer_listed_still_blocks(self):
+        """Guards against forgetting a held-up start with its endpoint."""
+        for step in range(8):
+            site = self._site(count=3)
+            job = site.job(count=1, run_s=4.0, cores=16.0, deadline_s=20)
+            down_s = 2.0 + 0.05 * step
+            async with site.leader() as leader:
+                submitted = await self._hold_up(
+                    site, leader, job, late_s=down_s + 0.07, down_s=down_s
+                )
+                leader.update(site.endpoints[1:])
+                self.assertEqual(await submitted, outcomes.Complete(()))
+            self.assertEqual(site.history.overlapping, [], step)
+            self.assertEqual(len(site.history.starts), 1)
+
+    async def test_other_runs_of_an_answered_job_are_stopped(self):
+        """Guards against runs that go on for a caller that was answered."""
+        site = self._site(count=2)
+        job = site.job(count=2, run_s=2.5, cores=16.0, deadline_s=4)
+        async with site.leader() as leader:
+            submitted = await self._hold_up(
+                site, leader, job, late_s=50.0, down_s=99.0
+            )
+            self._assert_unknown(await submitted)
+            await asyncio.sleep(0.1)
+            self.assertEqual(site.history.running, {})
+
+    async def test_run_that_was_seen_is_given_up_with_its_lease(self):
+        """Guards against blocking tasks whose start was carried out.
+
+        Its answer comes, or is lost and a report lists the run.
+        """
+        for loses in (False, True):
+            site = self._site(count=2)
+            job = site.job(count=1, run_s=1.0, cores=16.0, deadline_s=4)
+            endpoint = site.fleet.endpoints["e0"]
+            endpoint.fault.lose_start_answers = loses
+            endpoint.fault.lost_stops = 100 * loses
+            async with site.leader() as leader:
+                submitted = self._submit(site, leader, job)
+                await asyncio.sleep(0.6 if loses else 0.1)
+                endpoint.crash(down_s=99.0)
+                self.assertEqual(await submitted, outcomes.Complete(()))
+            # The lease of 1.07 s ends before the run is started elsewhere.
+            self.assertLess(self._passed_s(site), 2.68 if loses else 2.18)
+
+
+class BlockedTaskTest(unittest.IsolatedAsyncioTestCase):
+
+    def _leased(self, site, number):
+        leased = leased_endpoint.LeasedEndpoint(
+            site.endpoints[number], lease=leases.Lease(duration_s=1.0)
+        )
+        leased.silent_since = site.clock.monotonic()
+        return leased
+
+    async def test_only_a_higher_token_of_its_endpoint_frees_a_task(self):
+        """Guards against taking a report for one that bars the start."""
+        site = _jobs.Site()
+        now = site.clock.monotonic()
+        first, second = self._leased(site, 0), self._leased(site, 1)
+        active = active_job.ActiveJob(site.job(), now=now, moved=False)
+        run = active.new_run(0, 1)
+        run.token, run.held_up_until = 7, now + 12
+        starts = held_up_starts.HeldUpStarts()
+        starts.add(first, run)
+        starts.remove_fenced(first, 7)
+        starts.remove_fenced(second, 8)
+        self.assertTrue(starts.blocks(run.task))
+        starts.remove_fenced(first, 8)
+        self.assertFalse(starts.blocks(run.task))
+
+    async def test_job_waits_for_an_endpoint_that_answers_again(self):
+        """Guards against answering a job early whose task is free soon."""
+        site = _jobs.Site()
+        now = site.clock.monotonic()
+        leased = self._leased(site, 0)
+        active = active_job.ActiveJob(site.job(), now=now, moved=False)
+        run = active.new_run(0, 1)
+        run.held_up_until = now + 12
+        starts = held_up_starts.HeldUpStarts()
+        starts.add(leased, run)
+        self.assertTrue(starts.outlast(active))
+        leased.silent_since = None
+        self.assertFalse(starts.outlast(active))
