Let a job go on when an origin of a former attempt is lost

What callers saw: a job without an answer until its time was over, although its endpoint was lost and others were free.

Cause: a job waits after the end of a lease until all of its origins were heard. One that is lost for good stayed in the list.

Change: origins that live must have been heard. A job without one starts nothing.

Evidence: test_task_of_a_live_origin_does_not_wait_for_a_lost_one ends with "outcome unknown" without the change and completes with it.

--- a/sesameroad/jobs/active_job.py
+++ b/sesameroad/jobs/active_job.py
@@ -53,8 +53,8 @@
         closing: Whether the outcome is decided and remaining runs are being
             stopped.
         done: Number of tasks that have succeeded.
-        resumes_after: Time after which all origins must have been heard before
-            waiting tasks are started.
+        resumes_after: Time after which all live origins must have been heard
+            before waiting tasks are started.
         waiting: Indices of tasks that wait for capacity.
         runs: Runs that have not ended, by task index.
         sends: Number of starts sent so far.
@@ -119,10 +119,13 @@
         return any(origin.live for origin, _ in self._waiters.values())
 
     def may_resume(self, now: float) -> bool:
-        """Returns whether all origins were heard after runs were given up."""
-        return all(
-            now - origin.silent_s >= self.resumes_after
-            for origin, _ in self._waiters.values()
+        """Returns whether an origin lives and runs that were given up are gone.
+
+        All origins that live must have been heard since then.
+        """
+        live = [o for o, _ in self._waiters.values() if o.live]
+        return bool(live) and all(
+            now - origin.silent_s >= self.resumes_after for origin in live
         )
 
     def record_move(self, now: float) -> None:
--- a/tests/test_moved_jobs.py
+++ b/tests/test_moved_jobs.py
@@ -8,6 +8,7 @@
 import contextlib
 import itertools
 
+from sesameroad.model import outcomes
 from tests import _jobs
 from tests import _virtual
 
@@ -130,3 +131,26 @@
             return_s=(0.4, 0.5, 0.6, 0.7),
             phase_s=(0.0, 0.1, 0.2),
         )
+
+    async def test_task_of_a_live_origin_does_not_wait_for_a_lost_one(self):
+        """Guards against a job that is never resumed.
+
+        An origin of a former attempt was lost; that of the present one lives.
+        """
+        site = _jobs.Site(count=1)
+        job = _job(site, "a", run_s=1.0)
+        async with site.leader() as leader:
+            former = asyncio.create_task(leader.submit(job, site.origin))
+            await asyncio.sleep(0.2)
+            site.origin.lose()
+            await asyncio.sleep(0.3)
+            present = asyncio.create_task(
+                leader.submit(job, _jobs.Origin("present"))
+            )
+            await asyncio.sleep(0.1)
+            site.add("e1", 16.0)
+            leader.update(site.endpoints)
+            site.fleet.endpoints["e0"].fault.silent = True
+            outcome = await present
+            await former
+        self.assertEqual(outcome, outcomes.Complete(()))
