Queue a task again whose start was not sent

What callers saw: a job that is answered only at its deadline, with one task that no endpoint runs.

Cause: a start that waits for a connection is dropped if the origin of its job counts as lost by then. Its task was not put back. If the origin offers the job again before the leader has ended it, the job goes on without the task.

Change: the task is put back, as after a refusal.

Evidence: test_start_that_is_not_sent_leaves_its_task_waiting ends at the deadline without the change and completes with it.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -237,7 +237,7 @@
                     active.first_sent_at - active.arrived_at
                 )
             return True
-        self._remove_run(run, "not sent")
+        self._retry(run, "not sent")
         return False
 
     def runs_end_by(self, leased: leased_endpoint.LeasedEndpoint) -> float:
--- a/tests/test_moved_jobs.py
+++ b/tests/test_moved_jobs.py
@@ -154,3 +154,32 @@
             outcome = await present
             await former
         self.assertEqual(outcome, outcomes.Complete(()))
+
+    async def test_start_that_is_not_sent_leaves_its_task_waiting(self):
+        """Guards against a task that is lost between two offers of its job.
+
+        Its start waits for a connection when its origin counts as lost, and the
+        next offer comes before the leader has ended the job.
+        """
+        site = _jobs.Site(count=1)
+        endpoint = site.fleet.endpoints["e0"]
+        job = _job(site, "a", run_s=0.5, cores=2.0)
+        async with site.leader() as leader:
+            endpoint.fault.late_s = 50.0
+            held_up = asyncio.create_task(
+                leader.submit(
+                    _job(site, "b", cores=2.0, count=2), _jobs.Origin("other")
+                )
+            )
+            await asyncio.sleep(0.01)
+            # Counts as lost 0.02 s before a connection is free.
+            site.origin.lose(silent_s=0.75 - 0.27)
+            former = asyncio.create_task(leader.submit(job, site.origin))
+            await asyncio.sleep(0.02)
+            endpoint.fault.late_s = 0.0
+            await asyncio.sleep(0.28)
+            present = asyncio.create_task(
+                leader.submit(job, _jobs.Origin(), moved=True)
+            )
+            self.assertEqual(await present, outcomes.Complete(()))
+            await asyncio.gather(former, held_up)
