Let no start renew a lease before the lists have been read

What callers saw: nothing yet; two runs of a task need a second fault.

Cause: polls did not extend the lease of an endpoint with unread lists, but a start that had been queued before did, and so kept alive what another leader had started there.

Change: the rule is in Scheduler.runs_end_by, which both ask.

Evidence: test_start_does_not_renew_before_the_lists_are_read has the lease of a run of another leader extended by 97 ms without the change.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -243,12 +243,13 @@
     def runs_end_by(self, leased: leased_endpoint.LeasedEndpoint) -> float:
         """Returns the earliest time by which a run there must have ended.
 
-        A run that no job claims belongs to an origin that another leader may
-        hear. That leader takes it as ended when the lease expires which it has
-        granted itself, so the lease is not extended here.
+        A run that no job claims, or that is not known yet, belongs to an origin
+        that another leader may hear. That leader takes it as ended when the
+        lease expires which it has granted itself, so the lease is not extended
+        here.
         """
         now = self._clock.monotonic()
-        if leased.orphans:
+        if leased.orphans or not leased.reconciled:
             return now
         earliest = math.inf
         for run in leased.runs.values():
--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -175,11 +175,9 @@
         reports_required = leased.reports_required
         lease_until_ms = None
         # The lease of an unresponsive endpoint is not renewed, so its runs are
-        # certain to have ended one lease later and can start elsewhere. Nor is
-        # it while runs of another leader may be there that are not known.
+        # certain to have ended one lease later and can start elsewhere.
         if (
             leased.runs
-            and leased.reconciled
             and leased.lease.clock_known
             and leased.silent_since is None
         ):
--- a/tests/test_inherited_leases.py
+++ b/tests/test_inherited_leases.py
@@ -22,8 +22,10 @@
 _LOST_STOPS = (0, 2, 5)
 
 
-def _job(site, key):
-    return site.job(key * 16, count=1, cores=8.0, run_s=4.0, deadline_s=9)
+def _job(site, key, *, run_s=4.0, cores=8.0, count=1):
+    return site.job(
+        key * 16, count=count, cores=cores, run_s=run_s, deadline_s=9
+    )
 
 
 async def _play_cut(*, claim_s, phase_s, lost_stops=0, moves_s=None):
@@ -212,3 +214,39 @@
             self.assertEqual(
                 site.history.starts, [lost.task(0), kept.task(0)], phase_s
             )
+
+    async def test_start_does_not_renew_before_the_lists_are_read(self):
+        """Guards against a queued start that renews runs of another leader."""
+        site = _jobs.Site(count=1)
+        endpoint = site.fleet.endpoints["e0"]
+        async with site.leader(token=1) as leader:
+            submitted = [
+                asyncio.create_task(
+                    leader.submit(_job(site, "a", cores=2.0), site.origin)
+                )
+            ]
+            await asyncio.sleep(0.3)
+            endpoint.fault.late_s = 50.0
+            submitted.append(
+                asyncio.create_task(
+                    leader.submit(
+                        _job(site, "c", cores=2.0, count=3), site.origin
+                    )
+                )
+            )
+            await asyncio.sleep(0.285)
+            until_ms = endpoint.lease_until_ms
+            other = _job(site, "b", cores=2.0)
+            endpoint.start(
+                task=other.task(0),
+                run=1,
+                spec=other.spec,
+                token=2,
+                until_ms=until_ms,
+            )
+            leader.raise_token(3)
+            endpoint.fault.late_s = 0.0
+            await asyncio.sleep(0.1)
+            self.assertIn(other.task(0), endpoint.running)
+            self.assertEqual(endpoint.lease_until_ms - until_ms, 0)
+            await asyncio.gather(*submitted)
