Resign for a refused poll only if its token is still the highest

A poll that was on its way while the leader raised the token of its orders to the endpoint could be overtaken by a start or a repeated stop with the raised token. The endpoint refused the poll as fenced, and the leader took that for the token of another leader and resigned. Starts compared the fences, stops the tokens, and polls nothing.

All three orders now use one rule: a refusal shows another leader only if the token of the refused order is the one that this leader sends now, which is never below any token that it has sent to the endpoint. An outdated poll is repeated at once with the raised token.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -374,8 +374,8 @@
     def on_fenced(
         self, leased: leased_endpoint.LeasedEndpoint, token: int
     ) -> None:
-        """Reports an endpoint that has seen a higher token than the order's."""
-        if self._stopped or token != self._token:
+        """Reports an endpoint that has seen a higher token of another leader."""
+        if self._stopped:
             return
         log.problem(
             "an endpoint has seen a higher token",
--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -105,7 +105,12 @@
     def on_fenced(
         self, leased: leased_endpoint.LeasedEndpoint, token: int
     ) -> None:
-        """Called when the endpoint has seen a higher token than the order's."""
+        """Called when the endpoint has seen a higher token of another leader.
+
+        Args:
+            leased: The endpoint.
+            token: Fencing token of the refused order.
+        """
 
     def on_replaced(
         self, leased: leased_endpoint.LeasedEndpoint, url: str
@@ -145,6 +150,25 @@
             for _ in range(_START_CONNECTIONS):
                 group.create_task(self._send_starts())
 
+    @property
+    def _token(self) -> int:
+        """Fencing token of an order that is sent now.
+
+        No order to the endpoint was sent with a higher one: neither part ever
+        decreases, and an endpoint that is held again starts above its former
+        number of fences.
+        """
+        return self._events.token + self._leased.fences
+
+    def _is_outdated(self, token: int) -> bool:
+        """Returns whether this leader has raised the token since an order.
+
+        The endpoint may then have refused the order because another one of
+        this leader has overtaken it. If another leader has sent a higher token,
+        the next poll is refused as well.
+        """
+        return token < self._token
+
     async def _poll_when_due(self) -> None:
         leased = self._leased
         while True:
@@ -170,8 +194,7 @@
         wait_ms = self._wait_ms()
         asked_at = self._clock.monotonic()
         seen = leased.seen if self._may_acknowledge(asked_at) else 0
-        leader_token = self._events.token
-        token = leader_token + leased.fences
+        token = self._token
         reports_required = leased.reports_required
         lease_until_ms = None
         # The lease of an unresponsive endpoint is not renewed, so its runs are
@@ -202,11 +225,12 @@
                         answer, asked_at, token=token, seen=seen
                     )
             case orders.Refused(refusal=orders.Refusal.FENCED):
-                self._events.on_fenced(leased, leader_token)
-                # Another leader holds the endpoint; its lease is not renewed
-                # here.
-                self._record_silence(now)
-                await asyncio.sleep(_RETRY_S)
+                # An outdated poll is repeated at once. Otherwise another leader
+                # holds the endpoint; its lease is not renewed here.
+                if not self._is_outdated(token):
+                    self._events.on_fenced(leased, token)
+                    self._record_silence(now)
+                    await asyncio.sleep(_RETRY_S)
             case orders.Refused() | orders.NoAnswer():
                 self._check_replaced(answer, endpoint.url)
                 await self._wait_after_silence(now)
@@ -309,9 +333,8 @@
         if not self._events.may_start(run):
             return
         sent_at = self._clock.monotonic()
-        leader_token = self._events.token
         fences = leased.fences
-        run.token = leader_token + fences
+        run.token = self._token
         run.sent_at = sent_at
         endpoint = leased.endpoint
         run.url = endpoint.url
@@ -332,7 +355,8 @@
                 self._events.on_accepted(leased, run)
             case orders.Refused(refusal=orders.Refusal.FENCED):
                 self._events.on_refused(leased, run, answer.refusal)
-                self._report_fenced(leader_token, fences=fences)
+                if not self._is_outdated(run.token):
+                    self._events.on_fenced(leased, run.token)
             case orders.Refused():
                 self._update_clock(answer.clock_ms, sent_at, fences=fences)
                 self._events.on_refused(leased, run, answer.refusal)
@@ -359,17 +383,11 @@
         else:
             leased.lease.update_clock(clock_ms, self._clock.monotonic())
 
-    def _report_fenced(self, leader_token: int, *, fences: int) -> None:
-        """Reports a higher token, unless this leader has raised it meanwhile."""
-        if fences == self._leased.fences:
-            self._events.on_fenced(self._leased, leader_token)
-
     async def _stop(self, stop: runs.StopOrder) -> None:
         """Sends a stop; repeats it until answered or the run is removed."""
         leased = self._leased
-        leader_token = self._events.token
         fences = leased.fences
-        token = leader_token + fences
+        token = self._token
         sent_at = self._clock.monotonic()
         endpoint = leased.endpoint
         answer = await self._orders.stop(
@@ -386,11 +404,10 @@
                     stop.run.confirmed_at = now
                 leased.wake()
             case orders.Refused(refusal=orders.Refusal.FENCED):
-                if token < self._events.token + leased.fences:
-                    # This leader has raised the token meanwhile.
+                if self._is_outdated(token):
                     leased.stops.put_nowait(stop)
                 else:
-                    self._events.on_fenced(leased, leader_token)
+                    self._events.on_fenced(leased, token)
             case orders.Refused() | orders.NoAnswer():
                 self._check_replaced(answer, endpoint.url)
                 # An unknown run of an earlier leader ends with its lease.
