Play cuts around the leader between processes

The order of events behind leases that two leaders rely on is shown in virtual time only: a leader is cut off from instances of the other data centre and up to 0.6 s later from the endpoints there.

standins.network_paths puts a forwarder on each path from an instance to another one or to an endpoint: each reader of the store sees the addresses of its own forwarders.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,6 +1,7 @@
 """A small deployment on loopback ports, with stand-ins and real instances."""
 
 import asyncio
+from collections.abc import Sequence
 import pathlib
 import random
 import signal
@@ -17,6 +18,7 @@
 from sesameroad.model import endpoints
 from sesameroad.model import needs
 from standins import fleet
+from standins import network_paths
 from standins import simulated_endpoint
 from standins import simulated_endpoint_server
 from standins import store
@@ -33,9 +35,17 @@
     """A `sesameroad serve` process."""
 
     def __init__(
-        self, name: str, store_port: int, directory: pathlib.Path
+        self,
+        name: str,
+        *,
+        data_centre: str,
+        data_centres: Sequence[str],
+        store_port: int,
+        directory: pathlib.Path,
     ) -> None:
         self.name = name
+        self.data_centre = data_centre
+        self.peer = f"127.0.0.1:{fleet.free_port()}"
         self.web = f"127.0.0.1:{fleet.free_port()}"
         self.ready = f"127.0.0.1:{fleet.free_port()}"
         self.metrics = f"127.0.0.1:{fleet.free_port()}"
@@ -45,11 +55,11 @@
             msgspec.json.encode(
                 {
                     "instance_id": name,
-                    "data_centre": "dc1",
-                    "data_centres": {"dc1": "region"},
+                    "data_centre": data_centre,
+                    "data_centres": dict.fromkeys(data_centres, "region"),
                     "web": self.web,
                     "ready": self.ready,
-                    "peer": f"127.0.0.1:{fleet.free_port()}",
+                    "peer": self.peer,
                     "metrics": self.metrics,
                     "platform": f"127.0.0.1:{store_port}",
                     "max_lease_ms": 1_000,
@@ -103,11 +113,29 @@
         late_orders: Choice of the orders that endpoints carry out late.
         endpoints: The endpoints.
         instances: The instances.
+        paths: Paths from each instance to all others and to all endpoints, if
+            these can be cut.
     """
 
     def __init__(
-        self, *, instance_count: int, endpoint_count: int, seed: int = 0
+        self,
+        *,
+        instance_count: int,
+        endpoint_count: int,
+        seed: int = 0,
+        data_centres: Sequence[str] = ("dc1",),
+        can_cut: bool = False,
     ) -> None:
+        """Creates a deployment that is not started yet.
+
+        Args:
+            instance_count: Number of instances.
+            endpoint_count: Number of endpoints.
+            seed: Seed of the choice of late orders.
+            data_centres: Data centres, to which instances and endpoints belong
+                in turn.
+            can_cut: Whether paths lead through forwarders.
+        """
         self.store = store.Store()
         self.history = simulated_endpoint.RunHistory()
         self.endpoints: list[simulated_endpoint.SimulatedEndpoint] = []
@@ -117,21 +145,36 @@
         )
         self._servers: dict[str, simulated_endpoint_server.EndpointServer] = {}
         self._row_writes: dict[str, asyncio.Task[None]] = {}
+        self.paths = network_paths.Paths() if can_cut else None
+        self._data_centres = data_centres
         self._counts = (instance_count, endpoint_count)
         self._runners: list[web.AppRunner] = []
         self._directory = tempfile.TemporaryDirectory()
 
     async def __aenter__(self) -> "Deployment":
         """Starts all parts and waits until all instances are ready."""
-        store_port = await self._serve(self.store.application())
         instance_count, endpoint_count = self._counts
         for number in range(endpoint_count):
-            await self.add_endpoint(f"e{number}")
+            await self.add_endpoint(f"e{number}", self._data_centre_of(number))
         await self.configure(version=1)
         directory = pathlib.Path(self._directory.name)
         for number in range(instance_count):
-            instance = Instance(f"front-{number}", store_port, directory)
-            self.instances.append(instance)
+            name = f"front-{number}"
+            application = self.store.application()
+            if self.paths is not None:
+                self.paths.replace_addresses(application, reader=name)
+            self.instances.append(
+                Instance(
+                    name,
+                    data_centre=self._data_centre_of(number),
+                    data_centres=self._data_centres,
+                    store_port=await self._serve(application),
+                    directory=directory,
+                )
+            )
+        if self.paths is not None:
+            await self._open_paths(self.paths)
+        for instance in self.instances:
             instance.start()
         for instance in self.instances:
             await self.wait_ready(instance)
@@ -143,6 +186,8 @@
             instance.signal(signal.SIGKILL)
         for instance in self.instances:
             instance.wait()
+        if self.paths is not None:
+            await self.paths.close()
         for write in self._row_writes.values():
             write.cancel()
         for server in self._servers.values():
@@ -184,12 +229,12 @@
                         pass
                     await asyncio.sleep(0.05)
 
-    async def add_endpoint(self, name: str) -> None:
+    async def add_endpoint(self, name: str, data_centre: str = "dc1") -> None:
         """Starts an endpoint and lists it."""
         endpoint = endpoints.Endpoint(
             id=name,
             url="",
-            data_centre="dc1",
+            data_centre=data_centre,
             kinds=("service",),
             offer=needs.Need(16.0, 32_768, 0),
             born_ms=1_000,
@@ -245,11 +290,26 @@
 
     async def _write_row(self, name: str) -> None:
         server = self._servers[name]
-        born_ms = server.simulated.endpoint.born_ms
         await self.store.put(
-            "servers", name, _endpoint_row(server.port, born_ms=born_ms)
+            "servers",
+            name,
+            _endpoint_row(server.port, server.simulated.endpoint),
         )
 
+    async def _open_paths(self, paths: network_paths.Paths) -> None:
+        """Opens the paths from each instance to all others and to endpoints."""
+        for instance in self.instances:
+            for other in self.instances:
+                if other is not instance:
+                    await paths.open(instance.name, other.name, other.peer)
+            for name, server in self._servers.items():
+                await paths.open(
+                    instance.name, name, f"127.0.0.1:{server.port}"
+                )
+
+    def _data_centre_of(self, number: int) -> str:
+        return self._data_centres[number % len(self._data_centres)]
+
     async def _serve(self, application: web.Application) -> int:
         runner = web.AppRunner(application, access_log=None)
         await runner.setup()
@@ -259,14 +319,14 @@
         return port
 
 
-def _endpoint_row(port: int, *, born_ms: int) -> dict[str, Any]:
+def _endpoint_row(port: int, endpoint: endpoints.Endpoint) -> dict[str, Any]:
     return {
         "service": "service",
         "address": f"127.0.0.1:{port}",
-        "zone": "dc1",
+        "zone": endpoint.data_centre,
         "state": "ready",
         "slots": 8,
-        "born": born_ms,
+        "born": endpoint.born_ms,
         "capacity": {"cpu": 16_000, "mem-mb": 32_768, "gpu": 0},
         "labels": ["a", "r1"],
     }
