Stop unclaimed runs as soon as their time is over

What callers saw: jobs that took longer after their leader was killed, as runs that the next leader had taken over lapsed and were started again.

Cause: the lease of an endpoint is not renewed while a run there belongs to no job. The stop of such a run waited for a check each 0.1 s, longer than what was left of the lease. It belongs to a caller of the killed leader.

Change: each report that lists such a run checks the time.

Evidence: test_claimed_runs_survive_a_killed_leader, with orders of 1 and 10 ms and claims 0.25 to 0.35 s after the kill, fails without the change and passes with it. With orders of 30 ms some runs still lapse and are started again.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -382,6 +382,7 @@
         if self._takeover.record_running(leased, listed) or first:
             for active in self._table:
                 self._takeover.adopt(active, self._pool)
+        if leased.orphans:
             self._takeover.stop_unclaimed((leased,))
         if first or report.ended:
             self._wake.set()
