List the test of heartbeats that are read late

The time at which a heartbeat is read counts as the time at which it was sent, so that a job may resume at its former leader after it has moved.

--- a/tests/test_moved_jobs.py
+++ b/tests/test_moved_jobs.py
@@ -99,6 +99,43 @@
     return site.history.overlapping
 
 
+async def _play_held_up(*, claim_s, phase_s, moves_s, delay_s):
+    """Plays an origin that moves while its heartbeats are held up.
+
+    Args:
+        claim_s: Time from the cut until the path of the endpoint is known lost.
+        phase_s: Time of the cut within a period of the polls.
+        moves_s: Time from the cut until the origin offers its job elsewhere.
+        delay_s: Time for which its heartbeats are held up on their way.
+
+    Returns:
+        Tasks that ran twice at the same time.
+    """
+    site = _jobs.Site(count=1)
+    path = _jobs.CutOrders(site.fleet)
+    origin = _jobs.HeartbeatOrigin("origin", delay_s=delay_s)
+    job = _job(site, "a")
+    async with contextlib.AsyncExitStack() as stack:
+        first = await stack.enter_async_context(
+            site.leader(token=1, orders_=path)
+        )
+        submitted = [asyncio.create_task(first.submit(job, origin))]
+        await asyncio.sleep(0.3 + phase_s)
+        cut_off = list(site.endpoints)
+        site.add("e1", 16.0)
+        first.update(site.endpoints)
+        path.cut.add("e0")
+        await asyncio.sleep(claim_s)
+        site.endpoints = cut_off
+        asyncio.get_running_loop().call_later(moves_s - claim_s, origin.lose)
+        await asyncio.sleep(moves_s - claim_s - 0.15)
+        second = await stack.enter_async_context(site.leader(token=2))
+        await asyncio.sleep(0.1)
+        await second.submit(job, _jobs.Origin("origin"), moved=True)
+        await asyncio.gather(*submitted)
+    return site.history.overlapping
+
+
 class MovedJobTest(_virtual.VirtualTimeTest):
 
     async def _assert_none(self, play, **choices):
@@ -132,6 +169,19 @@
             phase_s=(0.0, 0.1, 0.2),
         )
 
+    async def test_held_up_heartbeat_does_not_resume_a_job(self):
+        """Guards against a heartbeat from before the move that is read late.
+
+        The time of its arrival counts as the time at which it was sent.
+        """
+        await self._assert_none(
+            _play_held_up,
+            claim_s=(0.2,),
+            phase_s=(0.0, 0.1, 0.2),
+            moves_s=(0.7, 0.8, 0.9, 1.0),
+            delay_s=(0.05, 0.2, 0.4, 0.6),
+        )
+
     async def test_task_of_a_live_origin_does_not_wait_for_a_lost_one(self):
         """Guards against a job that is never resumed.
 
