--- a/sesameroad/jobs/held_up_starts.py
+++ b/sesameroad/jobs/held_up_starts.py
@@ -1,10 +1,27 @@
 """Starts without an answer that outlast the lease of their endpoint."""
 
+import dataclasses
+
 from sesameroad.jobs import active_job
 from sesameroad.leasing import leased_endpoint
 from sesameroad.leasing import runs
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _HeldUpStart:
+    """A start that may still be carried out.
+
+    Attributes:
+        leased: Endpoint to which it was sent.
+        token: Fencing token of the start.
+        until: Time at which its run has ended, if there was any.
+    """
+
+    leased: leased_endpoint.LeasedEndpoint
+    token: int
+    until: float
+
+
 class HeldUpStarts:
     """Tasks that start nowhere else while a former start may be carried out.
 
@@ -16,9 +33,8 @@
     __slots__ = ("_starts",)
 
     def __init__(self) -> None:
-        self._starts: dict[
-            str, tuple[leased_endpoint.LeasedEndpoint, runs.Run, float]
-        ] = {}
+        # By task.
+        self._starts: dict[str, _HeldUpStart] = {}
 
     def add(
         self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run
@@ -28,21 +44,24 @@
         The last moment at which the start may be carried out begins a lease.
         """
         until = run.held_up_until + leased.lease.longest_s
-        self._starts[run.task] = (leased, run, until)
+        self._starts[run.task] = _HeldUpStart(leased, run.token, until)
 
     def remove_fenced(
         self, leased: leased_endpoint.LeasedEndpoint, token: int
     ) -> None:
         """Removes the starts that an endpoint refuses since it saw a token."""
-        for holder, run, _ in list(self._starts.values()):
-            if holder.endpoint.id == leased.endpoint.id and run.token < token:
-                del self._starts[run.task]
+        for task, start in list(self._starts.items()):
+            if (
+                start.leased.endpoint.id == leased.endpoint.id
+                and start.token < token
+            ):
+                del self._starts[task]
 
     def remove_expired(self, now: float) -> None:
         """Removes the starts whose runs have ended, if there were any."""
-        for _, run, until in list(self._starts.values()):
-            if now >= until:
-                del self._starts[run.task]
+        for task, start in list(self._starts.items()):
+            if now >= start.until:
+                del self._starts[task]
 
     def blocks(self, task: str) -> bool:
         """Returns whether a start of a task may still be carried out."""
@@ -66,7 +85,7 @@
         starts = (self._starts.get(job.task(i)) for i in active.waiting)
         return any(
             start is not None
-            and start[0].silent_since is not None
-            and start[2] > latest_start
+            and start.leased.silent_since is not None
+            and start.until > latest_start
             for start in starts
         )
