Answer every caller within a graceful stop

Cause: a stop waited for the jobs of its callers and then closed the HTTP server, which waits up to 60 s for its handlers. The process was killed first, so that a job that waited at another leader got no answer. A job cancelled by DELETE got none either.

Change: node.caller_jobs owns each job that is owed an answer. At the end of the graceful stop it has the leaders end what is left, and answers the rest by what may have started. A cancelled job is answered as cancelled, and its later attempts at the instance are not run. A body that does not match its Content-Encoding is answered 400 instead of 500.

--- a/sesameroad/jobs/coordinator.py
+++ b/sesameroad/jobs/coordinator.py
@@ -74,6 +74,8 @@
         lent: Whether they are there only because their own data centre is full.
         moved: Whether an earlier leader may have started them.
         lost_at: Time at which a leader was lost, 0 if none was.
+        route: Route to the leader that has it, None while there is none.
+        offered: Whether it was sent to any leader.
     """
 
     job: jobs.Job
@@ -81,6 +83,8 @@
     lent: bool
     moved: bool = False
     lost_at: float = 0.0
+    route: Route | None = None
+    offered: bool = False
 
 
 class JobCoordinator:
@@ -91,7 +95,7 @@
     start a task that is still running.
     """
 
-    __slots__ = ("_clock", "_data_centre", "_leaders")
+    __slots__ = ("_clock", "_data_centre", "_leaders", "_parts")
 
     def __init__(
         self, *, data_centre: str, leaders: Leaders, clock: clocks.Clock
@@ -106,6 +110,25 @@
         self._data_centre = data_centre
         self._leaders = leaders
         self._clock = clock
+        # Parts of the running jobs, by key.
+        self._parts: dict[str, list[_Part]] = {}
+
+    def withdraw(self, key: str) -> None:
+        """Asks the leaders to end a job; `run` then returns its outcome."""
+        for part in self._parts.get(key, ()):
+            if part.route is not None:
+                part.route.cancel(part.job.name)
+
+    def stopped(self, key: str) -> outcomes.Outcome:
+        """Returns the outcome of a job that ends here before its leaders answer.
+
+        Args:
+            key: Key of a running job.
+        """
+        detail = "this instance stops"
+        if any(part.offered for part in self._parts.get(key, ())):
+            return outcomes.Unknown(outcomes.Cause.STOPPING, detail)
+        return outcomes.NotRun(outcomes.Cause.STOPPING, detail, _RETRY_AFTER_S)
 
     async def run(self, job: jobs.Job) -> outcomes.Outcome:
         """Returns the outcome of a job; cancelling the call cancels the job."""
@@ -116,6 +139,13 @@
                 "no steward was found",
                 _RETRY_AFTER_S,
             )
+        self._parts[job.key] = parts
+        try:
+            return await self._run_parts(parts)
+        finally:
+            del self._parts[job.key]
+
+    async def _run_parts(self, parts: list[_Part]) -> outcomes.Outcome:
         if len(parts) == 1:
             return await self._run_part(parts[0])
         tasks = [asyncio.create_task(self._run_part(part)) for part in parts]
@@ -230,6 +260,8 @@
     ) -> outcomes.Outcome | None:
         """Returns the outcome, or None if another leader must be tried."""
         moved = part.moved
+        part.route = route
+        part.offered = True
         try:
             outcome = await route.submit(
                 part.job, moved=moved, lent=part.lent and not moved
@@ -243,6 +275,8 @@
             part.moved = True
             part.lost_at = self._clock.monotonic()
             return None
+        finally:
+            part.route = None
         match outcome:
             case outcomes.NotRun(cause=outcomes.Cause.NO_ROOM) if not moved:
                 # Other jobs have taken the capacity in the meantime; the part
--- a/sesameroad/jobs/ending.py
+++ b/sesameroad/jobs/ending.py
@@ -17,6 +17,13 @@
     )
 
 
+def cancelled() -> outcomes.Failed:
+    """Returns the outcome of a job that its caller has cancelled."""
+    return outcomes.Failed(
+        outcomes.Cause.CANCELLED, "cancelled by its caller", may_have_run=True
+    )
+
+
 def not_leader() -> outcomes.NotRun:
     """Returns the refusal of an instance that is not the leader."""
     return outcomes.NotRun(outcomes.Cause.NOT_STEWARD, "no leader here")
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
 import math
 from typing import Self
 
@@ -12,6 +11,7 @@
 from sesameroad import errors
 from sesameroad.entry import supervisor
 from sesameroad.jobs import acceptance
+from sesameroad.jobs import cancellations
 from sesameroad.jobs import catalogue as catalogue_module
 from sesameroad.jobs import coordinator
 from sesameroad.model import clocks
@@ -20,6 +20,7 @@
 from sesameroad.model import needs
 from sesameroad.model import outcomes
 from sesameroad.node import announcer
+from sesameroad.node import caller_jobs
 from sesameroad.node import configuration_watcher
 from sesameroad.node import endpoint_list
 from sesameroad.node import endpoint_watcher
@@ -52,6 +53,9 @@
 _FORWARD_DELAY_S = 1.0
 _METRICS_PATH = "/metrics"
 _STOP_POLL_S = 0.05
+# Time to write the last answers to callers that read slowly. The default of 60 s
+# exceeds the time after which the platform kills the process.
+_HTTP_SHUTDOWN_S = 0.3
 # Retry delay for a caller that a stopping instance refuses. The next connection
 # of the caller goes to another instance.
 _STOP_RETRY_AFTER_S = 1.0
@@ -59,14 +63,6 @@
 _HANDOVER_S = 0.8
 
 
-@dataclasses.dataclass(slots=True)
-class _RunningJob:
-    """A job and the number of calls that wait for it."""
-
-    task: asyncio.Task[outcomes.Outcome]
-    callers: int = 0
-
-
 class Node:
     """One instance, from its settings to its graceful shutdown."""
 
@@ -88,7 +84,6 @@
         self._supervisor = supervisor.Supervisor()
         self._runners: list[web.ServerRunner] = []
         self._offer_tasks: set[asyncio.Task[None]] = set()
-        self._running_jobs: dict[str, _RunningJob] = {}
         self._metrics = job_metrics.JobMetrics(self._figures)
         self._client = platform_client.PlatformClient.open(
             f"http://{settings.platform}",
@@ -152,6 +147,11 @@
             leaders=self._leaders,
             clock=clock,
         )
+        self._caller_jobs = caller_jobs.CallerJobs(
+            coordinator=self._coordinator,
+            ended=self._log_answer,
+            clock=clock,
+        )
         self._job_api = job_api.JobApi(self, clock=clock)
 
     @classmethod
@@ -201,7 +201,7 @@
     async def stop(self) -> None:
         """Stops gracefully, after the requests in flight have been answered."""
         log.event(
-            "instance stops", step="stop", in_flight=len(self._running_jobs)
+            "instance stops", step="stop", in_flight=len(self._caller_jobs)
         )
         timing = self._settings.timing
         stop_began_at = self._stop_began_at = self._clock.monotonic()
@@ -211,15 +211,16 @@
         self._mesh.send_heartbeats()
         # The load balancer sends callers here until two checks have failed.
         await asyncio.sleep(timing.stop_notice_s)
-        while self._running_jobs:
+        while len(self._caller_jobs):
             if self._clock.monotonic() - stop_began_at > timing.graceful_stop_s:
                 log.problem(
                     "jobs are still in flight at the end of the graceful stop",
                     step="stop",
-                    in_flight=len(self._running_jobs),
+                    in_flight=len(self._caller_jobs),
                 )
                 break
             await asyncio.sleep(_STOP_POLL_S)
+        await self._caller_jobs.withdraw_all()
         await self._resign(stop_began_at)
         await self._close()
 
@@ -251,7 +252,9 @@
             self._log_refusal(request, queue, refusal)
             return refusal
         capacity = self._capacity(queue.service, request.steps[0].need)
-        return await self._run(acceptance.job(request, queue, room=capacity))
+        return await self._caller_jobs.run(
+            acceptance.job(request, queue, room=capacity)
+        )
 
     def _stop_refusal(self) -> outcomes.NotRun | None:
         """Refuses jobs late in a graceful stop, which the stop could abort."""
@@ -262,40 +265,6 @@
             outcomes.Cause.STOPPING, "this instance stops", _STOP_RETRY_AFTER_S
         )
 
-    async def _run(self, job: jobs.Job) -> outcomes.Outcome:
-        """Runs a job for a caller; it ends once all its callers have left.
-
-        A caller may repeat its request while the job is running, and the loss
-        of its former connection may be noticed only after that.
-        """
-        running = self._running_jobs.get(job.key)
-        while running is not None and running.task.cancelling():
-            await asyncio.wait([running.task])
-            running = self._running_jobs.get(job.key)
-        if running is None:
-            running = self._begin(job)
-        running.callers += 1
-        try:
-            return await asyncio.shield(running.task)
-        finally:
-            running.callers -= 1
-            if not running.callers and not running.task.done():
-                running.task.cancel()
-                await asyncio.wait([running.task])
-
-    def _begin(self, job: jobs.Job) -> _RunningJob:
-        started_at = self._clock.monotonic()
-        running = _RunningJob(asyncio.create_task(self._coordinator.run(job)))
-        self._running_jobs[job.key] = running
-
-        def end(task: asyncio.Task[outcomes.Outcome]) -> None:
-            del self._running_jobs[job.key]
-            ended = not task.cancelled() and task.exception() is None
-            self._log_answer(job, task.result() if ended else None, started_at)
-
-        running.task.add_done_callback(end)
-        return running
-
     def _capacity(self, service: str, need: needs.Need) -> int:
         """Returns how many tasks of a need fit on all endpoints together."""
         if need.cores <= 0:
@@ -308,15 +277,13 @@
 
     def is_running(self, key: str) -> bool:
         """Returns whether a job of a caller of this instance is running."""
-        return key in self._running_jobs
+        return self._caller_jobs.is_running(key)
 
-    def cancel(self, key: str) -> bool:
-        """Cancels a job; returns whether this instance knows it."""
-        running = self._running_jobs.get(key)
-        if running is None:
-            return False
-        running.task.cancel()
-        return True
+    async def cancel(self, key: str) -> cancellations.Result:
+        """Cancels a job of a caller of this instance, and its later attempts."""
+        if self._caller_jobs.cancel(key):
+            return cancellations.Result.CANCELLED
+        return cancellations.Result.NO_SUCH_JOB
 
     def pending(self, queue: str) -> int:
         """Returns the number of jobs that have not started a task."""
@@ -570,7 +537,7 @@
             handler_cancellation=True,
             keepalive_timeout=self.catalogue.limits.idle_timeout_s,
         )
-        runner = web.ServerRunner(server)
+        runner = web.ServerRunner(server, shutdown_timeout=_HTTP_SHUTDOWN_S)
         await runner.setup()
         self._runners.append(runner)
         await web.TCPSite(runner, *node.host_port(address)).start()
@@ -594,7 +561,7 @@
             stewardships=self._leaders.leadership_count,
             free_cores=self._leaders.free_cores,
             waiting_jobs=self._leaders.waiting_jobs,
-            jobs_in_flight=len(self._running_jobs),
+            jobs_in_flight=len(self._caller_jobs),
             endpoint_list_age_s=self._endpoint_list.age_s,
             log_lines_dropped=log.dropped(),
             loop_delay_s=self._loop_lag.delay_s,
--- a/sesameroad/platform/job_api.py
+++ b/sesameroad/platform/job_api.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sesameroad import errors
+from sesameroad.jobs import cancellations
 from sesameroad.jobs import catalogue as catalogue_module
 from sesameroad.model import clocks
 from sesameroad.model import job_requests
@@ -76,8 +77,8 @@
     def is_running(self, key: str) -> bool:
         """Returns whether a job of a caller of this instance is running."""
 
-    def cancel(self, key: str) -> bool:
-        """Cancels a job; returns whether this instance knows it."""
+    async def cancel(self, key: str) -> cancellations.Result:
+        """Cancels a job that any instance has taken, and its later attempts."""
 
     def pending(self, queue: str) -> int:
         """Returns the number of jobs that have not started a task."""
@@ -132,8 +133,7 @@
                     return _json_response(200, {"state": "running"})
                 return _json_response(410, {"error": "no such job"})
             case "DELETE":
-                known = self._service.cancel(key)
-                return _json_response(200 if known else 410, {})
+                return _cancel_response(await self._service.cancel(key))
             case _:
                 return _json_response(405, {"error": "method not allowed"})
 
@@ -151,9 +151,13 @@
             return _json_response(
                 400, {"error": f"{_TIMEOUT_HEADER} is not a number"}
             )
+        try:
+            content = await request.read()
+        except web.RequestPayloadError as error:
+            return _json_response(400, {"error": f"unreadable body: {error}"})
         try:
             job_request = _decode(
-                await request.read(),
+                content,
                 key=key,
                 arrived_at=arrived_at,
                 timeout_s=timeout_s,
@@ -215,6 +219,8 @@
     match outcome:
         case outcomes.Complete():
             return _json_response(200, {"state": "completed"})
+        case outcomes.Failed(cause=outcomes.Cause.CANCELLED):
+            return _json_response(200, {"state": "cancelled"})
         case outcomes.Failed():
             return _json_response(200, {"state": "failed"})
         case outcomes.NotRun(cause=outcomes.Cause.INVALID):
@@ -230,6 +236,18 @@
             return _json_response(502, {"error": outcome.detail})
 
 
+def _cancel_response(result: cancellations.Result) -> web.Response:
+    match result:
+        case cancellations.Result.CANCELLED:
+            return _json_response(200, {})
+        case cancellations.Result.NO_SUCH_JOB:
+            return _json_response(410, {"error": "no such job"})
+        case cancellations.Result.UNCERTAIN:
+            return _error_response(
+                503, "a leader has not answered", retry_after_s=1.0
+            )
+
+
 def _error_response(
     status: int, detail: str, retry_after_s: float | None = None
 ) -> web.Response:
--- /dev/null
+++ b/tests/test_caller_processes.py
@@ -0,0 +1,90 @@
+"""Answers to callers around stops and cancels, with instances as processes."""
+
+import asyncio
+import json
+import signal
+
+import aiohttp
+
+from standins import deployment
+from tests import _processes
+
+# One task at a time on each of the two endpoints.
+_CORES = 10.0
+# Time within which a cancel is answered, and then within which all runs have
+# ended.
+_CANCEL_S = 3.0
+
+
+class CallerProcessesTest(_processes.ProcessTest):
+
+    async def delete(self, job, *, instance):
+        """Sends a cancel; returns its status."""
+        url = (
+            f"http://{self.deployment.instances[instance].web}"
+            f"{deployment.PATH_PREFIX}{job.key}"
+        )
+        async with self.session.delete(
+            url,
+            headers={"Host": deployment.HOST},
+            timeout=aiohttp.ClientTimeout(total=4.0),
+        ) as answer:
+            return answer.status
+
+    async def begin(self, *, instance, count=30):
+        """Sends a job that takes seconds; returns it and the task."""
+        job = _processes.Job(f"{len(self.jobs):016x}", count)
+        self.jobs.append(job)
+        call = asyncio.create_task(
+            self.post(
+                job, instance=instance, run_s=0.5, cores=_CORES, timeout_s=20.0
+            )
+        )
+        await asyncio.sleep(0.8)
+        return job, call
+
+    async def assert_ended(self, job, call):
+        """Asserts that a cancelled job was answered and runs no more."""
+        self.assertEqual(await asyncio.wait_for(call, _CANCEL_S), 200)
+        self.assertEqual(job.state, "cancelled")
+        await asyncio.sleep(0.3)
+        started = len(self.history.starts)
+        await asyncio.sleep(1.0)
+        self.assertEqual(len(self.history.starts), started)
+        self.assertEqual(self.history.running, {})
+
+    async def test_graceful_stop_answers_a_job_that_waits_elsewhere(self):
+        """Guards against a connection that is cut off without an answer."""
+        await self.open(endpoint_count=2)
+        leader = self._leader()
+        ahead, ahead_call = await self.begin(instance=leader)
+        waiting, call = await self.begin(instance=1 - leader)
+        self.deployment.instances[1 - leader].signal(signal.SIGTERM)
+        status = await asyncio.wait_for(call, 7.0)
+        started = set(waiting.tasks) & set(self.history.starts)
+        self.assertEqual((status, started), (503, set()))
+        self.assertEqual(await self.delete(ahead, instance=leader), 200)
+        await ahead_call
+
+    async def test_body_with_a_wrong_encoding_is_a_client_error(self):
+        """Guards against 500 for a body that does not match its header."""
+        await self.open(instance_count=1, endpoint_count=1)
+        url = (
+            f"http://{self.deployment.instances[0].web}"
+            f"{deployment.PATH_PREFIX}{'a' * 16}"
+        )
+        headers = {"Host": deployment.HOST, "Content-Encoding": "gzip"}
+        async with self.session.post(
+            url, data=b"{}", headers=headers
+        ) as answer:
+            self.assertEqual(answer.status, 400)
+            self.assertIn("gzip", (await answer.json())["error"])
+
+    def _leader(self):
+        """Returns the number of the instance that claimed last."""
+        claims = []
+        for number, instance in enumerate(self.deployment.instances):
+            for text in instance.log.read_text().splitlines():
+                if "stewardship claimed" in text and text.startswith("{"):
+                    claims.append((json.loads(text)["time"], number))
+        return max(claims)[1]
