Cancel a job at whichever instance its caller asks

Cause: DELETE looked only at the jobs of the instance's own callers, so that one that reached another instance was answered 410 and the job ran on. Nothing kept the cancel, so that a later attempt of the caller ran in full.

Leaders that are seen later get the recent cancels.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -8,6 +8,7 @@
 from sesameroad.jobs import active_job
 from sesameroad.jobs import admission
 from sesameroad.jobs import backlog
+from sesameroad.jobs import cancellations
 from sesameroad.jobs import ending
 from sesameroad.jobs import held_up_starts
 from sesameroad.jobs import job_table
@@ -65,6 +66,7 @@
         )
         self._table = job_table.JobTable()
         self._takeover = takeover.Takeover(table=self._table, clock=clock)
+        self._cancellations = cancellations.Cancellations()
         self._backlog = backlog.Backlog()
         self._admission = admission.Admission(
             backlog=self._backlog, pool=self._pool
@@ -168,6 +170,8 @@
         if self._stopped:
             return ending.not_leader()
         now = self._clock.monotonic()
+        if self._cancellations.contains(job.key, now):
+            return ending.cancelled()
         active = self._table.find(job.name)
         if active is not None and active.job.indices != job.indices:
             # An earlier attempt of the caller was partitioned differently.
@@ -217,6 +221,21 @@
                 ending.abandoned(active, outcomes.Cause.CANCELLED, "cancelled"),
             )
 
+    def cancel_key(self, key: str) -> bool:
+        """Cancels a job, with all parts of it here, and its later attempts.
+
+        Args:
+            key: Name of the job that its caller has chosen.
+
+        Returns:
+            Whether any part of it was here.
+        """
+        self._cancellations.add(key, self._clock.monotonic())
+        parts = [active for active in self._table if active.job.key == key]
+        for active in parts:
+            self._finish(active, ending.cancelled())
+        return bool(parts)
+
     # Events of the endpoint sessions.
 
     def may_start(self, run: runs.Run) -> bool:
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -331,6 +331,24 @@
         if self._scheduler is not None:
             self._scheduler.cancel(name, origin_id)
 
+    @property
+    def leader_links(self) -> dict[str, links.Link | None]:
+        """Link to each leader by its incarnation, None for this instance."""
+        return {
+            leader.link.hello.incarnation if leader.link else "": leader.link
+            for leader in self._leaders().values()
+        }
+
+    def cancel_key(self, key: str) -> bool | None:
+        """Cancels a job and its later attempts at the leader in this process.
+
+        Returns:
+            Whether it had the job, None if this instance leads nothing.
+        """
+        if self._scheduler is None:
+            return None
+        return self._scheduler.cancel_key(key)
+
     def update_endpoints(self) -> None:
         """Applies the current list of endpoints."""
         if self._scheduler is None:
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -21,6 +21,7 @@
 from sesameroad.model import outcomes
 from sesameroad.node import announcer
 from sesameroad.node import caller_jobs
+from sesameroad.node import canceller
 from sesameroad.node import configuration_watcher
 from sesameroad.node import endpoint_list
 from sesameroad.node import endpoint_watcher
@@ -152,6 +153,9 @@
             ended=self._log_answer,
             clock=clock,
         )
+        self._canceller = canceller.Canceller(
+            leaders=self._leaders, clock=clock
+        )
         self._job_api = job_api.JobApi(self, clock=clock)
 
     @classmethod
@@ -280,10 +284,10 @@
         return self._caller_jobs.is_running(key)
 
     async def cancel(self, key: str) -> cancellations.Result:
-        """Cancels a job of a caller of this instance, and its later attempts."""
-        if self._caller_jobs.cancel(key):
-            return cancellations.Result.CANCELLED
-        return cancellations.Result.NO_SUCH_JOB
+        """Cancels a job that any instance has taken, and its later attempts."""
+        known = self._caller_jobs.cancel(key)
+        result = await self._canceller.cancel(key)
+        return cancellations.Result.CANCELLED if known else result
 
     def pending(self, queue: str) -> int:
         """Returns the number of jobs that have not started a task."""
@@ -386,6 +390,8 @@
                 asyncio.get_running_loop().call_soon(
                     self._leaders.cancel, name, link.hello.instance_id
                 )
+            case messages.StatusQuery(cancel=True):
+                self._answer_cancel(link, message)
             case messages.EndpointUpdate(listing=content):
                 self._endpoint_watcher.adopt(
                     content, source=link.hello.instance_id
@@ -423,6 +429,20 @@
                 error=str(error),
             )
 
+    def _answer_cancel(
+        self, link: links.Link, query: messages.StatusQuery
+    ) -> None:
+        try:
+            link.send(self._canceller.answer(query))
+        except errors.PeerNotSentError as error:
+            log.problem(
+                "answer to a cancel was not sent",
+                step="cancel",
+                peer=error.peer,
+                request=query.key,
+                error=str(error),
+            )
+
     def _configuration_changed(self) -> None:
         """Tells all peers the new version, also those on idle links."""
         self._forward_due = True
@@ -497,6 +517,7 @@
     async def _elect_leaders(self) -> None:
         while True:
             self._leaders.evaluate()
+            self._canceller.inform_new_leaders()
             self._update_idle_links()
             self._report_free_cores()
             self._forward_new_configuration()
--- a/tests/test_caller_processes.py
+++ b/tests/test_caller_processes.py
@@ -53,6 +53,23 @@
         self.assertEqual(len(self.history.starts), started)
         self.assertEqual(self.history.running, {})
 
+    async def test_cancel_reaches_a_job_of_any_instance(self):
+        """Guards against a job that runs on although it was cancelled."""
+        await self.open(endpoint_count=2)
+        for origin, cancelled_at in ((0, 1), (1, 0), (0, 0), (1, 1)):
+            with self.subTest(origin=origin, cancelled_at=cancelled_at):
+                job, call = await self.begin(instance=origin)
+                self.assertEqual(
+                    await self.delete(job, instance=cancelled_at), 200
+                )
+                await self.assert_ended(job, call)
+                again = await self.post(
+                    job, instance=origin, run_s=0.1, cores=1.0, timeout_s=3.0
+                )
+                self.assertEqual((again, job.state), (200, "cancelled"))
+        unknown = _processes.Job("f" * 16, 1)
+        self.assertEqual(await self.delete(unknown, instance=1), 410)
+
     async def test_graceful_stop_answers_a_job_that_waits_elsewhere(self):
         """Guards against a connection that is cut off without an answer."""
         await self.open(endpoint_count=2)
