Start nothing on the endpoints of an evacuated data centre

Cause: nothing read the rows `evacuate/ZONE` of the table `op`. Starts that were queued before an endpoint drained, left the list or was described anew were sent however late, as `Scheduler.may_start` did not look at the endpoint.

Change: `membership.evacuations` keeps the evacuated data centres with the version of the store that they are of, from the full read and the feed of the table, or from heartbeats of peers, which carry both. The higher version replaces the lower. `may_start` places a task anew whose endpoint is evacuated, leaving or described by another start than when the task was placed. Free cores, admission, claims and the capacity of a service leave out evacuated endpoints. Jobs that only they can run are refused at the origin and at the leader with cause no-endpoint. Origins leave out leaders that lead evacuated data centres only. A new leader without a state waits for one for at most 0.5 s.

--- a/sesameroad/jobs/admission.py
+++ b/sesameroad/jobs/admission.py
@@ -5,6 +5,7 @@
 
 from sesameroad.jobs import active_job
 from sesameroad.jobs import backlog as backlog_module
+from sesameroad.jobs import eligibility as eligibility_module
 from sesameroad.leasing import endpoint_pool
 from sesameroad.model import outcomes
 
@@ -39,15 +40,17 @@
         loop_delay_s: Mean delay of the event loop of this process.
     """
 
-    __slots__ = ("_backlog", "_pool", "loop_delay_s")
+    __slots__ = ("_backlog", "_eligibility", "_pool", "loop_delay_s")
 
     def __init__(
         self,
         *,
         backlog: backlog_module.Backlog,
         pool: endpoint_pool.EndpointPool,
+        eligibility: eligibility_module.Eligibility,
     ) -> None:
         self._backlog = backlog
+        self._eligibility = eligibility
         self._pool = pool
         self.loop_delay_s = 0.0
 
@@ -99,6 +102,9 @@
             return outcomes.NotRun(
                 outcomes.Cause.NO_ENDPOINT, "no endpoint is known", _MIN_RETRY_S
             )
+        refusal = self._eligibility.refusal(job)
+        if refusal is not None:
+            return refusal
         wait_s = self._wait_s(ahead, cores)
         ends_at = now + wait_s + job.estimate_s
         if self.is_short_of_processor and ends_at > job.objective_at:
@@ -130,5 +136,5 @@
         return sum(
             leased.endpoint.offer.cores / max(1.0, leased.slowness)
             for leased in self._pool
-            if leased.silent_since is None and not leased.endpoint.leaving
+            if leased.silent_since is None and not leased.closed
         )
--- a/sesameroad/jobs/coordinator.py
+++ b/sesameroad/jobs/coordinator.py
@@ -7,6 +7,7 @@
 
 from sesameroad import errors
 from sesameroad.jobs import partitioning
+from sesameroad.membership import evacuations as evacuations_module
 from sesameroad.model import clocks
 from sesameroad.model import jobs
 from sesameroad.model import outcomes
@@ -74,6 +75,7 @@
         lent: Whether they are there only because their own data centre is full.
         moved: Whether an earlier leader may have started them.
         lost_at: Time at which a leader was lost, 0 if none was.
+        refused_in: Evacuated data centres whose leaders have refused it.
     """
 
     job: jobs.Job
@@ -81,6 +83,7 @@
     lent: bool
     moved: bool = False
     lost_at: float = 0.0
+    refused_in: set[str] = dataclasses.field(default_factory=set)
 
 
 class JobCoordinator:
@@ -91,10 +94,15 @@
     start a task that is still running.
     """
 
-    __slots__ = ("_clock", "_data_centre", "_leaders")
+    __slots__ = ("_clock", "_data_centre", "_evacuations", "_leaders")
 
     def __init__(
-        self, *, data_centre: str, leaders: Leaders, clock: clocks.Clock
+        self,
+        *,
+        data_centre: str,
+        leaders: Leaders,
+        clock: clocks.Clock,
+        evacuations: evacuations_module.Evacuations | None = None,
     ) -> None:
         """Creates a coordinator.
 
@@ -102,7 +110,10 @@
             data_centre: Data centre of this instance.
             leaders: The leaders that are reachable.
             clock: Time source.
+            evacuations: The evacuated data centres; None if there are never
+                any.
         """
+        self._evacuations = evacuations
         self._data_centre = data_centre
         self._leaders = leaders
         self._clock = clock
@@ -217,13 +228,28 @@
 
     def _reassign(self, part: _Part) -> None:
         """Moves a part that has not started to a reachable leader."""
-        if self._leaders.route(self._data_centre) is not None:
+        if self._leaders.route(
+            self._data_centre
+        ) is not None and not self._is_evacuated(self._data_centre):
             part.data_centre = self._data_centre
-            return
-        offers = list(self._leaders.offers())
-        if offers:
-            best = min(offers, key=partitioning.preference)
-            part.data_centre = best.data_centre
+        else:
+            part.data_centre = self._best(part) or part.data_centre
+
+    def _best(self, part: _Part) -> str:
+        """Returns the best data centre that has not refused a part, or ""."""
+        offers = [
+            offer
+            for offer in self._leaders.offers()
+            if offer.data_centre not in part.refused_in
+        ]
+        if not offers:
+            return ""
+        return min(offers, key=partitioning.preference).data_centre
+
+    def _is_evacuated(self, data_centre: str) -> bool:
+        return self._evacuations is not None and self._evacuations.covers(
+            data_centre
+        )
 
     async def _submit(
         self, route: Route, part: _Part
@@ -249,6 +275,19 @@
                 # waits in its own data centre instead.
                 self._leaders.mark_full(part.data_centre)
                 part.data_centre = self._data_centre
+                if self._is_evacuated(self._data_centre):
+                    part.data_centre = self._best(part) or self._data_centre
+                part.lent = False
+                return await self._resubmit(part)
+            case outcomes.NotRun(
+                cause=outcomes.Cause.NO_ENDPOINT
+            ) if not moved and self._is_evacuated(part.data_centre):
+                # The data centre was evacuated after the part was sent there.
+                part.refused_in.add(part.data_centre)
+                elsewhere = self._best(part)
+                if not elsewhere:
+                    return outcome
+                part.data_centre = elsewhere
                 part.lent = False
                 return await self._resubmit(part)
             case outcomes.NotRun(cause=outcomes.Cause.NOT_STEWARD):
--- a/sesameroad/jobs/placer.py
+++ b/sesameroad/jobs/placer.py
@@ -95,6 +95,7 @@
         leased: leased_endpoint.LeasedEndpoint,
     ) -> None:
         run = active.new_run(index, active.next_run_number(index))
+        run.born_ms = leased.endpoint.born_ms
         self._table.add_run(active, leased, run)
         leased.starts.put_nowait(runs.StartOrder(run))
 
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -8,6 +8,7 @@
 from sesameroad.jobs import active_job
 from sesameroad.jobs import admission
 from sesameroad.jobs import backlog
+from sesameroad.jobs import eligibility
 from sesameroad.jobs import ending
 from sesameroad.jobs import held_up_starts
 from sesameroad.jobs import job_table
@@ -17,6 +18,7 @@
 from sesameroad.leasing import leased_endpoint
 from sesameroad.leasing import orders
 from sesameroad.leasing import runs
+from sesameroad.membership import evacuations as evacuations_module
 from sesameroad.model import clocks
 from sesameroad.model import endpoints
 from sesameroad.model import jobs
@@ -30,6 +32,9 @@
 # Pause after a placement pass, as a multiple of its duration, so that placement
 # leaves most of the processor time to the orders.
 _PASS_PAUSE_RATIO = 4.0
+# Longest wait of a new leader for the evacuated data centres. Without the store
+# and without a peer that knows them, it assumes that there are none.
+_EVACUATIONS_WAIT_S = 0.5
 
 
 class Scheduler:
@@ -44,6 +49,7 @@
         clock: clocks.Clock,
         on_fenced: Callable[[str], None],
         metrics: job_metrics.JobMetrics,
+        evacuations: evacuations_module.Evacuations | None = None,
     ) -> None:
         """Creates a scheduler without endpoints.
 
@@ -55,19 +61,25 @@
             on_fenced: Called with the data centre of an endpoint that has seen a
                 higher token.
             metrics: Counts starts and ends of runs.
+            evacuations: The evacuated data centres; None if there are never
+                any.
         """
         self._token = token
         self._clock = clock
         self._on_fenced = on_fenced
         self._metrics = metrics
+        self._evacuations = evacuations
         self._pool = endpoint_pool.EndpointPool(
             orders_=orders_, lease_s=lease_s, events=self, clock=clock
         )
         self._table = job_table.JobTable()
         self._takeover = takeover.Takeover(table=self._table, clock=clock)
         self._backlog = backlog.Backlog()
+        self._eligibility = eligibility.Eligibility(self._pool)
         self._admission = admission.Admission(
-            backlog=self._backlog, pool=self._pool
+            backlog=self._backlog,
+            pool=self._pool,
+            eligibility=self._eligibility,
         )
         self._held_up_starts = held_up_starts.HeldUpStarts()
         self._placer = placer.Placer(
@@ -78,6 +90,7 @@
         )
         self._wake = asyncio.Event()
         self._stopped = False
+        self.apply_evacuations()
 
     @property
     def token(self) -> int:
@@ -120,6 +133,8 @@
             self._check_periodically(), name="sweep jobs"
         )
         try:
+            if self._evacuations is not None:
+                await self._evacuations.wait_known(_EVACUATIONS_WAIT_S)
             while True:
                 await self._wake.wait()
                 self._wake.clear()
@@ -147,6 +162,17 @@
     def update(self, listed: Iterable[endpoints.Endpoint]) -> None:
         """Adds newly listed endpoints and releases those no longer listed."""
         self._pool.update(listed)
+        self._eligibility.clear()
+        self._wake.set()
+
+    def apply_evacuations(self) -> None:
+        """Applies a change of the evacuated data centres."""
+        if self._evacuations is None:
+            return
+        self._pool.evacuate(self._evacuations.data_centres)
+        self._eligibility.clear()
+        for active in self._table:
+            self._end_if_evacuated(active)
         self._wake.set()
 
     async def submit(
@@ -228,6 +254,7 @@
             and not active.closing
             and active.has_live_origin
             and run.state is runs.State.STARTING
+            and self._may_get(self._table.endpoint_of(run), run)
             and self._may_share_lease(active, self._table.endpoint_of(run))
         ):
             active.started = True
@@ -241,6 +268,16 @@
         self._retry(run, "not sent")
         return False
 
+    def _may_get(
+        self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run
+    ) -> bool:
+        """Returns whether an endpoint is still to get a run placed there.
+
+        The list may show by now that it drains or has started again, or no
+        longer show it, or its data centre may be evacuated.
+        """
+        return not leased.closed and run.born_ms == leased.endpoint.born_ms
+
     def _may_share_lease(
         self,
         active: active_job.ActiveJob,
@@ -656,6 +693,29 @@
                     active, outcomes.Cause.OVERLOAD, "no room while of use"
                 ),
             )
+        else:
+            self._end_if_evacuated(active)
+
+    def _end_if_evacuated(self, active: active_job.ActiveJob) -> None:
+        """Ends a job whose waiting tasks only evacuated data centres can run.
+
+        Tasks that an earlier leader may have started are no longer waiting once
+        all endpoints have been read.
+        """
+        now = self._clock.monotonic()
+        if not active.waiting or (
+            active.moved
+            and not (
+                now >= active.moved_runs_end_by
+                and self._pool.is_reconciled(now)
+            )
+        ):
+            return
+        refusal = self._eligibility.refusal(active.job)
+        if refusal is not None:
+            self._finish(
+                active, ending.abandoned(active, refusal.cause, refusal.detail)
+            )
 
     def _stop_hanging(
         self, leased: leased_endpoint.LeasedEndpoint, now: float
--- a/sesameroad/leasing/endpoint_pool.py
+++ b/sesameroad/leasing/endpoint_pool.py
@@ -26,6 +26,7 @@
 
     __slots__ = (
         "_clock",
+        "_evacuated",
         "_events",
         "_leased",
         "_sessions",
@@ -58,6 +59,7 @@
         self._leased: dict[str, leased_endpoint.LeasedEndpoint] = {}
         self._sessions: dict[str, asyncio.Task[None]] = {}
         self._unlisted: set[str] = set()
+        self._evacuated: frozenset[str] = frozenset()
         # One more than the highest number of fences of a released endpoint. One
         # that is listed again refuses lower tokens, and also orders from before.
         self._released_fences = 0
@@ -68,6 +70,11 @@
     def __iter__(self) -> Iterator[leased_endpoint.LeasedEndpoint]:
         return iter(tuple(self._leased.values()))
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The data centres whose endpoints get no more starts."""
+        return self._evacuated
+
     @property
     def free_cores(self) -> float:
         """Processor cores that no run uses."""
@@ -131,6 +138,12 @@
                     reported_born_ms=leased.born_ms,
                 )
 
+    def evacuate(self, data_centres: frozenset[str]) -> None:
+        """Replaces the data centres whose endpoints get no more starts."""
+        self._evacuated = data_centres
+        for leased in self:
+            leased.evacuated = leased.endpoint.data_centre in data_centres
+
     def release_unlisted(self) -> None:
         """Releases endpoints that are no longer listed and have no runs."""
         now = self._clock.monotonic()
@@ -153,6 +166,7 @@
         leased = leased_endpoint.LeasedEndpoint(
             endpoint, lease=leases.Lease(duration_s=self._lease_s)
         )
+        leased.evacuated = endpoint.data_centre in self._evacuated
         leased.fences = self._released_fences
         leased.invalidate(self._clock.monotonic())
         self._leased[endpoint.id] = leased
--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -37,6 +37,7 @@
 
     Attributes:
         endpoint: The endpoint as it describes itself; set by `describe`.
+        evacuated: Whether its data centre is evacuated.
         free_cores: Processor cores that no run uses.
         slowness: Moving average of actual over declared run time.
         lease: Its lease.
@@ -80,6 +81,7 @@
         "acknowledged",
         "born_ms",
         "endpoint",
+        "evacuated",
         "fences",
         "free_cores",
         "held_up_until",
@@ -101,6 +103,7 @@
         self, endpoint: endpoints.Endpoint, *, lease: leases.Lease
     ) -> None:
         self.endpoint = endpoint
+        self.evacuated = False
         self.lease = lease
         self.born_ms = 0
         self.fences = 0
@@ -140,6 +143,11 @@
         """Whether any run that has not ended was sent to the endpoint."""
         return any(run.sent_at for run in self._runs.values())
 
+    @property
+    def closed(self) -> bool:
+        """Whether it must get no more starts, although its runs continue."""
+        return self.evacuated or self.endpoint.leaving
+
     def describe(self, endpoint: endpoints.Endpoint) -> None:
         """Replaces the description of the endpoint.
 
@@ -208,7 +216,7 @@
             self.reconciled
             and not self.orphans
             and self.silent_since is None
-            and not self.endpoint.leaving
+            and not self.closed
             and now >= self._paused_until
         )
 
--- a/sesameroad/leasing/runs.py
+++ b/sesameroad/leasing/runs.py
@@ -44,6 +44,8 @@
         token: Fencing token of the start.
         held_up_until: Time until which the start may be carried out late, 0 if
             it was accepted or listed.
+        born_ms: Start time of the endpoint in the description by which the run
+            was placed there.
         url: Address to which the start was sent, "" if it is not known.
         end_by: Time by which it must have ended, once its job is finished. It
             limits the lease of its endpoint.
@@ -67,6 +69,7 @@
     sent_at: float = 0.0
     token: int = 0
     held_up_until: float = 0.0
+    born_ms: int = 0
     url: str = ""
     end_by: float = math.inf
     stop_sent: bool = False
--- a/sesameroad/node/configuration_watcher.py
+++ b/sesameroad/node/configuration_watcher.py
@@ -1,13 +1,15 @@
-"""Follows the configuration that the operator writes to the store."""
+"""Follows what operators write to the store: configuration and evacuations."""
 
 import asyncio
 from collections.abc import Callable
 
 from sesameroad import errors
 from sesameroad.jobs import catalogue as catalogue_module
+from sesameroad.membership import evacuations as evacuations_module
 from sesameroad.model import clocks
 from sesameroad.node import dependency
 from sesameroad.platform import configuration
+from sesameroad.platform import evacuation_rows
 from sesameroad.platform import row_store
 from sesameroad.telemetry import log
 
@@ -27,6 +29,7 @@
         "_clock",
         "_store",
         "_document",
+        "_evacuations",
         "_wait_s",
     )
 
@@ -37,6 +40,7 @@
         wait_s: float,
         clock: clocks.Clock,
         changed: Callable[[], None],
+        evacuations: evacuations_module.Evacuations,
     ) -> None:
         """Creates a watcher without a configuration.
 
@@ -45,11 +49,13 @@
             wait_s: Maximum wait of one request for changes, in seconds.
             clock: Time source.
             changed: Called after a configuration was applied.
+            evacuations: Receives the evacuated data centres of each read.
         """
         self._store = store
         self._wait_s = wait_s
         self._clock = clock
         self._changed = changed
+        self._evacuations = evacuations
         self._catalogue = catalogue_module.Catalogue.empty()
         self._document = b""
         self._applied_at = 0.0
@@ -116,6 +122,27 @@
             for row in snapshot.rows:
                 if row.key == configuration.KEY and not row.removed:
                     self.apply(row.value, source="platform")
+            self._apply_evacuations(snapshot)
+
+    def _apply_evacuations(self, snapshot: row_store.Snapshot) -> None:
+        added: set[str] = set()
+        removed: set[str] = set()
+        for row in sorted(snapshot.rows, key=lambda row: row.version):
+            data_centre = evacuation_rows.decode(row)
+            if data_centre is None:
+                continue
+            # The last change of a row counts.
+            present, absent = (
+                (removed, added) if row.removed else (added, removed)
+            )
+            present.add(data_centre)
+            absent.discard(data_centre)
+        self._evacuations.read(
+            snapshot.version,
+            added=added,
+            removed=removed,
+            complete=snapshot.complete,
+        )
 
     async def _read(self, after: int | None) -> row_store.Snapshot:
         if after is None:
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -11,6 +11,7 @@
 from sesameroad.jobs import partitioning
 from sesameroad.jobs import scheduler as scheduler_module
 from sesameroad.leasing import orders
+from sesameroad.membership import evacuations as evacuations_module
 from sesameroad.model import clocks
 from sesameroad.model import jobs
 from sesameroad.model import outcomes
@@ -81,6 +82,7 @@
         clock: clocks.Clock,
         metrics: job_metrics.JobMetrics,
         changed: Callable[[], None],
+        evacuations: evacuations_module.Evacuations | None = None,
     ) -> None:
         self._settings = settings
         self._mesh = mesh
@@ -90,6 +92,7 @@
         self._clock = clock
         self._metrics = metrics
         self._changed = changed
+        self._evacuations = evacuations
         self._scheduler: scheduler_module.Scheduler | None = None
         self._task: asyncio.Task[None] | None = None
         # Data centres that this instance leads.
@@ -226,7 +229,8 @@
         own = self._settings.data_centre
         offers: dict[str, partitioning.Offer] = {}
         for data_centre, leader in sorted(
-            self._leaders().items(), key=lambda item: (item[0] != own, item[0])
+            self._serving_leaders().items(),
+            key=lambda item: (item[0] != own, item[0]),
         ):
             link = leader.link
             leader_id = link.hello.incarnation if link is not None else ""
@@ -247,6 +251,25 @@
             )
         return list(offers.values())
 
+    def _serving_leaders(self) -> dict[str, _Leader]:
+        """Returns the leaders without those of evacuated data centres only.
+
+        If all data centres are evacuated, it returns all; they refuse the jobs.
+        """
+        leaders = self._leaders()
+        if self._evacuations is None or not self._evacuations.data_centres:
+            return leaders
+        serving = {
+            leader.link
+            for data_centre, leader in leaders.items()
+            if not self._evacuations.covers(data_centre)
+        }
+        return {
+            data_centre: leader
+            for data_centre, leader in leaders.items()
+            if leader.link in serving or not serving
+        }
+
     def route(self, data_centre: str) -> coordinator.Route | None:
         """Returns the route to the leader of a data centre, or None."""
         chosen = self._leaders().get(data_centre)
@@ -339,6 +362,11 @@
             [e for e in self._endpoint_list.live if e.data_centre in self._led]
         )
 
+    def apply_evacuations(self) -> None:
+        """Applies a change of the evacuated data centres."""
+        if self._scheduler is not None:
+            self._scheduler.apply_evacuations()
+
     def evaluate(self) -> None:
         """Claims data centres without a leader; resigns to better leaders."""
         if self._claim_policy.leaving:
@@ -428,6 +456,7 @@
             clock=self._clock,
             on_fenced=self._handle_fenced,
             metrics=self._metrics,
+            evacuations=self._evacuations,
         )
         self._task = asyncio.create_task(scheduler.run(), name="leader")
         return scheduler
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -14,6 +14,8 @@
 from sesameroad.jobs import acceptance
 from sesameroad.jobs import catalogue as catalogue_module
 from sesameroad.jobs import coordinator
+from sesameroad.jobs import eligibility
+from sesameroad.membership import evacuations
 from sesameroad.model import clocks
 from sesameroad.model import job_requests
 from sesameroad.model import jobs
@@ -96,6 +98,7 @@
             observe=self._metrics.store_called,
         )
         store = row_store.RowStore(self._client)
+        self._evacuations = evacuations.Evacuations(self._evacuations_changed)
         self._orders = order_client.OrderClient.open(metrics=self._metrics)
         self._configuration_watcher = (
             configuration_watcher.ConfigurationWatcher(
@@ -103,6 +106,7 @@
                 wait_s=timing.configuration_wait_s,
                 clock=clock,
                 changed=self._configuration_changed,
+                evacuations=self._evacuations,
             )
         )
         self._endpoint_list = endpoint_list.EndpointList(clock=clock)
@@ -132,6 +136,7 @@
             clock=clock,
             metrics=self._metrics,
             changed=self._leaders_changed,
+            evacuations=self._evacuations,
         )
         self._endpoint_watcher = endpoint_watcher.EndpointWatcher(
             store=store,
@@ -151,6 +156,7 @@
             data_centre=settings.data_centre,
             leaders=self._leaders,
             clock=clock,
+            evacuations=self._evacuations,
         )
         self._job_api = job_api.JobApi(self, clock=clock)
 
@@ -251,7 +257,25 @@
             self._log_refusal(request, queue, refusal)
             return refusal
         capacity = self._capacity(queue.service, request.steps[0].need)
-        return await self._run(acceptance.job(request, queue, room=capacity))
+        job = acceptance.job(request, queue, room=capacity)
+        refusal = self._evacuation_refusal(job)
+        if refusal is not None:
+            self._log_refusal(request, queue, refusal)
+            return refusal
+        return await self._run(job)
+
+    def _evacuation_refusal(self, job: jobs.Job) -> outcomes.NotRun | None:
+        """Refuses a job that only evacuated data centres can run.
+
+        An attempt of a job that is running here joins it instead.
+        """
+        evacuated = self._evacuations.data_centres
+        if not evacuated or job.key in self._running_jobs:
+            return None
+        data_centres = eligibility.evacuated_only(
+            job, self._endpoint_list.live, evacuated
+        )
+        return eligibility.refusal(data_centres) if data_centres else None
 
     def _stop_refusal(self) -> outcomes.NotRun | None:
         """Refuses jobs late in a graceful stop, which the stop could abort."""
@@ -303,7 +327,9 @@
         return sum(
             int(endpoint.offer.cores / need.cores)
             for endpoint in self._endpoint_list.live
-            if service in endpoint.kinds and not endpoint.leaving
+            if service in endpoint.kinds
+            and not endpoint.leaving
+            and not self._evacuations.covers(endpoint.data_centre)
         )
 
     def is_running(self, key: str) -> bool:
@@ -398,6 +424,8 @@
             leaving=self._leaving,
             claims=self._leaders.visible_claims(),
             slow=self._loop_lag.is_slow(now),
+            evacuations_version=self._evacuations.version,
+            evacuated=tuple(sorted(self._evacuations.data_centres)),
         )
         self._heartbeat_cache = now, heartbeat
         return heartbeat
@@ -405,6 +433,11 @@
     def _receive(self, link: links.Link, message: messages.Message) -> None:
         match message:
             case messages.Heartbeat():
+                self._evacuations.adopt(
+                    message.evacuations_version,
+                    message.evacuated,
+                    source=link.hello.instance_id,
+                )
                 self._forward_configuration(link, message)
                 self._forward_endpoints(link, message)
                 self._leaders.apply_heartbeat(link, message)
@@ -462,6 +495,15 @@
         self._heartbeat_cache = None
         self._mesh.send_heartbeats()
 
+    def _evacuations_changed(self) -> None:
+        """Tells all peers before jobs are refused for the new state.
+
+        Their origins then look for another data centre.
+        """
+        self._heartbeat_cache = None
+        self._mesh.send_heartbeats()
+        self._leaders.apply_evacuations()
+
     def _forward_new_configuration(self) -> None:
         """Sends a new configuration once to the peers that still lack it."""
         if (
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -59,6 +59,8 @@
                         for claim in message.claims
                     ],
                     slow=message.slow,
+                    evacuations_version=message.evacuations_version,
+                    evacuated=message.evacuated,
                 )
             )
         case messages.Demand():
@@ -186,6 +188,8 @@
                     for claim in item.heartbeat.claims
                 ),
                 item.heartbeat.slow,
+                item.heartbeat.evacuations_version,
+                tuple(item.heartbeat.evacuated),
             )
         case "demand":
             return messages.Demand(
--- a/sesameroad/peering/messages.py
+++ b/sesameroad/peering/messages.py
@@ -56,6 +56,9 @@
         leaving: Whether the sender is about to stop.
         claims: Leaders that the sender knows, itself included.
         slow: Whether the sender gets too little processor time to lead.
+        evacuations_version: Version of the store that `evacuated` is of, 0 if
+            the sender does not know any.
+        evacuated: The evacuated data centres.
         own_claims: The claims of the sender itself.
     """
 
@@ -64,6 +67,8 @@
     leaving: bool
     claims: tuple[LeadershipClaim, ...] = ()
     slow: bool = False
+    evacuations_version: int = 0
+    evacuated: tuple[str, ...] = ()
     own_claims: tuple[LeadershipClaim, ...] = dataclasses.field(
         init=False, compare=False
     )
