Withdraw queued starts and bind tasks to endpoints late

Cause: the placer queued the starts of all tasks that fit on an endpoint in one pass, up to 1,700, and two connections sent them over the next seconds.

Change: when the list or the evacuated data centres change, queued starts that an endpoint must not get any more are placed anew at once. At most 16 starts are queued for an endpoint; the placer is woken when 8 are left. Tasks wait for a full queue rather than go to an endpoint that costs 1.5 times as much.

--- a/sesameroad/jobs/placement.py
+++ b/sesameroad/jobs/placement.py
@@ -19,6 +19,9 @@
 # Weight of leftover cores relative to slowness: a tight fit leaves room for
 # large tasks elsewhere, but matters less than a fast endpoint.
 _WASTE_WEIGHT = 0.3
+# A task waits for an endpoint whose queue of starts is full, which takes less than
+# 0.1 s, rather than start on one that costs this many times as much.
+_SPILL_RATIO = 1.5
 # Avoids a division by zero for tasks that declare no cores.
 _MIN_CORES = 0.001
 
@@ -146,7 +149,7 @@
     sending the orders does.
     """
 
-    __slots__ = ("_active", "_candidates", "_costs", "_end_by")
+    __slots__ = ("_active", "_candidates", "_costs", "_end_by", "_full_cost")
 
     def __init__(
         self,
@@ -157,6 +160,8 @@
         self._candidates = candidates
         self._active = active
         self._end_by = candidates.end_by(active)
+        # Lowest cost of an endpoint whose queue of starts is full.
+        self._full_cost = math.inf
         # Heap of costs; the position breaks ties between equal ones.
         self._costs = [
             (cost, position, leased)
@@ -167,8 +172,14 @@
 
     @property
     def best(self) -> leased_endpoint.LeasedEndpoint | None:
-        """The best endpoint that fits the next task, None if there is none."""
-        return self._costs[0][2] if self._costs else None
+        """The best endpoint that fits the next task, None if there is none.
+
+        There is none either while a much better one has a full queue of starts.
+        """
+        if not self._costs:
+            return None
+        cost, _, leased = self._costs[0]
+        return leased if cost <= self._full_cost * _SPILL_RATIO else None
 
     def run_added(self) -> None:
         """Updates the ranking after a task was placed on the best endpoint."""
@@ -181,7 +192,11 @@
             heapq.heappop(self._costs)
 
     def _cost(self, leased: leased_endpoint.LeasedEndpoint) -> float:
-        return self._candidates.cost(self._active, leased, end_by=self._end_by)
+        cost = self._candidates.cost(self._active, leased, end_by=self._end_by)
+        if cost < math.inf and leased.is_start_queue_full:
+            self._full_cost = min(self._full_cost, cost)
+            return math.inf
+        return cost
 
 
 def _median(ratios: list[float]) -> float:
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -163,6 +163,7 @@
         """Adds newly listed endpoints and releases those no longer listed."""
         self._pool.update(listed)
         self._eligibility.clear()
+        self._withdraw_starts()
         self._wake.set()
 
     def apply_evacuations(self) -> None:
@@ -171,10 +172,17 @@
             return
         self._pool.evacuate(self._evacuations.data_centres)
         self._eligibility.clear()
+        self._withdraw_starts()
         for active in self._table:
             self._end_if_evacuated(active)
         self._wake.set()
 
+    def _withdraw_starts(self) -> None:
+        """Places tasks anew whose queued starts their endpoints must not get."""
+        for leased in self._pool:
+            for run in reversed(leased.withdraw_starts()):
+                self._retry(run, "withdrawn")
+
     async def submit(
         self,
         job: jobs.Job,
@@ -254,9 +262,11 @@
             and not active.closing
             and active.has_live_origin
             and run.state is runs.State.STARTING
-            and self._may_get(self._table.endpoint_of(run), run)
-            and self._may_share_lease(active, self._table.endpoint_of(run))
+            and (leased := self._table.endpoint_of(run)).takes(run)
+            and self._may_share_lease(active, leased)
         ):
+            if leased.is_start_queue_short and len(self._backlog):
+                self._wake.set()
             active.started = True
             active.sends += 1
             if not active.first_sent_at:
@@ -268,16 +278,6 @@
         self._retry(run, "not sent")
         return False
 
-    def _may_get(
-        self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run
-    ) -> bool:
-        """Returns whether an endpoint is still to get a run placed there.
-
-        The list may show by now that it drains or has started again, or no
-        longer show it, or its data centre may be evacuated.
-        """
-        return not leased.closed and run.born_ms == leased.endpoint.born_ms
-
     def _may_share_lease(
         self,
         active: active_job.ActiveJob,
--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -28,6 +28,12 @@
 # fraction of its declared run time. It is stopped and started elsewhere.
 _HANG_S = 0.4
 _HANG_RATIO = 0.5
+# Starts that wait to be sent at once. The two connections to an endpoint send some
+# hundred a second, so these wait for less than 0.1 s. Further tasks stay with the
+# leader, which can then still place them elsewhere.
+_MAX_QUEUED_STARTS = 16
+# Length of the queue at which more tasks are placed, before it is empty.
+_REFILL_STARTS = 8
 # Tolerance for rounding errors in sums of fractional cores.
 _TOLERANCE = 1e-6
 
@@ -148,6 +154,39 @@
         """Whether it must get no more starts, although its runs continue."""
         return self.evacuated or self.endpoint.leaving
 
+    def takes(self, run: runs_module.Run) -> bool:
+        """Returns whether it is still to get a run that was placed here.
+
+        The list may show by now that it drains or has started again, or no
+        longer show it, or its data centre may be evacuated.
+        """
+        return not self.closed and run.born_ms == self.endpoint.born_ms
+
+    @property
+    def is_start_queue_full(self) -> bool:
+        """Whether as many starts wait to be sent as may be placed ahead."""
+        return self.starts.qsize() >= _MAX_QUEUED_STARTS
+
+    @property
+    def is_start_queue_short(self) -> bool:
+        """Whether a full queue has just become short enough for more."""
+        return self.starts.qsize() == _REFILL_STARTS
+
+    def withdraw_starts(self) -> list[runs_module.Run]:
+        """Removes the queued starts that it must not get any more.
+
+        Returns:
+            Their runs, the first one first.
+        """
+        queued = [self.starts.get_nowait() for _ in range(self.starts.qsize())]
+        withdrawn = []
+        for order in queued:
+            if self.takes(order.run):
+                self.starts.put_nowait(order)
+            else:
+                withdrawn.append(order.run)
+        return withdrawn
+
     def describe(self, endpoint: endpoints.Endpoint) -> None:
         """Replaces the description of the endpoint.
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -159,42 +159,93 @@
                 await submitted
             self.assertEqual(len(site.history.starts), expected)
 
-    async def test_queued_start_is_checked_when_its_order_is_sent(self):
-        """Guards against starts that were placed before the list has changed."""
-        for change in (
-            {"leaving": True},
-            {"born_ms": 2_000},
-            None,
-        ):
+    async def test_queued_starts_are_withdrawn(self):
+        """Guards against starts that were placed before a change and sent after.
+
+        1,700 starts were queued for one endpoint, and the last was sent 5 s after
+        it had begun to drain. Nothing counts against the endpoint.
+        """
+        changes = {
+            "drains": {"leaving": True},
+            "has started again": {"born_ms": 2_000},
+            "is not listed": None,
+            "is evacuated": {},
+        }
+        for name, fields in changes.items():
             site = _Site(cores=64.0)
-            async with self.leader(site) as leader:
+            async with self.leader(site) as site.scheduler:
                 submitted = asyncio.create_task(
-                    leader.submit(
+                    site.scheduler.submit(
                         site.job(
-                            count=200, cores=0.1, run_s=0.05, deadline_s=9
+                            count=400, cores=0.1, run_s=0.05, deadline_s=9
                         ),
                         site.origin,
                     )
                 )
-                await asyncio.sleep(0.01)
-                listed = list(site.endpoints)
-                if change is None:
-                    del listed[0]
-                else:
-                    listed[0] = dataclasses.replace(listed[0], **change)
-                began = len(site.history.starts)
-                queued = list(site.fleet.endpoints["e0"].running)
-                leader.update(listed)
                 await asyncio.sleep(0.02)
-                if change != {"born_ms": 2_000}:
-                    now = site.fleet.endpoints["e0"]
-                    self.assertLessEqual(
-                        now.end_count + len(now.running), len(queued) + 2
-                    )
+                endpoint = site.fleet.endpoints["e0"]
+                (leased,) = [
+                    leased
+                    for leased in site.scheduler._pool
+                    if leased.endpoint.id == "e0"
+                ]
+                queued = leased.starts.qsize()
+                sent = endpoint.end_count + len(endpoint.running)
+                if fields:
+                    site.change("e0", **fields)
+                elif fields is None:
+                    del site.endpoints[0]
+                else:
+                    site.evacuate("dc1")
+                site.scheduler.update(site.endpoints)
+                self.assertGreater(queued, 2, name)
+                self.assertEqual(leased.starts.qsize(), 0, name)
+                await asyncio.sleep(0.002)
+                now_sent = endpoint.end_count + len(endpoint.running)
+                # Two orders were on their way.
+                self.assertLessEqual(now_sent, sent + 2, name)
                 outcome = await submitted
-            self.assertGreater(200, began)
-            self.assertEqual(outcome, outcomes.Complete(()), change)
-            self.assertEqual(len(site.history.starts), 200, change)
+                if name == "has started again":
+                    self.assertGreater(site.starts_on("e0"), now_sent)
+                else:
+                    self.assertEqual(site.starts_on("e0"), now_sent, name)
+            self.assertEqual(outcome, outcomes.Complete(()), name)
+            self.assertEqual(len(site.history.starts), 400, name)
+
+    async def test_endpoint_is_given_little_more_than_it_can_start(self):
+        """Guards against binding a wide job to one endpoint before it can start.
+
+        The time to start all tasks must not grow: two connections with answers
+        after 1 ms send 2,000 starts a second.
+        """
+        site = _Site(cores=64.0)
+        site.change("e1", leaving=True)
+        async with self.leader(site) as leader:
+            leased, _ = leader._pool
+            job = site.job(
+                count=600, cores=0.1, run_s=0.01, deadline_s=9, stretch=99
+            )
+            began = site.clock.monotonic()
+            submitted = asyncio.create_task(leader.submit(job, site.origin))
+            longest = 0
+            while not submitted.done():
+                await asyncio.sleep(0.0005)
+                longest = max(longest, leased.starts.qsize())
+            took_s = site.clock.monotonic() - began
+        self.assertEqual(await submitted, outcomes.Complete(()))
+        self.assertEqual(longest, 16)
+        self.assertLess(took_s, 0.4)
+
+    async def test_tasks_wait_for_a_much_better_endpoint(self):
+        """Guards against starts far from the data to save a few milliseconds."""
+        site = _Site(cores=64.0)
+        async with self.leader(site) as leader:
+            job = dataclasses.replace(
+                site.job(count=100, cores=0.1, run_s=0.05, deadline_s=9),
+                preferred_label="a",
+            )
+            await leader.submit(job, site.origin)
+        self.assertEqual(site.starts_on("e0"), 100)
 
 
 class _Route:
