Return load by a ramp and treat cold endpoints as slow

Cause: after a data centre is taken back, its idle endpoints would get all waiting tasks at once, and they may be cold. Nothing read `cold-remaining-ms`.

Change: `leasing.ramp` lets runs use a quarter of an endpoint's cores, or what is in use then, rising to all within 2 s. Admission and claims count that share. An endpoint whose row shows that it is cold counts as 1.5 times as slow for that time, and what its runs teach about its speed is corrected by the same factor. An odd value of the field does not make a row unusable.

--- a/sesameroad/jobs/admission.py
+++ b/sesameroad/jobs/admission.py
@@ -134,7 +134,9 @@
     def _cores(self) -> float:
         """Returns the cores of responsive endpoints, weighted by speed."""
         return sum(
-            leased.endpoint.offer.cores / max(1.0, leased.slowness)
+            leased.endpoint.offer.cores
+            * leased.share
+            / max(1.0, leased.slowness)
             for leased in self._pool
             if leased.silent_since is None and not leased.closed
         )
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -664,6 +664,7 @@
                 self._stop_hanging(leased, now)
             self._takeover.stop_unclaimed(self._pool)
             self._pool.release_unlisted()
+            self._pool.update_recovery()
             self._wake.set()
 
     def _check(self, active: active_job.ActiveJob, now: float) -> None:
--- a/sesameroad/leasing/endpoint_pool.py
+++ b/sesameroad/leasing/endpoint_pool.py
@@ -126,8 +126,10 @@
             if leased is None:
                 self._hold(endpoint)
                 continue
-            listed_before_ms = leased.endpoint.born_ms
+            former = leased.endpoint
+            listed_before_ms = former.born_ms
             leased.describe(endpoint)
+            leased.record_cold(former, self._clock.monotonic())
             if endpoint.born_ms != listed_before_ms:
                 log.event(
                     "the list shows another start of an endpoint",
@@ -141,8 +143,17 @@
     def evacuate(self, data_centres: frozenset[str]) -> None:
         """Replaces the data centres whose endpoints get no more starts."""
         self._evacuated = data_centres
+        now = self._clock.monotonic()
+        for leased in self:
+            leased.set_evacuated(
+                leased.endpoint.data_centre in data_centres, now
+            )
+
+    def update_recovery(self) -> None:
+        """Updates the endpoints that are cold or have been taken back."""
+        now = self._clock.monotonic()
         for leased in self:
-            leased.evacuated = leased.endpoint.data_centre in data_centres
+            leased.update_recovery(now)
 
     def release_unlisted(self) -> None:
         """Releases endpoints that are no longer listed and have no runs."""
@@ -167,6 +178,7 @@
             endpoint, lease=leases.Lease(duration_s=self._lease_s)
         )
         leased.evacuated = endpoint.data_centre in self._evacuated
+        leased.record_cold(None, self._clock.monotonic())
         leased.fences = self._released_fences
         leased.invalidate(self._clock.monotonic())
         self._leased[endpoint.id] = leased
--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -4,6 +4,7 @@
 import math
 
 from sesameroad.leasing import leases
+from sesameroad.leasing import ramp as ramp_module
 from sesameroad.leasing import runs as runs_module
 from sesameroad.model import endpoints
 from sesameroad.model import needs
@@ -28,6 +29,9 @@
 # fraction of its declared run time. It is stopped and started elsewhere.
 _HANG_S = 0.4
 _HANG_RATIO = 0.5
+# Assumed ratio of the run time on a cold endpoint to that on the same one warm.
+# The platform allows runs there 1.5 times their time (`cold-overage`).
+_COLD_SLOWNESS = 1.5
 # Starts that wait to be sent at once. The two connections to an endpoint send some
 # hundred a second, so these wait for less than 0.1 s. Further tasks stay with the
 # leader, which can then still place them elsewhere.
@@ -44,8 +48,11 @@
     Attributes:
         endpoint: The endpoint as it describes itself; set by `describe`.
         evacuated: Whether its data centre is evacuated.
-        free_cores: Processor cores that no run uses.
-        slowness: Moving average of actual over declared run time.
+        free_cores: Processor cores that further runs may use.
+        share: Share of its cores that runs may use, below 1 for a short time
+            after its data centre has been taken back.
+        slowness: Moving average of actual over declared run time, higher while
+            it is cold.
         lease: Its lease.
         born_ms: Start time in its last report, 0 before. It identifies the
             incarnation that holds the known runs.
@@ -73,12 +80,15 @@
     """
 
     __slots__ = (
+        "_cold_until",
         "_cores",
+        "_is_cold",
         "_failed_job",
         "_failures",
         "_memory_mb",
         "_accelerators",
         "_pause_s",
+        "_ramp",
         "_paused_until",
         "_runs",
         "_log_slowness",
@@ -98,6 +108,7 @@
         "polled_at",
         "reports_required",
         "seen",
+        "share",
         "silent_since",
         "slowness",
         "starts",
@@ -132,6 +143,10 @@
         self._accelerators = 0
         self._log_slowness = 0.0
         self.slowness = 1.0
+        self.share = 1.0
+        self._ramp: ramp_module.Ramp | None = None
+        self._is_cold = False
+        self._cold_until = 0.0
         self._failures = 0
         self._failed_job = ""
         self._pause_s = 0.0
@@ -199,6 +214,46 @@
         if endpoint.born_ms not in {before.born_ms, self.born_ms, 0}:
             self.require_report()
 
+    def record_cold(
+        self, former: endpoints.Endpoint | None, now: float
+    ) -> None:
+        """Records how long it will be cold, by its present description.
+
+        Args:
+            former: The description before. A row that has not been written
+                since still shows the remaining time as of then.
+            now: Current monotonic time.
+        """
+        endpoint = self.endpoint
+        if former is None or (
+            (endpoint.cold_remaining_ms, endpoint.born_ms)
+            != (former.cold_remaining_ms, former.born_ms)
+        ):
+            self._cold_until = now + endpoint.cold_remaining_ms / 1_000
+        self.update_recovery(now)
+
+    def set_evacuated(self, evacuated: bool, now: float) -> None:  # noqa: FBT001
+        """Closes it, or opens it again with a ramp."""
+        if self.evacuated and not evacuated:
+            offered = self.endpoint.offer.cores
+            self._ramp = ramp_module.Ramp(
+                now, used_share=self._cores / offered if offered else 0.0
+            )
+        self.evacuated = evacuated
+        self.update_recovery(now)
+
+    def update_recovery(self, now: float) -> None:
+        """Updates what a ramp and the end of a cold period change with time."""
+        if self._ramp is not None:
+            self.share = self._ramp.share(now)
+            if self.share >= 1.0:
+                self._ramp = None
+            self._update_free_cores()
+        is_cold = now < self._cold_until
+        if is_cold != self._is_cold:
+            self._is_cold = is_cold
+            self._refresh_slowness()
+
     def require_report(self) -> None:
         """Starts no run until the lists of the endpoint have been read."""
         self.reconciled = False
@@ -323,7 +378,8 @@
         self._failed_job = ""
         if run.estimate_s <= 0 or run.sent_at <= 0:
             return
-        self._update_slowness((now - run.sent_at) / run.estimate_s)
+        ratio = (now - run.sent_at) / run.estimate_s
+        self._update_slowness(ratio / self._cold_factor(run))
 
     def record_progress(
         self, run: runs_module.Run, percent: int, now: float
@@ -336,7 +392,8 @@
         if percent < _MIN_SLOWNESS_PERCENT or run.estimate_s <= 0:
             return
         ratio = (now - run.sent_at) * 100 / percent / run.estimate_s
-        if ratio > self.slowness:
+        ratio /= self._cold_factor(run)
+        if math.log(ratio) > self._log_slowness:
             self._update_slowness(ratio)
 
     def hanging_runs(self, now: float) -> list[runs_module.Run]:
@@ -358,10 +415,19 @@
     def _update_slowness(self, ratio: float) -> None:
         ratio = math.log(min(max(ratio, _MIN_RATIO), _MAX_RATIO))
         self._log_slowness += (ratio - self._log_slowness) * _SLOWNESS_SMOOTHING
+        self._refresh_slowness()
+
+    def _refresh_slowness(self) -> None:
         self.slowness = math.exp(self._log_slowness)
+        if self._is_cold:
+            self.slowness *= _COLD_SLOWNESS
+
+    def _cold_factor(self, run: runs_module.Run) -> float:
+        """Returns the part of a run's slowness that will not last."""
+        return _COLD_SLOWNESS if run.sent_at < self._cold_until else 1.0
 
     def _update_free_cores(self) -> None:
-        offered = self.endpoint.offer.cores
+        offered = self.endpoint.offer.cores * self.share
         self.free_cores = offered - self._cores + _TOLERANCE
 
     def wake(self) -> None:
--- a/sesameroad/model/endpoints.py
+++ b/sesameroad/model/endpoints.py
@@ -24,6 +24,8 @@
         labels: Properties that work may require, for example the rack.
         born_ms: Wall time of its start, which distinguishes it from the same
             endpoint before a restart.
+        cold_remaining_ms: Time for which it will still be slow, as of the last
+            write of its description.
     """
 
     id: strict_json.Name
@@ -38,6 +40,7 @@
     leaving: bool = False
     labels: tuple[str, ...] = ()
     born_ms: strict_json.Count = 0
+    cold_remaining_ms: strict_json.Count = 0
 
     @property
     def group(self) -> str:
--- a/sesameroad/platform/endpoint_rows.py
+++ b/sesameroad/platform/endpoint_rows.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from typing import Annotated
+from typing import Any
 
 import msgspec
 
@@ -17,6 +18,8 @@
 # Far above any endpoint; each slot costs memory where slots are divided.
 _MAX_SLOTS = 100_000
 _MAX_SHOWN = 40
+# Far above the time for which an endpoint is cold.
+_MAX_COLD_MS = 3_600_000
 
 _Slots = Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
 
@@ -36,6 +39,9 @@
     state: str
     slots: _Slots = 0
     born: strict_json.Count = 0
+    # How long it will still be slow. A hint, so that a row with another type of
+    # value stays usable.
+    cold_remaining_ms: Any = 0
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     labels: list[strict_json.Name] = msgspec.field(default_factory=list)
 
@@ -73,4 +79,14 @@
         leaving=_STATES[entry.state],
         labels=tuple(entry.labels),
         born_ms=entry.born,
+        cold_remaining_ms=_cold_ms(entry.cold_remaining_ms),
     )
+
+
+def _cold_ms(value: Any) -> int:
+    """Returns for how long an endpoint is cold, 0 if the value is no time."""
+    match value:
+        case int() | float() if 0 < value <= _MAX_COLD_MS:
+            return int(value)
+        case _:
+            return 0
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -248,6 +248,65 @@
         self.assertEqual(site.starts_on("e0"), 100)
 
 
+class RecoveryTest(_virtual.VirtualTimeTest):
+
+    async def test_load_returns_by_a_ramp(self):
+        """Guards against all waiting tasks at once on a data centre taken back."""
+        site = _Site(cores=64.0)
+        site.change("e1", leaving=True)
+        site.evacuate("dc1")
+        async with site.leader(evacuations=site.evacuations) as site.scheduler:
+            site.evacuate()
+            free = [site.scheduler.free_cores]
+            for _ in range(4):
+                await asyncio.sleep(0.55)
+                free.append(site.scheduler.free_cores)
+        self.assertAlmostEqual(free[0], 16.0, places=3)
+        self.assertAlmostEqual(free[4], 64.0, places=3)
+        self.assertEqual(free, sorted(free))
+        self.assertLess(free[2], 45.0)
+
+    async def test_revocation_does_not_reduce_what_is_in_use(self):
+        """Guards against a gap in the load after an evacuation by mistake."""
+        site = _Site()
+        async with site.leader(evacuations=site.evacuations) as site.scheduler:
+            began = site.clock.monotonic()
+            submitted = asyncio.create_task(
+                site.scheduler.submit(
+                    site.job(count=12, run_s=0.2, deadline_s=9, stretch=9),
+                    site.origin,
+                )
+            )
+            await asyncio.sleep(0.1)
+            site.evacuate("dc1")
+            site.evacuate()
+            self.assertEqual(await submitted, outcomes.Complete(()))
+            # Three waves of four runs.
+            self.assertLess(site.clock.monotonic() - began, 0.7)
+
+    async def test_cold_endpoint_counts_as_slow_until_it_is_warm(self):
+        """Guards against work on a cold endpoint while another one is idle.
+
+        A row that is read again without a new write does not extend the time.
+        """
+        site = _Site()
+        site.change("e0", cold_remaining_ms=1_000)
+        async with site.leader() as leader:
+            slowness = []
+            for _ in range(2):
+                await leader.submit(
+                    site.job(count=2, run_s=0.05, cores=1.0), site.origin
+                )
+                leased = next(iter(leader._pool))
+                slowness.append(leased.slowness)
+                self.assertEqual(site.starts_on("e0"), 0)
+                await asyncio.sleep(0.4)
+                leader.update(site.endpoints)
+            await asyncio.sleep(0.4)
+            slowness.append(leased.slowness)
+        self.assertEqual(slowness, [1.5, 1.5, 1.0])
+
+
 class _Route:
 
     def __init__(self, outcome):
