Count an origin as heard when its heartbeat was sent

Cause: the time at which a heartbeat was read counted as that of its sending, so one that was held up by 0.4 or 0.6 s kept an origin alive that had moved its job to another leader, and a task whose lease had lapsed was started there too.

The loss of a link and the election still go by the time of reading. A peer of an earlier release sends no clocks and is judged as before. No message is added.

HeartbeatOrigin, the origin in the tests, now sends the clocks that a link sends and is judged by PeerClock; before, it took the arrival for the sending.

--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -59,6 +59,7 @@
                         for claim in message.claims
                     ],
                     slow=message.slow,
+                    **_encode_clocks(message.clocks),
                 )
             )
         case messages.Demand():
@@ -186,6 +187,7 @@
                     for claim in item.heartbeat.claims
                 ),
                 item.heartbeat.slow,
+                _decode_clocks(item.heartbeat),
             )
         case "demand":
             return messages.Demand(
@@ -261,6 +263,28 @@
             raise errors.PeerError(f"unknown message {other}", step="decode")
 
 
+def _encode_clocks(readings: messages.ClockReadings | None) -> dict[str, int]:
+    if readings is None:
+        return {}
+    return {
+        "clock_us": readings.sent_us,
+        "echoed_clock_us": readings.echoed_us,
+        "echo_received_us": readings.echo_received_us,
+    }
+
+
+def _decode_clocks(
+    heartbeat: peer_pb2.Heartbeat,
+) -> messages.ClockReadings | None:
+    if not heartbeat.clock_us:
+        return None
+    return messages.ClockReadings(
+        heartbeat.clock_us,
+        heartbeat.echoed_clock_us,
+        heartbeat.echo_received_us,
+    )
+
+
 def _encode_slots(
     counts: Iterable[demands.SlotCount],
 ) -> list[peer_pb2.SlotCount]:
--- a/sesameroad/peering/links.py
+++ b/sesameroad/peering/links.py
@@ -12,6 +12,7 @@
 from sesameroad.model import clocks
 from sesameroad.peering import codec
 from sesameroad.peering import messages
+from sesameroad.peering import peer_clock
 from sesameroad.peering import peer_pb2
 from sesameroad.telemetry import log
 
@@ -94,6 +95,7 @@
         "_outbox_bytes",
         "_outgoing",
         "_peer_adapts",
+        "_peer_clock",
         "_pending",
         "_silence_s",
         "_stream",
@@ -117,6 +119,7 @@
         timeout_s: float,
         counters: Counters,
         idle_heartbeat_s: float = 0.0,
+        greeted_at: float | None = None,
     ) -> None:
         """Creates a link that is not running yet.
 
@@ -129,6 +132,8 @@
             timeout_s: Silence after which the peer counts as lost.
             counters: Counts events on all links.
             idle_heartbeat_s: Period while the link is idle, 0 for the same.
+            greeted_at: Monotonic time before the own greeting was sent, which
+                the peer has read; now by default.
         """
         self._stream = stream
         self._hello = hello
@@ -150,6 +155,11 @@
         self._ids = itertools.count(1)
         self._pending: dict[int, asyncio.Future[messages.Reply]] = {}
         self._last_received_at = clocks.elapsed_s()
+        self._peer_clock = peer_clock.PeerClock(
+            greeted_at=(
+                self._last_received_at if greeted_at is None else greeted_at
+            )
+        )
         # Time at which the last question ended.
         self._used_at = -math.inf
         self._close_reason = "stream closed"
@@ -190,13 +200,17 @@
 
     @property
     def heard_recently(self) -> bool:
-        """Whether the peer is live by the shorter timeout of busy links."""
-        return self._is_heard_within(self._timeout_s, clocks.elapsed_s())
+        """Whether the peer sent something within the timeout of busy links.
+
+        A heartbeat that was held up on its way counts from its sending, and
+        other messages count only from a peer that sends no clocks.
+        """
+        return not self._closed.is_set() and self.silent_s < self._timeout_s
 
     @property
     def silent_s(self) -> float:
-        """Time since the last envelope of the peer arrived, in seconds."""
-        return clocks.elapsed_s() - self._last_received_at
+        """Time since the peer is proved to have sent something, in seconds."""
+        return clocks.elapsed_s() - self._peer_clock.heard_at
 
     @property
     def in_use(self) -> bool:
@@ -362,7 +376,8 @@
     def _handle_envelope(
         self, receive: Receive, envelope: peer_pb2.Envelope
     ) -> None:
-        self._last_received_at = clocks.elapsed_s()
+        now = self._last_received_at = clocks.elapsed_s()
+        self._peer_clock.record_envelope(now)
         self._peer_adapts = envelope.next_within_ms > 0
         self._silence_s = max(
             self._timeout_s, _TIMEOUT_PERIODS * envelope.next_within_ms / _MS
@@ -386,6 +401,9 @@
                     continue
                 case messages.RelayReply() | messages.FleetReply():
                     self._resolve(message)
+                case messages.Heartbeat(clocks=readings):
+                    self._peer_clock.record(readings, now)
+                    self._handle(receive, message)
                 case _:
                     self._handle(receive, message)
 
@@ -412,7 +430,11 @@
             # because the peer compares the versions in them with its own.
             now = clocks.elapsed_s()
             if self._heartbeat_due or now >= next_heartbeat:
-                items.append(codec.encode_item(self._heartbeat()))
+                # The state is the same for all peers, the clocks are not.
+                heartbeat = dataclasses.replace(
+                    self._heartbeat(), clocks=self._peer_clock.stamp(now)
+                )
+                items.append(codec.encode_item(heartbeat))
                 self._heartbeat_due = False
                 period_s = self._period_s
                 # The heartbeats of a process are due at the same time, so that
--- a/sesameroad/peering/mesh.py
+++ b/sesameroad/peering/mesh.py
@@ -237,6 +237,7 @@
         link = None
         try:
             async with peer_grpc.PeerStub(channel).Exchange.open() as stream:
+                greeted_at = clocks.elapsed_s()
                 async with asyncio.timeout(_GREETING_TIMEOUT_S):
                     await stream.send_message(codec.encode([self._hello]))
                     hello = _parse_hello(await stream.recv_message())
@@ -246,7 +247,9 @@
                         step="greet peer",
                         peer=name,
                     )
-                link = self._new_link(stream, hello, outgoing=True)
+                link = self._new_link(
+                    stream, hello, outgoing=True, greeted_at=greeted_at
+                )
                 await self._run_link(link, first=None)
         except Exception as error:  # The peer may send anything.
             log.problem(
@@ -269,17 +272,25 @@
         """
         async with asyncio.timeout(_GREETING_TIMEOUT_S):
             hello = _parse_hello(await stream.recv_message())
+            greeted_at = clocks.elapsed_s()
             await stream.send_message(codec.encode([self._hello]))
             first = await stream.recv_message()
         if first is None:
             raise errors.PeerError(
                 "stream ended", step="greet peer", peer=hello.instance_id
             )
-        link = self._new_link(stream, hello, outgoing=False)
+        link = self._new_link(
+            stream, hello, outgoing=False, greeted_at=greeted_at
+        )
         await self._run_link(link, first=first)
 
     def _new_link(
-        self, stream: links.Stream, hello: messages.Hello, *, outgoing: bool
+        self,
+        stream: links.Stream,
+        hello: messages.Hello,
+        *,
+        outgoing: bool,
+        greeted_at: float,
     ) -> links.Link:
         return links.Link(
             stream=stream,
@@ -290,6 +301,7 @@
             timeout_s=self._timeout_s,
             idle_heartbeat_s=self._idle_heartbeat_s,
             counters=self._counters,
+            greeted_at=greeted_at,
         )
 
     async def _run_link(
--- a/sesameroad/peering/messages.py
+++ b/sesameroad/peering/messages.py
@@ -46,6 +46,22 @@
     relayed: bool = False
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ClockReadings:
+    """Clocks in a heartbeat, each in microseconds.
+
+    Attributes:
+        sent_us: Clock of the sender.
+        echoed_us: Clock of the receiver in its last heartbeat that the sender
+            got, 0 if it has got none.
+        echo_received_us: Clock of the sender when it got that.
+    """
+
+    sent_us: int
+    echoed_us: int = 0
+    echo_received_us: int = 0
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Heartbeat:
     """State that both sides send in every heartbeat period.
@@ -56,6 +72,8 @@
         leaving: Whether the sender is about to stop.
         claims: Leaders that the sender knows, itself included.
         slow: Whether the sender gets too little processor time to lead.
+        clocks: Clocks of this stream, None from an earlier release. They are no
+            part of the state, so heartbeats are compared without them.
         own_claims: The claims of the sender itself.
     """
 
@@ -64,6 +82,9 @@
     leaving: bool
     claims: tuple[LeadershipClaim, ...] = ()
     slow: bool = False
+    clocks: ClockReadings | None = dataclasses.field(
+        default=None, compare=False
+    )
     own_claims: tuple[LeadershipClaim, ...] = dataclasses.field(
         init=False, compare=False
     )
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -9,6 +9,8 @@
 from sesameroad.model import endpoints
 from sesameroad.model import jobs
 from sesameroad.model import needs
+from sesameroad.peering import messages
+from sesameroad.peering import peer_clock
 from sesameroad.platform import order_client
 from sesameroad.telemetry import job_metrics
 from standins import simulated_endpoint
@@ -42,24 +44,58 @@
 class HeartbeatOrigin(Origin):
     """An instance that is heard once in each period of its heartbeats.
 
+    Its stream has been open for a second. Its heartbeats carry the clocks of a
+    real link: its own, and an echo of the leader's, whose heartbeats have the
+    same period and are not held up.
+
     Attributes:
         delay_s: Time for which its heartbeats are held up on their way.
     """
 
     _PERIOD_S = 0.25
+    _OPEN_S = 1.0
+    # Clock of the instance less that of the leader, and of both less the time
+    # of the loop, so that no reading is 0.
+    _CLOCK_OFFSET_S = 777.0
+    _CLOCK_START_S = 1_000.0
 
     def __init__(self, name, *, phase_s=0.0, delay_s=0.0):
         super().__init__(name)
         self._phase_s = phase_s
         self.delay_s = delay_s
+        opened_at = asyncio.get_running_loop().time() - self._OPEN_S
+        self._clock = peer_clock.PeerClock(
+            greeted_at=opened_at + self._CLOCK_START_S
+        )
+        # Time at which the next heartbeat is sent that has not been read yet.
+        self._next_at = self._floor(opened_at) + self._PERIOD_S
 
     @property
     def silent_s(self):
         now = asyncio.get_running_loop().time()
-        # Time at which the last heartbeat was sent that has arrived by now.
-        until = min(now - self.delay_s, self._lost_at)
-        sent_at = until - (until - self._phase_s) % self._PERIOD_S
-        return max(0.0, now - self.delay_s - sent_at)
+        while self._next_at <= min(now - self.delay_s, self._lost_at):
+            arrived_at = self._next_at + self.delay_s
+            self._clock.record(
+                self._readings(self._next_at),
+                arrived_at + self._CLOCK_START_S,
+            )
+            self._next_at += self._PERIOD_S
+        return max(0.0, now + self._CLOCK_START_S - self._clock.heard_at)
+
+    def _floor(self, at):
+        return at - (at - self._phase_s) % self._PERIOD_S
+
+    def _readings(self, sent_at):
+        # The leader sends its heartbeats half a period later, without delay.
+        echoed = self._floor(sent_at) - self._PERIOD_S / 2
+        started = self._CLOCK_START_S
+        own = started + self._CLOCK_OFFSET_S
+        return messages.ClockReadings(
+            *(
+                int(seconds * 1_000_000)
+                for seconds in (sent_at + own, echoed + started, echoed + own)
+            )
+        )
 
 
 class CutOrders:
--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -8,7 +8,6 @@
 - Late starts in one schedule with restarts: an incarnation carries out a start that
   its leader has given up, after a report of the former one without the run.
 - The same if the job has reached another leader, which does not know the start.
-- Heartbeats that are read late: the time of reading counts as that of sending.
 - An origin that a leader hears although it has moved its jobs to another one.
 - An attempt by another origin while the former origin lives and has the job.
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -160,6 +160,39 @@
             with self.assertRaisesRegex(errors.PeerError, "silent"):
                 await asyncio.wait_for(task, 0.5)
 
+    async def test_late_heartbeat_does_not_count_as_recent(self):
+        """Guards against a heartbeat whose reading counts as its sending.
+
+        Both were sent at the same time, the second one is read 0.2 s later.
+        """
+        stream = _Stream()
+        link = self._link(stream, timeout_s=0.15)
+        readings = messages.ClockReadings(1_000_000_000)
+        heartbeat = messages.Heartbeat(1, 1, False, clocks=readings)
+        async with self._running(link):
+            stream.arrived.put_nowait(codec.encode([heartbeat]))
+            await asyncio.sleep(0.1)
+            stream.arrived.put_nowait(codec.encode([_DEMAND]))
+            await asyncio.sleep(0.1)
+            stream.arrived.put_nowait(codec.encode([heartbeat]))
+            await asyncio.sleep(0.01)
+            self.assertTrue(link.live)
+            self.assertFalse(link.heard_recently)
+            self.assertGreater(link.silent_s, 0.2)
+
+    async def test_heartbeats_carry_and_echo_the_clocks(self):
+        """Guards against clocks that are lost on the way."""
+        stream = _Stream()
+        readings = messages.ClockReadings(7, 5, 6)
+        async with self._running(self._link(stream)):
+            heartbeat = messages.Heartbeat(1, 1, False, clocks=readings)
+            stream.arrived.put_nowait(codec.encode([heartbeat]))
+            await asyncio.sleep(0.1)
+        echo = stream.sent[-1][-1].clocks
+        self.assertEqual(self.received[0].clocks, readings)
+        self.assertEqual(echo.echoed_us, readings.sent_us)
+        self.assertLess(echo.echo_received_us, echo.sent_us)
+
     async def test_blocked_writer_ends_the_link(self):
         """A peer that sends but does not read must count as lost."""
         stream = _Stream(blocked=True)
--- a/tests/test_moved_jobs.py
+++ b/tests/test_moved_jobs.py
@@ -172,7 +172,7 @@
     async def test_held_up_heartbeat_does_not_resume_a_job(self):
         """Guards against a heartbeat from before the move that is read late.
 
-        The time of its arrival counts as the time at which it was sent.
+        It counts from the time at which its clocks prove that it was sent.
         """
         await self._assert_none(
             _play_held_up,
