--- a/sesameroad/peering/messages.py
+++ b/sesameroad/peering/messages.py
@@ -46,6 +46,22 @@
     relayed: bool = False
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ClockReadings:
+    """Clocks in a heartbeat, each in microseconds.
+
+    Attributes:
+        sent_us: Clock of the sender.
+        echoed_us: Clock of the receiver in its last heartbeat that the sender
+            got, 0 if it has got none.
+        echo_received_us: Clock of the sender when it got that.
+    """
+
+    sent_us: int
+    echoed_us: int = 0
+    echo_received_us: int = 0
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Heartbeat:
     """State that both sides send in every heartbeat period.
@@ -59,6 +75,8 @@
         evacuations_version: Version of the store that `evacuated` is of, 0 if
             the sender does not know any.
         evacuated: The evacuated data centres.
+        clocks: Clocks of this stream, None from an earlier release. They are no
+            part of the state, so heartbeats are compared without them.
         own_claims: The claims of the sender itself.
     """
 
@@ -69,6 +87,9 @@
     slow: bool = False
     evacuations_version: int = 0
     evacuated: tuple[str, ...] = ()
+    clocks: ClockReadings | None = dataclasses.field(
+        default=None, compare=False
+    )
     own_claims: tuple[LeadershipClaim, ...] = dataclasses.field(
         init=False, compare=False
     )
