Require labels of the incarnation that would run a task

Cause: after a restart under its id, an endpoint got tasks by the labels that the list still showed of the former incarnation, for up to 0.8 s.

Change: a task that requires a label starts only while the list describes the incarnation that the reports show. Other tasks start as before.

Without the change the new test sees two starts instead of one. Not covered: the capacity of a smaller incarnation that does not guard it.

--- a/sesameroad/jobs/placement.py
+++ b/sesameroad/jobs/placement.py
@@ -114,9 +114,7 @@
         endpoint = leased.endpoint
         if (
             job.service not in endpoint.kinds
-            or (
-                job.required_label and job.required_label not in endpoint.labels
-            )
+            or (job.required_label and not leased.has_label(job.required_label))
             or (
                 job.per_endpoint
                 and leased.count_runs(job.key) >= job.per_endpoint
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -282,6 +282,10 @@
             and active.has_live_origin
             and run.state is runs.State.STARTING
             and (leased := self._table.endpoint_of(run)).takes(run)
+            and (
+                not active.job.required_label
+                or leased.has_label(active.job.required_label)
+            )
             and self._may_share_lease(active, leased)
         ):
             if leased.is_start_queue_short and len(self._backlog):
--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -177,6 +177,18 @@
         """
         return not self.closed and run.born_ms == self.endpoint.born_ms
 
+    def has_label(self, label: str) -> bool:
+        """Returns whether the incarnation that would run a task has a label.
+
+        Another incarnation may have other labels. After a restart under its id,
+        none is known until the list describes the new one.
+        """
+        endpoint = self.endpoint
+        is_current = 0 in {self.born_ms, endpoint.born_ms} or (
+            self.born_ms == endpoint.born_ms
+        )
+        return is_current and label in endpoint.labels
+
     @property
     def is_start_queue_full(self) -> bool:
         """Whether as many starts wait to be sent as may be placed ahead."""
--- a/tests/test_restarted_endpoint.py
+++ b/tests/test_restarted_endpoint.py
@@ -88,6 +88,40 @@
             answers = await asyncio.gather(*submitted)
         self._assert_each_ran_once(site, answers)
 
+    async def test_label_of_a_former_incarnation_does_not_count(self):
+        """Guards against a task on an endpoint that has become another kind.
+
+        The list shows the labels of the former incarnation for a while.
+        """
+        site = _jobs.Site(count=1)
+        endpoint = site.fleet.endpoints["e0"]
+        async with site.leader() as leader:
+            job, answer = self._submit_labelled(site, leader, "b" * 16)
+            self.assertEqual(await answer, outcomes.Complete(()))
+            first, answer = self._submit_labelled(site, leader, "c" * 16)
+            await asyncio.sleep(0.1)
+            endpoint.crash()
+            await asyncio.sleep(1.0)
+            self.assertEqual(site.history.starts.count(first.task(0)), 1)
+            plain = site.job("d" * 16, count=1, run_s=0.1, deadline_s=9)
+            self.assertEqual(
+                await leader.submit(plain, site.origin), outcomes.Complete(())
+            )
+            self.assertEqual(site.history.starts.count(first.task(0)), 1)
+            site.endpoints[0] = dataclasses.replace(
+                site.endpoints[0], born_ms=endpoint.endpoint.born_ms
+            )
+            leader.update(site.endpoints)
+            self.assertEqual(await answer, outcomes.Complete(()))
+        self.assertEqual(site.history.starts.count(job.task(0)), 1)
+
+    def _submit_labelled(self, site, leader, key):
+        job = dataclasses.replace(
+            site.job(key, count=1, run_s=0.5, deadline_s=20, stretch=30.0),
+            required_label="a",
+        )
+        return job, asyncio.create_task(leader.submit(job, site.origin))
+
     async def test_list_shows_a_restart_after_runs_have_begun(self):
         """Guards against giving up runs of the incarnation that is listed."""
         site = _jobs.Site(count=1)
