--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -440,6 +440,12 @@
                 )
             case messages.StatusQuery(cancel=True):
                 self._answer_cancel(link, message)
+            case (
+                messages.AttemptRunning()
+                | messages.AttemptReplaced()
+                | messages.AttemptEnded()
+            ):
+                self._leaders.receive_notice(link.hello.instance_id, message)
             case messages.EndpointUpdate(listing=content):
                 self._endpoint_watcher.adopt(
                     content, source=link.hello.instance_id
--- a/sesameroad/peering/messages.py
+++ b/sesameroad/peering/messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from sesameroad.model import attempts
 from sesameroad.model import demands
 from sesameroad.model import jobs
 from sesameroad.model import outcomes
@@ -104,6 +105,9 @@
         object.__setattr__(self, "own_claims", own)
 
 
+AttemptRunning = attempts.Running
+AttemptReplaced = attempts.Replaced
+AttemptEnded = attempts.Ended
 Demand = demands.Demand
 Allocation = demands.Allocation
 
@@ -234,6 +238,7 @@
     | ConfigurationUpdate
     | EndpointUpdate
     | JobCancel
+    | attempts.Notice
     | Question
     | Reply
 )
