--- a/standins/simulated_endpoint.py
+++ b/standins/simulated_endpoint.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import random
 
 from sesameroad.leasing import orders
 from sesameroad.model import clocks
@@ -307,10 +308,21 @@
 
 
 class SimulatedFleet:
-    """Endpoints and delivery of orders to them, as `leasing.order.Orders`."""
+    """Endpoints and delivery of orders to them, as `leasing.order.Orders`.
 
-    def __init__(self, *, clock: clocks.Clock, delay_s: float = 0.001) -> None:
+    Attributes:
+        late_share: Fraction of the starts that are held up on their way to any
+            endpoint, for a random time up to `late_s`, and not answered.
+        late_s: Longest such delay, in seconds.
+    """
+
+    def __init__(
+        self, *, clock: clocks.Clock, delay_s: float = 0.001, seed: int = 0
+    ) -> None:
         self.history = RunHistory()
+        self.late_share = 0.0
+        self.late_s = 3.0
+        self._random = random.Random(seed)
         self.endpoints: dict[str, SimulatedEndpoint] = {}
         self._clock = clock
         self._delay_s = delay_s
@@ -355,10 +367,11 @@
             return _MISDIRECTED
         if simulated.down:
             return _REFUSED_CONNECTION
-        if simulated.fault.late_s:
-            asyncio.get_running_loop().call_later(
-                simulated.fault.late_s, carry_out
-            )
+        late_s = simulated.fault.late_s
+        if self.late_share and self._random.random() < self.late_share:
+            late_s = self._random.uniform(0.0, self.late_s)
+        if late_s:
+            asyncio.get_running_loop().call_later(late_s, carry_out)
             return await self._no_answer(0.3)
         if simulated.fault.silent:
             return await self._no_answer(0.3)
--- a/tests/_load.py
+++ b/tests/_load.py
@@ -139,9 +139,29 @@
         per_data_centre: int = 8,
         scale: float = 1.0,
         shares: tuple[float, ...] = (1 / 3, 1 / 3, 1 / 3),
+        endpoint_cores: tuple[float, ...] = (16.0, 16.0, 24.0),
+        task_cores: tuple[float, float, float] = (6.8, 1.36, 10.0),
+        late_share: float = 0.0,
     ):
+        """Creates a load.
+
+        Args:
+            seed: Seed of jobs and run times.
+            seconds: Time in which jobs arrive.
+            kinds: Kinds of jobs.
+            bursts: Periods with more jobs.
+            per_data_centre: Endpoints in each data centre.
+            scale: Factor by which all arrival rates are multiplied.
+            shares: Fraction of the jobs that each data centre gets.
+            endpoint_cores: Cores of the endpoints, repeated in this order.
+            task_cores: Mean, standard deviation and maximum of a task's cores.
+            late_share: Fraction of the starts that are held up, not answered.
+        """
         self.clock = _virtual.Clock()
-        self.fleet = simulated_endpoint.SimulatedFleet(clock=self.clock)
+        self.fleet = simulated_endpoint.SimulatedFleet(
+            clock=self.clock, seed=seed
+        )
+        self.fleet.late_share = late_share
         self.schedulers = {}
         self.tallies = collections.defaultdict(Tally)
         self._random = random.Random(seed)
@@ -150,11 +170,12 @@
         self._bursts = bursts
         self._scale = scale
         self._shares = shares
+        self._task_cores = task_cores
         self._tasks = set()
         self.endpoints = collections.defaultdict(list)
         for centre in range(len(shares)):
             for number in range(per_data_centre):
-                cores = 24.0 if number % 3 == 2 else 16.0
+                cores = endpoint_cores[number % len(endpoint_cores)]
                 endpoint = endpoints.Endpoint(
                     id=f"e{centre}.{number}",
                     url="",
@@ -235,9 +256,10 @@
     async def _call(self, kind, job_coordinator, rng):
         count = max(1, min(4 * kind.count, round(_spread(rng, kind.count))))
         run_s = min(4 * kind.run_s, _spread(rng, kind.run_s))
-        cores = min(10.0, rng.gauss(6.8, 1.36))
+        mean, deviation, most = self._task_cores
+        cores = min(most, rng.gauss(mean, deviation))
         estimate_s = run_s * rng.lognormvariate(0, _ESTIMATE_DEVIATION)
-        room = 3 * 8 * 2
+        room = len(self.fleet.endpoints) * 2
         waves = -(-count // (room // 4))
         now = self.clock.monotonic()
         declared_s = 1.6 * estimate_s * waves + 0.06
