Start a job only when there is capacity for the rest of it

In an overload, jobs started with some of their tasks; the rest waited behind all jobs that could still be in time, and the job was answered unknown when it expired.

With the option whole_starts, a job starts when its waiting tasks fit or are expected to start within its slack. A job that has begun comes first once it has less than 0.1 s of slack, and ends at once when it can't be of use. Options of a leader are a table of the settings; off changes nothing.

--- a/benchmarks/scarcity.py
+++ b/benchmarks/scarcity.py
@@ -21,6 +21,7 @@
 from sesameroad.jobs import admission
 from sesameroad.jobs import ending
 from sesameroad.model import outcomes
+from sesameroad.model import scheduling as scheduling_module
 from tests import _load
 
 _KINDS = (
@@ -28,11 +29,11 @@
     _load.Kind("long", 18.8, 4, 0.9, 0.16, 2),
     _load.Kind("middle", 300.0, 2, 0.2, 0.01, 1),
 )
-_SECONDS = 8.0
-_SEEDS = (1, 2)
-# A third of the endpoints and of the load keeps a play under half a minute.
-_ENDPOINTS = 20
-_SCALE = 1 / 3
+_SECONDS = 7.0
+_SEEDS = (1,)
+# The whole site: on a smaller one, a job of 8 tasks takes a larger part of it.
+_ENDPOINTS = 59
+_SCALE = 1.0
 _BURST = _load.Burst("long", 2.3, 1.0, 6.0)
 _SITE = {
     "kinds": _KINDS,
@@ -46,12 +47,20 @@
     "burst": {"bursts": (_BURST,)},
     "late starts": {"late_share": 0.04},
     "worst day": {"bursts": (_BURST,), "late_share": 0.04},
+    "overload": {"bursts": (_BURST,), "scale": 1.4},
     "uneven, worst day": {
         "bursts": (_BURST,),
         "late_share": 0.04,
         "shares": (0.6, 0.25, 0.15),
     },
 }
+_OFF = scheduling_module.Scheduling()
+_ALL = scheduling_module.Scheduling(whole_starts=True)
+# Each part alone, and all of them.
+PARTS = {
+    "off": _OFF,
+    "whole starts": scheduling_module.Scheduling(whole_starts=True),
+}
 # Time between the first and the last start of the tasks of a part, in
 # milliseconds, from which the rest counts as having waited.
 _STARVED_MS = 100
@@ -149,45 +158,45 @@
     return loads, causes
 
 
-def report(
-    title: str, loads: list[_load.Load], causes: Causes | None = None
-) -> None:
-    """Prints the share of the value and the answers of each kind."""
+def describe(loads: list[_load.Load]) -> str:
+    """Formats the share of the value, in total and of each kind."""
     earned = sum(t.earned for load in loads for t in load.tallies.values())
     owed = sum(t.owed for load in loads for t in load.tallies.values())
-    print(f"{title}: {earned / owed:.3f} of the value")
+    parts = [f"{earned / owed:.3f}"]
     for kind in ("short", "middle", "long"):
         tallies = [load.tallies[kind] for load in loads]
         share = sum(t.earned for t in tallies) / sum(t.owed for t in tallies)
-        print(
-            f"  {kind:7} {share:.3f}"
-            + "".join(
-                f"  {name.replace('_', ' ')}"
-                f" {sum(getattr(t, name) for t in tallies)}"
-                for name in ("asked", "in_time", "late", "refused", "too_late")
-            )
-        )
-    if causes is not None:
-        for cause, count in causes.counts.most_common(12):
-            print(f"    {count:5} {cause}")
-        free = sum(
-            count
-            for cause, count in causes.counts.items()
-            if cause.endswith(_FREE)
+        counts = "/".join(
+            str(sum(getattr(tally, field) for tally in tallies))
+            for field in ("in_time", "late", "refused", "too_late")
         )
-        print(f"    {free:5} refused although {_FREE}")
+        parts.append(f"{kind} {share:.3f} {counts:18}")
+    return "  ".join(parts)
+
+
+def report_causes(causes: Causes) -> None:
+    """Prints why parts of jobs have failed or were late."""
+    for cause, count in causes.counts.most_common(12):
+        print(f"    {count:5} {cause}")
+    free = sum(
+        count for cause, count in causes.counts.items() if cause.endswith(_FREE)
+    )
+    print(f"    {free:5} refused although {_FREE}")
 
 
 def main() -> None:
-    """Plays all patterns, or those named as arguments."""
+    """Plays all patterns, or those named as arguments, with each part."""
     logging.set_verbosity(logging.ERROR)
+    print("value; by kind: value, answers in time/late/refused/unknown; CPU")
     for pattern in sys.argv[1:] or PATTERNS:
-        began = time.process_time()
-        loads, causes = play(pattern)
-        report(pattern, loads, causes)
-        print(
-            f"  processor time {time.process_time() - began:.1f} s", flush=True
-        )
+        print(f"{pattern}:")
+        for name, options in PARTS.items():
+            began = time.process_time()
+            loads, causes = play(pattern, scheduling=options)
+            took_s = time.process_time() - began
+            print(f"  {name:13} {describe(loads)}  {took_s:.1f} s", flush=True)
+            if options in (_OFF, _ALL):
+                report_causes(causes)
 
 
 if __name__ == "__main__":
--- a/sesameroad/jobs/active_job.py
+++ b/sesameroad/jobs/active_job.py
@@ -133,6 +133,13 @@
         self.moved = True
         self.moved_runs_end_by = now + _ORPHAN_S
 
+    @property
+    def begun(self) -> bool:
+        """Whether tasks of it, or of another part of the job, may have run."""
+        return bool(
+            self.started or self.runs or self.moved or self._job.committed
+        )
+
     @property
     def latest_start(self) -> float:
         """Latest start of the last task that still meets the objective."""
--- a/sesameroad/jobs/backlog.py
+++ b/sesameroad/jobs/backlog.py
@@ -12,6 +12,13 @@
 # time than the orders in an overload.
 _REORDER_S = 0.02
 
+# Slack of its objective below which a job that has begun comes first. With more
+# of it, less urgent jobs that have begun would delay urgent ones for nothing. It
+# is five periods in which jobs are ranked anew.
+_BEGUN_SLACK_S = 0.1
+# Number of standings of jobs, which are the first part of a rank.
+_STANDINGS = 4
+
 _Rank = tuple[int, int, float, float]
 _Entry = tuple[_Rank, int, active_job.ActiveJob]
 
@@ -25,12 +32,26 @@
 
     A job that can no longer meet its objective goes behind all that still can;
     otherwise one late job would delay the next. Among late jobs those that have
-    already started come first.
+    already started come first. Optionally, jobs that have begun come before all
+    others once their slack is almost used up.
     """
 
-    __slots__ = ("_entries", "_jobs", "_numbers", "_ordered_at")
+    __slots__ = (
+        "_begun_first",
+        "_entries",
+        "_jobs",
+        "_numbers",
+        "_ordered_at",
+    )
+
+    def __init__(self, *, begun_first: bool = False) -> None:
+        """Creates an empty backlog.
 
-    def __init__(self) -> None:
+        Args:
+            begun_first: Whether jobs that have begun come before all others
+                once they have little slack.
+        """
+        self._begun_first = begun_first
         # Waiting jobs by name, each with the number of its valid entry.
         self._jobs: dict[str, tuple[int, active_job.ActiveJob]] = {}
         # Sorted by rank. Entries of discarded jobs are skipped and removed with
@@ -49,7 +70,8 @@
         """Adds a job that has waiting tasks, or ranks it anew."""
         number = next(self._numbers)
         self._jobs[active.job.name] = (number, active)
-        bisect.insort(self._entries, (_rank(active, now), number, active))
+        entry = (self._rank(active, now), number, active)
+        bisect.insort(self._entries, entry)
 
     def discard(self, active: active_job.ActiveJob) -> None:
         """Removes a job that has no waiting tasks."""
@@ -66,7 +88,7 @@
         self, active: active_job.ActiveJob, now: float
     ) -> float:
         """Returns the declared work of the jobs placed before a job."""
-        own_rank = _rank(active, now)
+        own_rank = self._rank(active, now)
         total = 0.0
         for rank, other in self._ranked(now):
             if rank >= own_rank:
@@ -82,13 +104,23 @@
         if now - self._ordered_at >= _REORDER_S:
             self._ordered_at = now
             self._entries = sorted(
-                (_rank(active, now), number, active)
+                (self._rank(active, now), number, active)
                 for number, active in self._jobs.values()
             )
         for rank, number, active in self._entries:
             if self._jobs.get(active.job.name) == (number, active):
                 yield rank, active
 
+    def _rank(self, active: active_job.ActiveJob, now: float) -> _Rank:
+        rank = _rank(active, now)
+        if (
+            self._begun_first
+            and active.begun
+            and active.latest_start < now + _BEGUN_SLACK_S
+        ):
+            return (rank[0] - _STANDINGS, *rank[1:])
+        return rank
+
 
 def _rank(active: active_job.ActiveJob, now: float) -> _Rank:
     job = active.job
--- a/sesameroad/jobs/placement.py
+++ b/sesameroad/jobs/placement.py
@@ -170,6 +170,20 @@
         """The best endpoint that fits the next task, None if there is none."""
         return self._costs[0][2] if self._costs else None
 
+    def room(self, limit: int) -> int:
+        """Returns how many tasks of the job can start, at most the limit."""
+        job = self._active.job
+        room = 0
+        for _, _, leased in self._costs:
+            count = leased.count_fitting(job.need, limit - room)
+            if job.per_endpoint:
+                used = leased.count_runs(job.key)
+                count = min(count, job.per_endpoint - used)
+            room += count
+            if room >= limit:
+                break
+        return room
+
     def run_added(self) -> None:
         """Updates the ranking after a task was placed on the best endpoint."""
         _, position, leased = self._costs[0]
--- a/sesameroad/jobs/placer.py
+++ b/sesameroad/jobs/placer.py
@@ -5,6 +5,7 @@
 from sesameroad.jobs import held_up_starts as held_up_starts_module
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placement
+from sesameroad.jobs import whole_starts as whole_starts_module
 from sesameroad.leasing import endpoint_pool
 from sesameroad.leasing import leased_endpoint
 from sesameroad.leasing import runs
@@ -17,7 +18,13 @@
 class Placer:
     """Assigns waiting tasks to endpoints and queues their start orders."""
 
-    __slots__ = ("_backlog", "_held_up_starts", "_pool", "_table")
+    __slots__ = (
+        "_backlog",
+        "_held_up_starts",
+        "_pool",
+        "_table",
+        "_whole_starts",
+    )
 
     def __init__(
         self,
@@ -26,11 +33,22 @@
         table: job_table.JobTable,
         backlog: backlog_module.Backlog,
         held_up_starts: held_up_starts_module.HeldUpStarts,
+        whole_starts: whole_starts_module.WholeStarts | None = None,
     ) -> None:
+        """Creates a placer.
+
+        Args:
+            pool: The endpoints.
+            table: Gets the new runs.
+            backlog: The waiting jobs.
+            held_up_starts: Tasks that must not start.
+            whole_starts: Decides whether a job may start, None if any may.
+        """
         self._pool = pool
         self._table = table
         self._backlog = backlog
         self._held_up_starts = held_up_starts
+        self._whole_starts = whole_starts
 
     def place(self, now: float) -> None:
         """Starts waiting tasks while there is capacity."""
@@ -38,6 +56,8 @@
             return
         candidates = placement.Candidates(self._pool, now)
         misses = 0
+        # Cores of the waiting tasks of the jobs that have begun.
+        cores_ahead = 0.0
         partly_placed: list[active_job.ActiveJob] = []
         for active in self._backlog.ordered(now):
             if not active.may_resume(now):
@@ -48,9 +68,16 @@
             ):
                 continue
             waiting = len(active.waiting)
-            if not self._place_job(active, candidates):
+            ranking = candidates.rank(active)
+            if not self._may_start(active, ranking, cores_ahead, now):
+                placed = False
+            else:
+                placed = self._place_job(active, candidates, ranking)
+            if not placed:
                 if len(active.waiting) < waiting:
                     partly_placed.append(active)
+                if active.begun:
+                    cores_ahead += len(active.waiting) * active.job.need.cores
                 misses += 1
                 if misses > _MAX_MISSES:
                     break
@@ -58,12 +85,29 @@
             # With less work left, it has a better rank.
             self._backlog.add(active, now)
 
+    def _may_start(
+        self,
+        active: active_job.ActiveJob,
+        ranking: placement.Ranking,
+        cores_ahead: float,
+        now: float,
+    ) -> bool:
+        rule = self._whole_starts
+        if rule is None or active.begun:
+            return True
+        room = ranking.room(len(active.waiting))
+        return rule.may_start(
+            active, room=room, cores_ahead=cores_ahead, now=now
+        )
+
     def _place_job(
-        self, active: active_job.ActiveJob, candidates: placement.Candidates
+        self,
+        active: active_job.ActiveJob,
+        candidates: placement.Candidates,
+        ranking: placement.Ranking,
     ) -> bool:
         """Places tasks of a job and returns whether all have been placed."""
         blocked: list[int] = []
-        ranking = candidates.rank(active)
         while active.waiting:
             index = active.waiting[0]
             task = active.job.task(index)
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -13,6 +13,7 @@
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placer
 from sesameroad.jobs import takeover
+from sesameroad.jobs import whole_starts
 from sesameroad.leasing import endpoint_pool
 from sesameroad.leasing import leased_endpoint
 from sesameroad.leasing import orders
@@ -21,6 +22,7 @@
 from sesameroad.model import endpoints
 from sesameroad.model import jobs
 from sesameroad.model import outcomes
+from sesameroad.model import scheduling as scheduling_module
 from sesameroad.telemetry import job_metrics
 from sesameroad.telemetry import log
 
@@ -30,6 +32,7 @@
 # Pause after a placement pass, as a multiple of its duration, so that placement
 # leaves most of the processor time to the orders.
 _PASS_PAUSE_RATIO = 4.0
+_DEFAULT_SCHEDULING = scheduling_module.Scheduling()
 
 
 class Scheduler:
@@ -44,6 +47,7 @@
         clock: clocks.Clock,
         on_fenced: Callable[[str], None],
         metrics: job_metrics.JobMetrics,
+        scheduling: scheduling_module.Scheduling = _DEFAULT_SCHEDULING,
     ) -> None:
         """Creates a scheduler without endpoints.
 
@@ -55,17 +59,19 @@
             on_fenced: Called with the data centre of an endpoint that has seen a
                 higher token.
             metrics: Counts starts and ends of runs.
+            scheduling: Options for a shortage of capacity.
         """
         self._token = token
         self._clock = clock
         self._on_fenced = on_fenced
         self._metrics = metrics
+        self._scheduling = scheduling
         self._pool = endpoint_pool.EndpointPool(
             orders_=orders_, lease_s=lease_s, events=self, clock=clock
         )
         self._table = job_table.JobTable()
         self._takeover = takeover.Takeover(table=self._table, clock=clock)
-        self._backlog = backlog.Backlog()
+        self._backlog = backlog.Backlog(begun_first=scheduling.whole_starts)
         self._admission = admission.Admission(
             backlog=self._backlog, pool=self._pool
         )
@@ -75,6 +81,11 @@
             table=self._table,
             backlog=self._backlog,
             held_up_starts=self._held_up_starts,
+            whole_starts=(
+                whole_starts.WholeStarts(self._pool)
+                if scheduling.whole_starts
+                else None
+            ),
         )
         self._wake = asyncio.Event()
         self._stopped = False
@@ -647,7 +658,7 @@
                     "its caller no longer waits",
                 ),
             )
-        elif active.waiting and now >= active.job.expires_at:
+        elif active.waiting and self._is_useless(active, now):
             # Runs in progress may still finish late with some value. Tasks that
             # would start now could not finish before the response is worthless.
             self._finish(
@@ -657,6 +668,12 @@
                 ),
             )
 
+    def _is_useless(self, active: active_job.ActiveJob, now: float) -> bool:
+        """Returns whether waiting tasks of a job can no longer be of use."""
+        if self._scheduling.whole_starts and active.begun:
+            return not whole_starts.is_of_use(active, now)
+        return now >= active.job.expires_at
+
     def _stop_hanging(
         self, leased: leased_endpoint.LeasedEndpoint, now: float
     ) -> None:
--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -202,6 +202,20 @@
             and need.accelerators <= offer.accelerators - self._accelerators
         )
 
+    def count_fitting(self, need: needs.Need, limit: int) -> int:
+        """Returns how many tasks fit at once, at most the limit."""
+        offer = self.endpoint.offer
+        count = limit
+        if need.cores:
+            count = min(count, int(self.free_cores / need.cores))
+        if need.memory_mb:
+            free_mb = offer.memory_mb - self._memory_mb
+            count = min(count, free_mb // need.memory_mb)
+        if need.accelerators:
+            free = offer.accelerators - self._accelerators
+            count = min(count, free // need.accelerators)
+        return max(0, count)
+
     def accepts_runs(self, now: float) -> bool:
         """Returns whether new runs may be started."""
         return (
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -428,6 +428,7 @@
             clock=self._clock,
             on_fenced=self._handle_fenced,
             metrics=self._metrics,
+            scheduling=self._settings.scheduling,
         )
         self._task = asyncio.create_task(scheduler.run(), name="leader")
         return scheduler
--- a/sesameroad/settings/node.py
+++ b/sesameroad/settings/node.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sesameroad import errors
+from sesameroad.model import scheduling as scheduling_module
 from sesameroad.model import strict_json
 
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -72,6 +73,7 @@
         max_lease_ms: Longest lease that an endpoint grants.
         processor_share: Share of one processor core that a thread gets.
         timing: Periods and timeouts.
+        scheduling: Options of a leader for a shortage of capacity.
     """
 
     instance_id: _Name
@@ -85,6 +87,7 @@
     max_lease_ms: _PositiveMs
     processor_share: _PositiveSeconds = 1.0
     timing: Timing = Timing()
+    scheduling: scheduling_module.Scheduling = scheduling_module.Scheduling()
 
     @property
     def processor_millicores(self) -> int:
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -9,6 +9,7 @@
 from sesameroad.model import endpoints
 from sesameroad.model import jobs
 from sesameroad.model import needs
+from sesameroad.model import scheduling as scheduling_module
 from sesameroad.platform import order_client
 from sesameroad.telemetry import job_metrics
 from standins import simulated_endpoint
@@ -129,7 +130,13 @@
         return endpoint
 
     @contextlib.asynccontextmanager
-    async def leader(self, token: int = 1, *, orders_=None):
+    async def leader(
+        self,
+        token: int = 1,
+        *,
+        orders_=None,
+        scheduling=scheduling_module.Scheduling(),  # noqa: B008  # Frozen.
+    ):
         scheduler = scheduler_module.Scheduler(
             token=token,
             orders_=orders_ or self.fleet,
@@ -137,6 +144,7 @@
             clock=self.clock,
             on_fenced=self.fenced.append,
             metrics=job_metrics.JobMetrics(),
+            scheduling=scheduling,
         )
         scheduler.update(self.endpoints)
         task = asyncio.create_task(scheduler.run())
--- a/tests/_load.py
+++ b/tests/_load.py
@@ -17,6 +17,7 @@
 from sesameroad.model import jobs
 from sesameroad.model import needs
 from sesameroad.model import outcomes
+from sesameroad.model import scheduling as scheduling_module
 from sesameroad.node import routes
 from sesameroad.telemetry import job_metrics
 from standins import simulated_endpoint
@@ -142,6 +143,7 @@
         endpoint_cores: tuple[float, ...] = (16.0, 16.0, 24.0),
         task_cores: tuple[float, float, float] = (6.8, 1.36, 10.0),
         late_share: float = 0.0,
+        scheduling: scheduling_module.Scheduling | None = None,
     ):
         """Creates a load.
 
@@ -156,7 +158,9 @@
             endpoint_cores: Cores of the endpoints, repeated in this order.
             task_cores: Mean, standard deviation and maximum of a task's cores.
             late_share: Fraction of the starts that are held up, not answered.
+            scheduling: Options of the leaders.
         """
+        self._scheduling = scheduling or scheduling_module.Scheduling()
         self.clock = _virtual.Clock()
         self.fleet = simulated_endpoint.SimulatedFleet(
             clock=self.clock, seed=seed
@@ -211,6 +215,7 @@
                 clock=self.clock,
                 on_fenced=lambda data_centre: None,
                 metrics=job_metrics.JobMetrics(),
+                scheduling=self._scheduling,
             )
             scheduler.update(listed)
             self.schedulers[name] = scheduler
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -11,6 +11,7 @@
 from sesameroad.configuration import document
 from sesameroad.model import instances
 from sesameroad.model import outcomes
+from sesameroad.model import scheduling
 from sesameroad.operators import commands
 from sesameroad.settings import node
 from sesameroad.settings import settings
@@ -61,10 +62,16 @@
     def test_settings_page_has_every_field_of_an_instance(self):
         page = (_DOCS / "settings.md").read_text()
         page = page.partition("# Settings of an instance on the platform")[2]
-        for settings_class in (node.NodeSettings, node.Timing):
+        for settings_class in (
+            node.NodeSettings,
+            node.Timing,
+            scheduling.Scheduling,
+        ):
             for field in dataclasses.fields(settings_class):
                 if field.name != "timing":
-                    self.assertRegex(page, rf"`(timing\.)?{field.name}`")
+                    self.assertRegex(
+                        page, rf"`((timing|scheduling)\.)?{field.name}`"
+                    )
 
     def test_callers_page_has_every_cause(self):
         page = (_DOCS / "callers.md").read_text()
