--- a/sesameroad/jobs/active_job.py
+++ b/sesameroad/jobs/active_job.py
@@ -162,6 +162,13 @@
             if now >= until:
                 del self.held_back_by[leader]
 
+    @property
+    def begun(self) -> bool:
+        """Whether tasks of it, or of another part of the job, may have run."""
+        return bool(
+            self.started or self.runs or self.moved or self._job.committed
+        )
+
     @property
     def latest_start(self) -> float:
         """Latest start of the last task that still meets the objective."""
--- a/sesameroad/jobs/placement.py
+++ b/sesameroad/jobs/placement.py
@@ -179,6 +179,20 @@
         cost, _, leased = self._costs[0]
         return leased if cost <= self._full_cost * _SPILL_RATIO else None
 
+    def room(self, limit: int) -> int:
+        """Returns how many tasks of the job can start, at most the limit."""
+        job = self._active.job
+        room = 0
+        for _, _, leased in self._costs:
+            count = leased.count_fitting(job.need, limit - room)
+            if job.per_endpoint:
+                used = leased.count_runs(job.key)
+                count = min(count, job.per_endpoint - used)
+            room += count
+            if room >= limit:
+                break
+        return room
+
     def run_added(self) -> None:
         """Updates the ranking after a task was placed on the best endpoint."""
         _, position, leased = self._costs[0]
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -16,6 +16,7 @@
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placer
 from sesameroad.jobs import takeover
+from sesameroad.jobs import whole_starts
 from sesameroad.leasing import endpoint_pool
 from sesameroad.leasing import leased_endpoint
 from sesameroad.leasing import orders
@@ -26,6 +27,7 @@
 from sesameroad.model import endpoints
 from sesameroad.model import jobs
 from sesameroad.model import outcomes
+from sesameroad.model import scheduling as scheduling_module
 from sesameroad.telemetry import job_metrics
 from sesameroad.telemetry import log
 
@@ -38,6 +40,7 @@
 # Longest wait of a new leader for the evacuated data centres. Without the store
 # and without a peer that knows them, it assumes that there are none.
 _EVACUATIONS_WAIT_S = 0.5
+_DEFAULT_SCHEDULING = scheduling_module.Scheduling()
 
 
 class Scheduler:
@@ -55,6 +58,7 @@
         evacuations: evacuations_module.Evacuations | None = None,
         peers: attempts.Peers | None = None,
         attempt_notice_s: float = 0.0,
+        scheduling: scheduling_module.Scheduling = _DEFAULT_SCHEDULING,
     ) -> None:
         """Creates a scheduler without endpoints.
 
@@ -71,12 +75,14 @@
             peers: Other leaders, None if there never are any.
             attempt_notice_s: Age from which they are told of a job, in seconds;
                 0 for never.
+            scheduling: Options for a shortage of capacity.
         """
         self._token = token
         self._clock = clock
         self._on_fenced = on_fenced
         self._metrics = metrics
         self._evacuations = evacuations
+        self._scheduling = scheduling
         self._pool = endpoint_pool.EndpointPool(
             orders_=orders_, lease_s=lease_s, events=self, clock=clock
         )
@@ -89,8 +95,8 @@
             peers=peers,
             notice_s=attempt_notice_s,
         )
-        self._backlog = backlog.Backlog()
         self._eligibility = eligibility.Eligibility(self._pool)
+        self._backlog = backlog.Backlog(begun_first=scheduling.whole_starts)
         self._admission = admission.Admission(
             backlog=self._backlog,
             pool=self._pool,
@@ -102,6 +108,11 @@
             table=self._table,
             backlog=self._backlog,
             held_up_starts=self._held_up_starts,
+            whole_starts=(
+                whole_starts.WholeStarts(self._pool)
+                if scheduling.whole_starts
+                else None
+            ),
         )
         self._wake = asyncio.Event()
         self._stopped = False
@@ -757,7 +768,7 @@
                     "its caller no longer waits",
                 ),
             )
-        elif active.waiting and now >= active.job.expires_at:
+        elif active.waiting and self._is_useless(active, now):
             # Runs in progress may still finish late with some value. Tasks that
             # would start now could not finish before the response is worthless.
             self._finish(
@@ -790,6 +801,12 @@
                 active, ending.abandoned(active, refusal.cause, refusal.detail)
             )
 
+    def _is_useless(self, active: active_job.ActiveJob, now: float) -> bool:
+        """Returns whether waiting tasks of a job can no longer be of use."""
+        if self._scheduling.whole_starts and active.begun:
+            return not whole_starts.is_of_use(active, now)
+        return now >= active.job.expires_at
+
     def _stop_hanging(
         self, leased: leased_endpoint.LeasedEndpoint, now: float
     ) -> None:
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -509,6 +509,7 @@
             evacuations=self._evacuations,
             peers=self,
             attempt_notice_s=self._settings.timing.attempt_notice_s,
+            scheduling=self._settings.scheduling,
         )
         self._task = asyncio.create_task(scheduler.run(), name="leader")
         return scheduler
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -13,6 +13,7 @@
 from sesameroad.model import needs
 from sesameroad.peering import messages
 from sesameroad.peering import peer_clock
+from sesameroad.model import scheduling as scheduling_module
 from sesameroad.platform import order_client
 from sesameroad.telemetry import job_metrics
 from standins import simulated_endpoint
@@ -256,7 +257,14 @@
         return endpoint
 
     @contextlib.asynccontextmanager
-    async def leader(self, token: int = 1, *, orders_=None, evacuations=None):
+    async def leader(
+        self,
+        token: int = 1,
+        *,
+        orders_=None,
+        evacuations=None,
+        scheduling=scheduling_module.Scheduling(),  # noqa: B008  # Frozen.
+    ):
         scheduler = scheduler_module.Scheduler(
             token=token,
             orders_=orders_ or self.fleet,
@@ -267,6 +275,7 @@
             evacuations=evacuations,
             peers=self.links.open(f"leader{token}"),
             attempt_notice_s=self._attempt_notice_s,
+            scheduling=scheduling,
         )
         self.links.add(f"leader{token}", scheduler)
         scheduler.update(self.endpoints)
