--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -11,9 +11,9 @@
 from sesameroad.model import endpoints
 from sesameroad.model import jobs
 from sesameroad.model import needs
+from sesameroad.model import scheduling as scheduling_module
 from sesameroad.peering import messages
 from sesameroad.peering import peer_clock
-from sesameroad.model import scheduling as scheduling_module
 from sesameroad.platform import order_client
 from sesameroad.telemetry import job_metrics
 from standins import simulated_endpoint
