Report evacuations in metrics and logs, and test them through faults

Cause: nobody could see how many runs an evacuation has left in a data centre, and only tests in virtual time covered it.

Instances read the list when the state changes, as they refuse jobs by it.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -113,6 +113,13 @@
         """Expected wait of a new job that is placed after all others."""
         return self._admission.wait_s
 
+    @property
+    def evacuated_runs(self) -> int:
+        """Number of runs that are left in evacuated data centres."""
+        return sum(
+            len(leased.runs) for leased in self._pool if leased.evacuated
+        )
+
     @property
     def pending(self) -> dict[str, int]:
         """Number of jobs without a started task, by queue."""
@@ -180,8 +187,18 @@
     def _withdraw_starts(self) -> None:
         """Places tasks anew whose queued starts their endpoints must not get."""
         for leased in self._pool:
-            for run in reversed(leased.withdraw_starts()):
+            withdrawn = leased.withdraw_starts()
+            for run in reversed(withdrawn):
                 self._retry(run, "withdrawn")
+            if withdrawn:
+                log.event(
+                    "queued starts withdrawn",
+                    step="schedule",
+                    peer=leased.endpoint.id,
+                    count=len(withdrawn),
+                    evacuated=leased.evacuated,
+                    leaving=leased.endpoint.leaving,
+                )
 
     async def submit(
         self,
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -139,6 +139,11 @@
         """Number of jobs of this leader that have not started a task."""
         return sum(self._scheduler.pending.values()) if self._scheduler else 0
 
+    @property
+    def evacuated_runs(self) -> int:
+        """Runs of this leader that are left in evacuated data centres."""
+        return self._scheduler.evacuated_runs if self._scheduler else 0
+
     @property
     def reachable(self) -> bool:
         """Whether a leader of any data centre is reachable."""
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -503,6 +503,8 @@
         self._heartbeat_cache = None
         self._mesh.send_heartbeats()
         self._leaders.apply_evacuations()
+        # Jobs are refused by what this instance knows of other endpoints.
+        self._endpoint_watcher.read_now()
 
     def _forward_new_configuration(self) -> None:
         """Sends a new configuration once to the peers that still lack it."""
@@ -640,6 +642,8 @@
             endpoint_list_age_s=self._endpoint_list.age_s,
             log_lines_dropped=log.dropped(),
             loop_delay_s=self._loop_lag.delay_s,
+            evacuated_data_centres=len(self._evacuations.data_centres),
+            evacuated_runs=self._leaders.evacuated_runs,
         )
 
     async def _close(self) -> None:
--- a/sesameroad/telemetry/job_metrics.py
+++ b/sesameroad/telemetry/job_metrics.py
@@ -36,6 +36,8 @@
             not yet reported in the log.
         loop_delay_s: Mean delay of the event loop, which shows a lack of
             processor time.
+        evacuated_data_centres: Number of data centres that are evacuated.
+        evacuated_runs: Runs that this leader has left on their endpoints.
     """
 
     configuration_version: int
@@ -47,6 +49,8 @@
     endpoint_list_age_s: float
     log_lines_dropped: int
     loop_delay_s: float
+    evacuated_data_centres: int = 0
+    evacuated_runs: int = 0
 
 
 class JobMetrics:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+import itertools
 import pathlib
 import random
 import signal
@@ -278,6 +279,39 @@
                 self._write_row_after(name, listed)
             )
 
+    def count_starts(self, data_centre: str) -> int:
+        """Returns the number of starts on the endpoints of a data centre."""
+        return sum(
+            simulated.end_count + len(simulated.running)
+            for simulated in self.endpoints
+            if simulated.endpoint.data_centre == data_centre
+        )
+
+    def paths_between(self, first: str, second: str) -> list[tuple[str, str]]:
+        """Returns the pairs of members of two data centres with a path."""
+        near, far = (
+            [i.name for i in self.instances if i.data_centre == data_centre]
+            for data_centre in (first, second)
+        )
+        centres = {
+            e.endpoint.id: e.endpoint.data_centre for e in self.endpoints
+        }
+        return [
+            *itertools.product(near, far),
+            *(
+                (i, e)
+                for e, centre in centres.items()
+                if centre == second
+                for i in near
+            ),
+            *(
+                (i, e)
+                for e, centre in centres.items()
+                if centre == first
+                for i in far
+            ),
+        ]
+
     async def remove_endpoint(self, name: str) -> None:
         """Removes an endpoint from the list."""
         await self.store.remove("servers", name)
--- a/tests/_processes.py
+++ b/tests/_processes.py
@@ -178,6 +178,18 @@
         job.not_done = set(job.tasks) - set(self.history.done)
         return job
 
+    def find_leader(self):
+        """Returns the running instance that claimed endpoints last."""
+        claims = {}
+        for instance in self.deployment.instances:
+            for text in instance.log.read_text().splitlines():
+                if '"stewardship claimed"' in text:
+                    claims[instance.name] = json.loads(text)["time"]
+        return max(
+            (i for i in self.deployment.instances if i.running),
+            key=lambda instance: claims.get(instance.name, ""),
+        )
+
     def trace(self, key):
         """Returns what instances and endpoints recorded during a job."""
         recorded = self.deployment.late_orders.journal
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -20,6 +20,7 @@
     messages.Hello("a", "dc1", "ff"),
     messages.Heartbeat(3, 4, True),
     messages.Heartbeat(3, 4, False, slow=True),
+    messages.Heartbeat(3, 4, False, evacuations_version=9, evacuated=("z",)),
     messages.ConfigurationUpdate(b"{}"),
     messages.EndpointUpdate(b"x", (messages.LeavingMark("e", 3, 1_500),)),
     messages.RelayRequest(1, messages.Purpose.SPILL, _WORK, "d", 9),
