--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -23,6 +23,7 @@
     messages.AttemptRunning("k", frozenset({"a", "b"}), 1.25, 8.5),
     messages.AttemptReplaced("k", "b", 1.5),
     messages.AttemptEnded("k", "b", 1.25),
+    messages.Heartbeat(3, 4, False, evacuations_version=9, evacuated=("z",)),
     messages.ConfigurationUpdate(b"{}"),
     messages.EndpointUpdate(b"x", (messages.LeavingMark("e", 3, 1_500),)),
     messages.RelayRequest(1, messages.Purpose.SPILL, _WORK, "d", 9),
