Simulate interference of queues in the endpoint stand-in

Detection of tasks that slow each other down needs endpoints on which they do. A fleet has factors by pair of queues, the queue being the third part of a spec; ends of runs move as neighbours come and go. A factor by task gives the tasks of a job different run times, and the history can keep run times with and without neighbours. Without factors nothing changes: tests.test_job_scheduler and tests.test_job_load pass.

--- a/standins/simulated_endpoint.py
+++ b/standins/simulated_endpoint.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 
 from sesameroad.leasing import orders
@@ -51,17 +52,39 @@
 
 @dataclasses.dataclass(slots=True)
 class _Run:
+    """A run that has not ended.
+
+    Attributes:
+        run: Number of the run.
+        cores: Processor cores that it uses.
+        timer: Timer of its end, None for a run that hangs.
+        started_at: Time of its start.
+        seconds: Run time without other runs on the endpoint.
+        queue: Third part of its spec, the queue of its job.
+        speed: Part of its speed that the other runs leave to it.
+        progress_s: Part of its run time that it had done at `speed_since`.
+        speed_since: Time since which it has run at this speed.
+    """
+
     run: int
     cores: float
     timer: asyncio.TimerHandle | None
     started_at: float
     seconds: float
+    queue: str = ""
+    speed: float = 1.0
+    progress_s: float = 0.0
+    speed_since: float = 0.0
+
+    def done_s(self, now: float) -> float:
+        """Returns the part of its run time that it has done."""
+        return self.progress_s + (now - self.speed_since) * self.speed
 
     def percent(self, now: float) -> int:
         """Returns the progress, which stays 0 for a run that hangs."""
         if self.timer is None:
             return 0
-        return min(99, int((now - self.started_at) / self.seconds * 100))
+        return min(99, int(self.done_s(now) / self.seconds * 100))
 
 
 class RunHistory:
@@ -75,6 +98,8 @@
             had not ended.
         refused: Number of starts that were refused for lack of room.
         looks: Number of reads of the lists of an endpoint.
+        run_times: For each queue, run times without other runs on the endpoint
+            and actual ones, in seconds; None if they are not to be kept.
     """
 
     def __init__(self) -> None:
@@ -84,6 +109,7 @@
         self.overlapping: list[str] = []
         self.refused = 0
         self.looks = 0
+        self.run_times: dict[str, list[tuple[float, float]]] | None = None
 
     def begin(self, task: str, endpoint_id: str) -> None:
         """Records a start, and whether another run of the task is running."""
@@ -121,7 +147,25 @@
         clock: clocks.Clock,
         lease_s: float = 1.0,
         run_s: Callable[[str], float] = float,
+        slowdowns: Mapping[tuple[str, str], float] | None = None,
+        task_factor: Callable[[str], float] | None = None,
     ) -> None:
+        """Creates an endpoint.
+
+        Args:
+            endpoint: Its entry in the platform's list.
+            history: Receives its starts and ends.
+            clock: Time source.
+            lease_s: Longest lease that it grants, in seconds.
+            run_s: Returns the run time from the first part of a spec.
+            slowdowns: Factors by which each run of a queue that is alongside
+                slows a run down, by slowed queue and queue alongside. The queue
+                of a run is the third part of its spec.
+            task_factor: Returns the factor by which the run time of a task
+                differs from that of its spec; 1 for all if None.
+        """
+        self._slowdowns = {} if slowdowns is None else slowdowns
+        self._task_factor = task_factor
         self.endpoint = endpoint
         self.fault = Fault()
         self.token = 0
@@ -191,21 +235,27 @@
             return orders.Accepted(self.clock_ms)
         if current is not None or run <= self._last_barred_run.get(task, 0):
             return orders.Refused(orders.Refusal.OLD_RUN, self.clock_ms)
-        cores = float(spec.partition("/")[2] or 1)
+        parts = spec.split("/")
+        cores = float(parts[1] if len(parts) > 1 and parts[1] else 1)
+        queue = parts[2] if len(parts) > 2 else ""
         used = sum(run_state.cores for run_state in self.running.values())
         if used + cores > self.endpoint.offer.cores:
             self._history.refused += 1
             return orders.Refused(orders.Refusal.NO_ROOM, self.clock_ms)
         loop = asyncio.get_running_loop()
         timer = None
-        seconds = self._run_s(spec.partition("/")[0]) * self.fault.slowness
+        seconds = self._run_s(parts[0]) * self.fault.slowness
+        if self._task_factor is not None:
+            seconds *= self._task_factor(task)
         if not self.fault.hanging:
             ending = orders.Ending.FAILED if self.fault.failing else _DONE
             timer = loop.call_later(seconds, self._end, task, ending)
         self._history.begin(task, self.endpoint.id)
+        now = self._clock.monotonic()
         self.running[task] = _Run(
-            run, cores, timer, self._clock.monotonic(), seconds
+            run, cores, timer, now, seconds, queue, speed_since=now
         )
+        self._update_speeds()
         return orders.Accepted(self.clock_ms)
 
     def stop(self, *, task: str, run: int, token: int) -> orders.Answer:
@@ -295,6 +345,11 @@
         )
         if ending is _DONE:
             self._history.done.append(task)
+            if self._history.run_times is not None:
+                took_s = self._clock.monotonic() - run_state.started_at
+                self._history.run_times.setdefault(run_state.queue, []).append(
+                    (run_state.seconds, took_s)
+                )
         self._changed.set()
 
     def _drop(self, task: str) -> _Run | None:
@@ -303,15 +358,49 @@
             self._history.end(task, self.endpoint.id)
             if run_state.timer is not None:
                 run_state.timer.cancel()
+            self._update_speeds()
         return run_state
 
+    def _update_speeds(self) -> None:
+        """Moves the ends of runs that other runs slow down from now on."""
+        if not self._slowdowns:
+            return
+        now = self._clock.monotonic()
+        for task, run_state in self.running.items():
+            speed = 1.0
+            for other in self.running.values():
+                if other is not run_state:
+                    pair = run_state.queue, other.queue
+                    speed /= self._slowdowns.get(pair, 1.0)
+            if speed == run_state.speed or run_state.timer is None:
+                continue
+            run_state.progress_s = run_state.done_s(now)
+            run_state.speed_since = now
+            run_state.speed = speed
+            run_state.timer.cancel()
+            ending = orders.Ending.FAILED if self.fault.failing else _DONE
+            left_s = max(0.0, run_state.seconds - run_state.progress_s)
+            run_state.timer = asyncio.get_running_loop().call_later(
+                left_s / speed, self._end, task, ending
+            )
+
 
 class SimulatedFleet:
-    """Endpoints and delivery of orders to them, as `leasing.order.Orders`."""
+    """Endpoints and delivery of orders to them, as `leasing.order.Orders`.
+
+    Attributes:
+        history: Runs on all endpoints.
+        endpoints: All endpoints by id.
+        slowdowns: Interference of queues on all endpoints; see
+            `SimulatedEndpoint`.
+        task_factor: The same factor for endpoints that are added later.
+    """
 
     def __init__(self, *, clock: clocks.Clock, delay_s: float = 0.001) -> None:
         self.history = RunHistory()
         self.endpoints: dict[str, SimulatedEndpoint] = {}
+        self.slowdowns: dict[tuple[str, str], float] = {}
+        self.task_factor: Callable[[str], float] | None = None
         self._clock = clock
         self._delay_s = delay_s
 
@@ -320,7 +409,12 @@
     ) -> SimulatedEndpoint:
         """Adds an endpoint."""
         simulated = SimulatedEndpoint(
-            endpoint, history=self.history, clock=self._clock, lease_s=lease_s
+            endpoint,
+            history=self.history,
+            clock=self._clock,
+            lease_s=lease_s,
+            slowdowns=self.slowdowns,
+            task_factor=self.task_factor,
         )
         self.endpoints[endpoint.id] = simulated
         return simulated
