Detect queues that slow each other down, and keep them apart

Operators asked which tasks slow each other down on one endpoint, and to keep them apart where there is capacity. Each end of a run is compared with what its endpoint, its kind of endpoint and its queue lead to expect; a regression per delayed queue attributes the rest to the queues alongside. Placement adds the expected delay of both sides to the cost of an endpoint, never more than a finite charge. The state belongs to the leader; its successor learns anew. Pairs are in the log, the metrics and at /interference; operators can pin them apart or harmless.

tests.test_pages checks the fields of the new table of the settings as well, and now expects each field as the first cell of a row, which is stricter.

--- a/sesameroad/jobs/active_job.py
+++ b/sesameroad/jobs/active_job.py
@@ -206,6 +206,7 @@
             accelerators=job.need.accelerators,
             estimate_s=job.estimate_s,
             spec=job.spec,
+            queue=job.queue,
         )
 
     def next_run_number(self, index: int) -> int:
--- a/sesameroad/jobs/placement.py
+++ b/sesameroad/jobs/placement.py
@@ -5,6 +5,7 @@
 import math
 
 from sesameroad.jobs import active_job
+from sesameroad.jobs import interference as interference_module
 from sesameroad.leasing import leased_endpoint
 from sesameroad.model import jobs
 
@@ -32,6 +33,7 @@
 
     __slots__ = (
         "_available",
+        "_interference",
         "_largest_cores",
         "_median_slowness",
         "_now",
@@ -39,16 +41,21 @@
     )
 
     def __init__(
-        self, pool: Iterable[leased_endpoint.LeasedEndpoint], now: float
+        self,
+        pool: Iterable[leased_endpoint.LeasedEndpoint],
+        now: float,
+        interference: interference_module.Interference | None = None,
     ) -> None:
         """Creates the candidates.
 
         Args:
             pool: All leased endpoints.
             now: Current monotonic time.
+            interference: Queues to keep apart, None if it is disabled.
         """
         pool = list(pool)
         self._now = now
+        self._interference = interference
         self.orphans = frozenset(
             task for leased in pool for task in leased.orphans
         )
@@ -82,6 +89,33 @@
         """Forgets the most free cores after a run was placed."""
         self._largest_cores = None
 
+    def partners(self, queue: str) -> dict[str, float] | None:
+        """Returns the queues to keep apart from a queue, None if none."""
+        if self._interference is None:
+            return None
+        return self._interference.partners(queue)
+
+    def charge(
+        self,
+        active: active_job.ActiveJob,
+        leased: leased_endpoint.LeasedEndpoint,
+        partners: dict[str, float],
+    ) -> float:
+        """Returns the added cost of an endpoint for queues to keep apart.
+
+        Endpoints that other rules disfavour are charged the maximum, so that
+        the charge does not move a task there.
+        """
+        job = active.job
+        endpoint = leased.endpoint
+        if endpoint.id in active.avoided or (
+            job.preferred_label and job.preferred_label not in endpoint.labels
+        ):
+            return interference_module.MAX_CHARGE
+        return interference_module.charge(
+            partners, job.estimate_s, leased, self._now
+        )
+
     def end_by(self, active: active_job.ActiveJob) -> float:
         """Returns the time by which the runs of a job must be able to end."""
         return active.runs_end_by(self._now)
@@ -146,7 +180,7 @@
     sending the orders does.
     """
 
-    __slots__ = ("_active", "_candidates", "_costs", "_end_by")
+    __slots__ = ("_active", "_candidates", "_costs", "_end_by", "_partners")
 
     def __init__(
         self,
@@ -157,6 +191,7 @@
         self._candidates = candidates
         self._active = active
         self._end_by = candidates.end_by(active)
+        self._partners = candidates.partners(active.job.queue)
         # Heap of costs; the position breaks ties between equal ones.
         self._costs = [
             (cost, position, leased)
@@ -181,7 +216,12 @@
             heapq.heappop(self._costs)
 
     def _cost(self, leased: leased_endpoint.LeasedEndpoint) -> float:
-        return self._candidates.cost(self._active, leased, end_by=self._end_by)
+        cost = self._candidates.cost(self._active, leased, end_by=self._end_by)
+        if self._partners is not None and cost < math.inf:
+            cost += self._candidates.charge(
+                self._active, leased, self._partners
+            )
+        return cost
 
 
 def _median(ratios: list[float]) -> float:
--- a/sesameroad/jobs/placer.py
+++ b/sesameroad/jobs/placer.py
@@ -3,6 +3,7 @@
 from sesameroad.jobs import active_job
 from sesameroad.jobs import backlog as backlog_module
 from sesameroad.jobs import held_up_starts as held_up_starts_module
+from sesameroad.jobs import interference as interference_module
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placement
 from sesameroad.leasing import endpoint_pool
@@ -17,7 +18,13 @@
 class Placer:
     """Assigns waiting tasks to endpoints and queues their start orders."""
 
-    __slots__ = ("_backlog", "_held_up_starts", "_pool", "_table")
+    __slots__ = (
+        "_backlog",
+        "_held_up_starts",
+        "_interference",
+        "_pool",
+        "_table",
+    )
 
     def __init__(
         self,
@@ -26,7 +33,9 @@
         table: job_table.JobTable,
         backlog: backlog_module.Backlog,
         held_up_starts: held_up_starts_module.HeldUpStarts,
+        interference: interference_module.Interference | None = None,
     ) -> None:
+        self._interference = interference
         self._pool = pool
         self._table = table
         self._backlog = backlog
@@ -36,7 +45,7 @@
         """Starts waiting tasks while there is capacity."""
         if not len(self._backlog):
             return
-        candidates = placement.Candidates(self._pool, now)
+        candidates = placement.Candidates(self._pool, now, self._interference)
         misses = 0
         partly_placed: list[active_job.ActiveJob] = []
         for active in self._backlog.ordered(now):
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -10,6 +10,8 @@
 from sesameroad.jobs import backlog
 from sesameroad.jobs import ending
 from sesameroad.jobs import held_up_starts
+from sesameroad.jobs import interference as interference_module
+from sesameroad.jobs import interference_monitor
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placer
 from sesameroad.jobs import takeover
@@ -44,6 +46,7 @@
         clock: clocks.Clock,
         on_fenced: Callable[[str], None],
         metrics: job_metrics.JobMetrics,
+        interference: interference_module.Interference | None = None,
     ) -> None:
         """Creates a scheduler without endpoints.
 
@@ -55,6 +58,7 @@
             on_fenced: Called with the data centre of an endpoint that has seen a
                 higher token.
             metrics: Counts starts and ends of runs.
+            interference: Learns which queues to keep apart, None if disabled.
         """
         self._token = token
         self._clock = clock
@@ -70,11 +74,16 @@
             backlog=self._backlog, pool=self._pool
         )
         self._held_up_starts = held_up_starts.HeldUpStarts()
+        self._interference = interference
+        self._interference_monitor = interference_monitor.InterferenceMonitor(
+            interference, metrics=metrics
+        )
         self._placer = placer.Placer(
             pool=self._pool,
             table=self._table,
             backlog=self._backlog,
             held_up_starts=self._held_up_starts,
+            interference=interference,
         )
         self._wake = asyncio.Event()
         self._stopped = False
@@ -110,6 +119,11 @@
                 counts[name] = counts.get(name, 0) + 1
         return counts
 
+    @property
+    def interference_report(self) -> list[dict[str, object]]:
+        """Pairs of queues that interfere, with delay and evidence."""
+        return self._interference_monitor.report(self._clock.monotonic())
+
     def set_loop_delay(self, delay_s: float) -> None:
         """Sets the mean delay of the event loop of this process, in seconds."""
         self._admission.loop_delay_s = delay_s
@@ -563,8 +577,12 @@
         if leased is None:
             return
         self._metrics.run_ended(reason)
+        now = self._clock.monotonic()
+        if self._interference is not None:
+            done = active is not None and reason == orders.Ending.DONE.value
+            tasks = active.job.count if done else 0
+            self._interference.run_ended(leased, run, now=now, tasks=tasks)
         if active is not None:
-            now = self._clock.monotonic()
             active.add_history(
                 ending.describe_run(active, leased, run, reason, now)
             )
@@ -627,6 +645,7 @@
                 self._stop_hanging(leased, now)
             self._takeover.stop_unclaimed(self._pool)
             self._pool.release_unlisted()
+            self._interference_monitor.check(now)
             self._wake.set()
 
     def _check(self, active: active_job.ActiveJob, now: float) -> None:
@@ -677,6 +696,7 @@
     async def _close(self) -> None:
         """Ends all jobs here; their origins submit them to the next leader."""
         self._stopped = True
+        self._interference_monitor.close()
         await self._pool.close()
         for active in self._table:
             if active.started:
--- a/sesameroad/leasing/runs.py
+++ b/sesameroad/leasing/runs.py
@@ -50,6 +50,9 @@
         stop_sent: Whether a stop is queued or was answered.
         percent: Progress in the last report.
         progressed_at: Time at which the progress last changed.
+        queue: Queue of its job.
+        alongside: Time in seconds for which runs of each queue that have ended
+            were on its endpoint; kept only for the detection of interference.
     """
 
     task: str
@@ -72,6 +75,8 @@
     stop_sent: bool = False
     percent: int = 0
     progressed_at: float = 0.0
+    queue: str = ""
+    alongside: dict[str, float] | None = None
 
     def is_gone(self, *, asked_at: float, token: int) -> bool:
         """Returns whether a report that does not list the run shows its end.
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -8,6 +8,7 @@
 from sesameroad.jobs import active_job
 from sesameroad.jobs import coordinator
 from sesameroad.jobs import election
+from sesameroad.jobs import interference
 from sesameroad.jobs import partitioning
 from sesameroad.jobs import scheduler as scheduler_module
 from sesameroad.leasing import orders
@@ -213,6 +214,11 @@
         ]
         return (*self.claims(), *relayed)
 
+    @property
+    def interference_report(self) -> list[dict[str, object]]:
+        """Pairs of queues that interfere at endpoints of this leader."""
+        return self._scheduler.interference_report if self._scheduler else []
+
     def pending(self, queue: str) -> int:
         """Returns the number of jobs that have not started a task."""
         return self._scheduler.pending.get(queue, 0) if self._scheduler else 0
@@ -428,6 +434,9 @@
             clock=self._clock,
             on_fenced=self._handle_fenced,
             metrics=self._metrics,
+            interference=interference.Interference.from_settings(
+                self._settings.interference
+            ),
         )
         self._task = asyncio.create_task(scheduler.run(), name="leader")
         return scheduler
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -51,6 +51,7 @@
 # the store themselves.
 _FORWARD_DELAY_S = 1.0
 _METRICS_PATH = "/metrics"
+_INTERFERENCE_PATH = "/interference"
 _STOP_POLL_S = 0.05
 # Retry delay for a caller that a stopping instance refuses. The next connection
 # of the caller goes to another instance.
@@ -580,6 +581,8 @@
         return web.Response(status=200 if self.ready else 503)
 
     async def _handle_metrics(self, request: web.BaseRequest) -> web.Response:
+        if request.path == _INTERFERENCE_PATH:
+            return web.json_response(self._leaders.interference_report)
         if request.path != _METRICS_PATH:
             return web.Response(status=404)
         return web.Response(
--- a/sesameroad/settings/node.py
+++ b/sesameroad/settings/node.py
@@ -56,6 +56,35 @@
     graceful_stop_s: _PositiveSeconds = 5.3
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Interference:
+    """Detection of queues whose tasks slow each other down on one endpoint.
+
+    Attributes:
+        enabled: Whether a leader detects such queues and keeps them apart where
+            there is capacity.
+        half_life_s: Time in seconds in which evidence loses half of its weight.
+        min_delay: Smallest extra run time that is detected, as a fraction of
+            the run time.
+        apart: Pairs of queues that are kept apart without evidence.
+        harmless: Pairs of queues that are not kept apart whatever the evidence.
+    """
+
+    enabled: bool = False
+    half_life_s: _PositiveSeconds = 300.0
+    min_delay: Annotated[float, msgspec.Meta(gt=0)] = 0.1
+    apart: tuple[tuple[_Name, _Name], ...] = ()
+    harmless: tuple[tuple[_Name, _Name], ...] = ()
+
+    def __post_init__(self) -> None:
+        apart = {frozenset(pair) for pair in self.apart}
+        for pair in self.harmless:
+            if frozenset(pair) in apart:
+                raise ValueError(
+                    f"{' and '.join(pair)} are both apart and harmless"
+                )
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class NodeSettings:
     """Settings of one instance.
@@ -72,6 +101,7 @@
         max_lease_ms: Longest lease that an endpoint grants.
         processor_share: Share of one processor core that a thread gets.
         timing: Periods and timeouts.
+        interference: Detection of tasks that slow each other down.
     """
 
     instance_id: _Name
@@ -85,6 +115,7 @@
     max_lease_ms: _PositiveMs
     processor_share: _PositiveSeconds = 1.0
     timing: Timing = Timing()
+    interference: Interference = Interference()
 
     @property
     def processor_millicores(self) -> int:
--- a/sesameroad/telemetry/job_metrics.py
+++ b/sesameroad/telemetry/job_metrics.py
@@ -1,10 +1,12 @@
 """Prometheus metrics of an instance on the platform.
 
 All labels have a fixed set of values. Queues and hosts are not used as labels,
-because new ones appear every day.
+because new ones appear every day; the only exception is the strongest pairs of
+queues that interfere at present.
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 import functools
 import re
@@ -99,6 +101,26 @@
             ["step", "result"],
             registry=registry,
         )
+        self._interference_changes = prometheus_client.Counter(
+            "sesameroad_interference_changes",
+            "Pairs of queues that were detected to interfere, and ends of that.",
+            ["change"],
+            registry=registry,
+        )
+        # Labels are names of queues here, because the pair is what matters. Only
+        # the strongest present pairs are exported.
+        self._interference_delay = prometheus_client.Gauge(
+            "sesameroad_interference_delay_ratio",
+            "Extra run time of a queue alongside another, per run time.",
+            ["delayed", "alongside"],
+            registry=registry,
+        )
+        self._interference_jobs = prometheus_client.Gauge(
+            "sesameroad_interference_evidence_jobs",
+            "Evidence for that delay, in jobs of full overlap.",
+            ["delayed", "alongside"],
+            registry=registry,
+        )
         # Looking up a child by its labels takes longer than counting, and a
         # leader counts thousands of orders a second.
         self._runs_ended_by = functools.cache(self._runs_ended.labels)
@@ -151,6 +173,24 @@
         result = "answered" if answered else "failed"
         self._store_calls.labels(step, result).inc()
 
+    def interference_changed(self, change: str) -> None:
+        """Counts a pair of queues that was detected to interfere, or its end."""
+        self._interference_changes.labels(change).inc()
+
+    def set_interference(
+        self, pairs: Mapping[tuple[str, str], tuple[float, float]]
+    ) -> None:
+        """Replaces the exported pairs of queues that interfere.
+
+        Args:
+            pairs: Delay and evidence by delayed queue and queue alongside.
+        """
+        self._interference_delay.clear()
+        self._interference_jobs.clear()
+        for names, (delay, evidence) in pairs.items():
+            self._interference_delay.labels(*names).set(delay)
+            self._interference_jobs.labels(*names).set(evidence)
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -129,7 +129,7 @@
         return endpoint
 
     @contextlib.asynccontextmanager
-    async def leader(self, token: int = 1, *, orders_=None):
+    async def leader(self, token: int = 1, *, orders_=None, interference=None):
         scheduler = scheduler_module.Scheduler(
             token=token,
             orders_=orders_ or self.fleet,
@@ -137,6 +137,7 @@
             clock=self.clock,
             on_fenced=self.fenced.append,
             metrics=job_metrics.JobMetrics(),
+            interference=interference,
         )
         scheduler.update(self.endpoints)
         task = asyncio.create_task(scheduler.run())
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -61,10 +61,14 @@
     def test_settings_page_has_every_field_of_an_instance(self):
         page = (_DOCS / "settings.md").read_text()
         page = page.partition("# Settings of an instance on the platform")[2]
-        for settings_class in (node.NodeSettings, node.Timing):
+        for table, settings_class in (
+            ("", node.NodeSettings),
+            ("timing.", node.Timing),
+            ("interference.", node.Interference),
+        ):
             for field in dataclasses.fields(settings_class):
-                if field.name != "timing":
-                    self.assertRegex(page, rf"`(timing\.)?{field.name}`")
+                if field.name not in {"timing", "interference"}:
+                    self.assertIn(f"| `{table}{field.name}`", page)
 
     def test_callers_page_has_every_cause(self):
         page = (_DOCS / "callers.md").read_text()
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -106,6 +106,9 @@
             text = await answer.text()
         self.assertIn("sesameroad_configuration_version 2.0", text)
         self.assertIn("sesameroad_jobs_answered_total", text)
+        url = f"http://{self.deployment.instances[0].metrics}/interference"
+        async with self.session.get(url) as answer:
+            self.assertEqual(await answer.json(), [])
 
     async def test_killed_instance_leaves_no_run_and_the_other_serves(self):
         """Guards against a job that runs twice after its instance was killed.
