--- a/sesameroad/jobs/placement.py
+++ b/sesameroad/jobs/placement.py
@@ -5,6 +5,7 @@
 import math
 
 from sesameroad.jobs import active_job
+from sesameroad.jobs import interference as interference_module
 from sesameroad.leasing import leased_endpoint
 from sesameroad.model import jobs
 
@@ -35,6 +36,7 @@
 
     __slots__ = (
         "_available",
+        "_interference",
         "_largest_cores",
         "_median_slowness",
         "_now",
@@ -42,16 +44,21 @@
     )
 
     def __init__(
-        self, pool: Iterable[leased_endpoint.LeasedEndpoint], now: float
+        self,
+        pool: Iterable[leased_endpoint.LeasedEndpoint],
+        now: float,
+        interference: interference_module.Interference | None = None,
     ) -> None:
         """Creates the candidates.
 
         Args:
             pool: All leased endpoints.
             now: Current monotonic time.
+            interference: Queues to keep apart, None if it is disabled.
         """
         pool = list(pool)
         self._now = now
+        self._interference = interference
         self.orphans = frozenset(
             task for leased in pool for task in leased.orphans
         )
@@ -85,6 +92,33 @@
         """Forgets the most free cores after a run was placed."""
         self._largest_cores = None
 
+    def partners(self, queue: str) -> dict[str, float] | None:
+        """Returns the queues to keep apart from a queue, None if none."""
+        if self._interference is None:
+            return None
+        return self._interference.partners(queue)
+
+    def charge(
+        self,
+        active: active_job.ActiveJob,
+        leased: leased_endpoint.LeasedEndpoint,
+        partners: dict[str, float],
+    ) -> float:
+        """Returns the added cost of an endpoint for queues to keep apart.
+
+        Endpoints that other rules disfavour are charged the maximum, so that
+        the charge does not move a task there.
+        """
+        job = active.job
+        endpoint = leased.endpoint
+        if endpoint.id in active.avoided or (
+            job.preferred_label and job.preferred_label not in endpoint.labels
+        ):
+            return interference_module.MAX_CHARGE
+        return interference_module.charge(
+            partners, job.estimate_s, leased, self._now
+        )
+
     def end_by(self, active: active_job.ActiveJob) -> float:
         """Returns the time by which the runs of a job must be able to end."""
         return active.runs_end_by(self._now)
@@ -147,7 +181,14 @@
     sending the orders does.
     """
 
-    __slots__ = ("_active", "_candidates", "_costs", "_end_by", "_full_cost")
+    __slots__ = (
+        "_active",
+        "_candidates",
+        "_costs",
+        "_end_by",
+        "_full_cost",
+        "_partners",
+    )
 
     def __init__(
         self,
@@ -160,6 +201,7 @@
         self._end_by = candidates.end_by(active)
         # Lowest cost of an endpoint whose queue of starts is full.
         self._full_cost = math.inf
+        self._partners = candidates.partners(active.job.queue)
         # Heap of costs; the position breaks ties between equal ones.
         self._costs = [
             (cost, position, leased)
@@ -205,6 +247,10 @@
 
     def _cost(self, leased: leased_endpoint.LeasedEndpoint) -> float:
         cost = self._candidates.cost(self._active, leased, end_by=self._end_by)
+        if self._partners is not None and cost < math.inf:
+            cost += self._candidates.charge(
+                self._active, leased, self._partners
+            )
         if cost < math.inf and leased.is_start_queue_full:
             self._full_cost = min(self._full_cost, cost)
             return math.inf
--- a/sesameroad/jobs/placer.py
+++ b/sesameroad/jobs/placer.py
@@ -3,6 +3,7 @@
 from sesameroad.jobs import active_job
 from sesameroad.jobs import backlog as backlog_module
 from sesameroad.jobs import held_up_starts as held_up_starts_module
+from sesameroad.jobs import interference as interference_module
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placement
 from sesameroad.jobs import whole_starts as whole_starts_module
@@ -21,6 +22,7 @@
     __slots__ = (
         "_backlog",
         "_held_up_starts",
+        "_interference",
         "_pool",
         "_table",
         "_whole_starts",
@@ -34,6 +36,7 @@
         backlog: backlog_module.Backlog,
         held_up_starts: held_up_starts_module.HeldUpStarts,
         whole_starts: whole_starts_module.WholeStarts | None = None,
+        interference: interference_module.Interference | None = None,
     ) -> None:
         """Creates a placer.
 
@@ -43,7 +46,9 @@
             backlog: The waiting jobs.
             held_up_starts: Tasks that must not start.
             whole_starts: Decides whether a job may start, None if any may.
+            interference: Queues to keep apart, None if detection is disabled.
         """
+        self._interference = interference
         self._pool = pool
         self._table = table
         self._backlog = backlog
@@ -54,7 +59,7 @@
         """Starts waiting tasks while there is capacity."""
         if not len(self._backlog):
             return
-        candidates = placement.Candidates(self._pool, now)
+        candidates = placement.Candidates(self._pool, now, self._interference)
         misses = 0
         # Cores of the waiting tasks of the jobs that have begun.
         cores_ahead = 0.0
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -13,6 +13,8 @@
 from sesameroad.jobs import eligibility
 from sesameroad.jobs import ending
 from sesameroad.jobs import held_up_starts
+from sesameroad.jobs import interference as interference_module
+from sesameroad.jobs import interference_monitor
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placer
 from sesameroad.jobs import takeover
@@ -59,6 +61,7 @@
         peers: attempts.Peers | None = None,
         attempt_notice_s: float = 0.0,
         scheduling: scheduling_module.Scheduling = _DEFAULT_SCHEDULING,
+        interference: interference_module.Interference | None = None,
     ) -> None:
         """Creates a scheduler without endpoints.
 
@@ -76,6 +79,7 @@
             attempt_notice_s: Age from which they are told of a job, in seconds;
                 0 for never.
             scheduling: Options for a shortage of capacity.
+            interference: Learns which queues to keep apart, None if disabled.
         """
         self._token = token
         self._clock = clock
@@ -103,6 +107,10 @@
             eligibility=self._eligibility,
         )
         self._held_up_starts = held_up_starts.HeldUpStarts()
+        self._interference = interference
+        self._interference_monitor = interference_monitor.InterferenceMonitor(
+            interference, metrics=metrics
+        )
         self._placer = placer.Placer(
             pool=self._pool,
             table=self._table,
@@ -113,6 +121,7 @@
                 if scheduling.whole_starts
                 else None
             ),
+            interference=interference,
         )
         self._wake = asyncio.Event()
         self._stopped = False
@@ -156,6 +165,11 @@
                 counts[name] = counts.get(name, 0) + 1
         return counts
 
+    @property
+    def interference_report(self) -> list[dict[str, object]]:
+        """Pairs of queues that interfere, with delay and evidence."""
+        return self._interference_monitor.report(self._clock.monotonic())
+
     def set_loop_delay(self, delay_s: float) -> None:
         """Sets the mean delay of the event loop of this process, in seconds."""
         self._admission.loop_delay_s = delay_s
@@ -698,8 +712,12 @@
         if leased is None:
             return
         self._metrics.run_ended(reason)
+        now = self._clock.monotonic()
+        if self._interference is not None:
+            done = active is not None and reason == orders.Ending.DONE.value
+            tasks = active.job.count if done else 0
+            self._interference.run_ended(leased, run, now=now, tasks=tasks)
         if active is not None:
-            now = self._clock.monotonic()
             active.add_history(
                 ending.describe_run(active, leased, run, reason, now)
             )
@@ -765,6 +783,7 @@
             self._takeover.stop_unclaimed(self._pool)
             self._pool.release_unlisted()
             self._pool.update_recovery()
+            self._interference_monitor.check(now)
             self._wake.set()
 
     def _check(self, active: active_job.ActiveJob, now: float) -> None:
@@ -844,6 +863,7 @@
     async def _close(self) -> None:
         """Ends all jobs here; their origins submit them to the next leader."""
         self._stopped = True
+        self._interference_monitor.close()
         await self._pool.close()
         for active in self._table:
             if active.started:
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -10,6 +10,7 @@
 from sesameroad.jobs import attempts
 from sesameroad.jobs import coordinator
 from sesameroad.jobs import election
+from sesameroad.jobs import interference
 from sesameroad.jobs import partitioning
 from sesameroad.jobs import scheduler as scheduler_module
 from sesameroad.leasing import orders
@@ -224,6 +225,11 @@
         ]
         return (*self.claims(), *relayed)
 
+    @property
+    def interference_report(self) -> list[dict[str, object]]:
+        """Pairs of queues that interfere at endpoints of this leader."""
+        return self._scheduler.interference_report if self._scheduler else []
+
     def pending(self, queue: str) -> int:
         """Returns the number of jobs that have not started a task."""
         return self._scheduler.pending.get(queue, 0) if self._scheduler else 0
@@ -515,6 +521,9 @@
             peers=self,
             attempt_notice_s=self._settings.timing.attempt_notice_s,
             scheduling=self._settings.scheduling,
+            interference=interference.Interference.from_settings(
+                self._settings.interference
+            ),
         )
         self._task = asyncio.create_task(scheduler.run(), name="leader")
         return scheduler
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -62,6 +62,7 @@
 # refused before they would send the job again, 1.3 s after they first did.
 _FIRST_CONFIGURATION_S = 0.6
 _METRICS_PATH = "/metrics"
+_INTERFERENCE_PATH = "/interference"
 _STOP_POLL_S = 0.05
 # Retry delay for a caller that a stopping instance refuses. The next connection
 # of the caller goes to another instance.
@@ -634,6 +635,8 @@
     async def _handle_metrics(
         self, request: web_request.BaseRequest
     ) -> web_response.Response:
+        if request.path == _INTERFERENCE_PATH:
+            return web_response.json_response(self._leaders.interference_report)
         if request.path != _METRICS_PATH:
             return web_response.Response(status=404)
         return web_response.Response(
--- a/sesameroad/settings/node.py
+++ b/sesameroad/settings/node.py
@@ -62,6 +62,35 @@
     attempt_notice_s: Annotated[float, msgspec.Meta(ge=0)] = 1.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Interference:
+    """Detection of queues whose tasks slow each other down on one endpoint.
+
+    Attributes:
+        enabled: Whether a leader detects such queues and keeps them apart where
+            there is capacity.
+        half_life_s: Time in seconds in which evidence loses half of its weight.
+        min_delay: Smallest extra run time that is detected, as a fraction of
+            the run time.
+        apart: Pairs of queues that are kept apart without evidence.
+        harmless: Pairs of queues that are not kept apart whatever the evidence.
+    """
+
+    enabled: bool = False
+    half_life_s: _PositiveSeconds = 300.0
+    min_delay: Annotated[float, msgspec.Meta(gt=0)] = 0.1
+    apart: tuple[tuple[_Name, _Name], ...] = ()
+    harmless: tuple[tuple[_Name, _Name], ...] = ()
+
+    def __post_init__(self) -> None:
+        apart = {frozenset(pair) for pair in self.apart}
+        for pair in self.harmless:
+            if frozenset(pair) in apart:
+                raise ValueError(
+                    f"{' and '.join(pair)} are both apart and harmless"
+                )
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class NodeSettings:
     """Settings of one instance.
@@ -79,6 +108,7 @@
         processor_share: Share of one processor core that a thread gets.
         timing: Periods and timeouts.
         scheduling: Options of a leader for a shortage of capacity.
+        interference: Detection of tasks that slow each other down.
     """
 
     instance_id: _Name
@@ -93,6 +123,7 @@
     processor_share: _PositiveSeconds = 1.0
     timing: Timing = Timing()
     scheduling: scheduling_module.Scheduling = scheduling_module.Scheduling()
+    interference: Interference = Interference()
 
     @property
     def processor_millicores(self) -> int:
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -264,6 +264,7 @@
         orders_=None,
         evacuations=None,
         scheduling=scheduling_module.Scheduling(),  # noqa: B008  # Frozen.
+        interference=None,
     ):
         scheduler = scheduler_module.Scheduler(
             token=token,
@@ -276,6 +277,7 @@
             peers=self.links.open(f"leader{token}"),
             attempt_notice_s=self._attempt_notice_s,
             scheduling=scheduling,
+            interference=interference,
         )
         self.links.add(f"leader{token}", scheduler)
         scheduler.update(self.endpoints)
