Let leaders refuse jobs that only evacuated data centres can run

Cause: the origin refused them itself, as not run. That was false if an earlier attempt was running, accepted by another origin.

Change: the origin offers such a job to a leader of a data centre that could run it, which joins it to a running attempt or refuses it at once. An endpoint whose row names another data centre counts as evacuated like the others there.

--- a/sesameroad/jobs/coordinator.py
+++ b/sesameroad/jobs/coordinator.py
@@ -1,7 +1,9 @@
 """Submits a caller's job to the leaders and collects its outcome."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 from typing import Protocol
 
@@ -76,6 +78,7 @@
         moved: Whether an earlier leader may have started them.
         lost_at: Time at which a leader was lost, 0 if none was.
         refused_in: Evacuated data centres whose leaders have refused it.
+        confined: Whether only evacuated data centres can run it.
     """
 
     job: jobs.Job
@@ -84,6 +87,7 @@
     moved: bool = False
     lost_at: float = 0.0
     refused_in: set[str] = dataclasses.field(default_factory=set)
+    confined: bool = False
 
 
 class JobCoordinator:
@@ -94,7 +98,13 @@
     start a task that is still running.
     """
 
-    __slots__ = ("_clock", "_data_centre", "_evacuations", "_leaders")
+    __slots__ = (
+        "_clock",
+        "_confined_to",
+        "_data_centre",
+        "_evacuations",
+        "_leaders",
+    )
 
     def __init__(
         self,
@@ -103,6 +113,7 @@
         leaders: Leaders,
         clock: clocks.Clock,
         evacuations: evacuations_module.Evacuations | None = None,
+        confined_to: Callable[[jobs.Job], Sequence[str]] = lambda job: (),
     ) -> None:
         """Creates a coordinator.
 
@@ -112,8 +123,12 @@
             clock: Time source.
             evacuations: The evacuated data centres; None if there are never
                 any.
+            confined_to: Returns the evacuated data centres that alone can run a
+                job, none if others can. A leader there knows whether an
+                earlier attempt is running, and refuses the job otherwise.
         """
         self._evacuations = evacuations
+        self._confined_to = confined_to
         self._data_centre = data_centre
         self._leaders = leaders
         self._clock = clock
@@ -143,6 +158,9 @@
 
     async def _partition(self, job: jobs.Job) -> list[_Part]:
         """Partitions a job as soon as any leader is reachable."""
+        for data_centre in self._confined_to(job):
+            if self._leaders.route(data_centre) is not None:
+                return [_Part(job, data_centre, lent=False, confined=True)]
         search_until = self._search_until(job)
         while True:
             assignments = partitioning.partition(
@@ -279,9 +297,9 @@
                     part.data_centre = self._best(part) or self._data_centre
                 part.lent = False
                 return await self._resubmit(part)
-            case outcomes.NotRun(
-                cause=outcomes.Cause.NO_ENDPOINT
-            ) if not moved and self._is_evacuated(part.data_centre):
+            case outcomes.NotRun(cause=outcomes.Cause.NO_ENDPOINT) if not (
+                moved or part.confined
+            ) and self._is_evacuated(part.data_centre):
                 # The data centre was evacuated after the part was sent there.
                 part.refused_in.add(part.data_centre)
                 elsewhere = self._best(part)
--- a/sesameroad/leasing/endpoint_pool.py
+++ b/sesameroad/leasing/endpoint_pool.py
@@ -129,7 +129,9 @@
             former = leased.endpoint
             listed_before_ms = former.born_ms
             leased.describe(endpoint)
-            leased.record_cold(former, self._clock.monotonic())
+            now = self._clock.monotonic()
+            leased.record_cold(former, now)
+            leased.set_evacuated(endpoint.data_centre in self._evacuated, now)
             if endpoint.born_ms != listed_before_ms:
                 log.event(
                     "the list shows another start of an endpoint",
--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -29,8 +29,8 @@
 # fraction of its declared run time. It is stopped and started elsewhere.
 _HANG_S = 0.4
 _HANG_RATIO = 0.5
-# Assumed ratio of the run time on a cold endpoint to that on the same one warm.
-# The platform allows runs there 1.5 times their time (`cold-overage`).
+# Assumed ratio of the run time on a cold endpoint to that on the same one warm, the
+# platform's value of `cold-overage`.
 _COLD_SLOWNESS = 1.5
 # Starts that wait to be sent at once. The two connections to an endpoint send some
 # hundred a second, so these wait for less than 0.1 s. Further tasks stay with the
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -157,6 +157,7 @@
             leaders=self._leaders,
             clock=clock,
             evacuations=self._evacuations,
+            confined_to=self._confined_to,
         )
         self._job_api = job_api.JobApi(self, clock=clock)
 
@@ -257,25 +258,16 @@
             self._log_refusal(request, queue, refusal)
             return refusal
         capacity = self._capacity(queue.service, request.steps[0].need)
-        job = acceptance.job(request, queue, room=capacity)
-        refusal = self._evacuation_refusal(job)
-        if refusal is not None:
-            self._log_refusal(request, queue, refusal)
-            return refusal
-        return await self._run(job)
+        return await self._run(acceptance.job(request, queue, room=capacity))
 
-    def _evacuation_refusal(self, job: jobs.Job) -> outcomes.NotRun | None:
-        """Refuses a job that only evacuated data centres can run.
-
-        An attempt of a job that is running here joins it instead.
-        """
+    def _confined_to(self, job: jobs.Job) -> tuple[str, ...]:
+        """Returns the evacuated data centres that alone can run a job."""
         evacuated = self._evacuations.data_centres
-        if not evacuated or job.key in self._running_jobs:
-            return None
-        data_centres = eligibility.evacuated_only(
+        if not evacuated:
+            return ()
+        return eligibility.evacuated_only(
             job, self._endpoint_list.live, evacuated
         )
-        return eligibility.refusal(data_centres) if data_centres else None
 
     def _stop_refusal(self) -> outcomes.NotRun | None:
         """Refuses jobs late in a graceful stop, which the stop could abort."""
@@ -503,7 +495,7 @@
         self._heartbeat_cache = None
         self._mesh.send_heartbeats()
         self._leaders.apply_evacuations()
-        # Jobs are refused by what this instance knows of other endpoints.
+        # Jobs are offered by what this instance knows of all endpoints.
         self._endpoint_watcher.read_now()
 
     def _forward_new_configuration(self) -> None:
--- a/tests/test_job_coordinator.py
+++ b/tests/test_job_coordinator.py
@@ -111,6 +111,16 @@
         outcome = await self.run_job(leaders, evacuations=state)
         self.assertEqual(outcome, _DONE)
 
+    async def test_job_confined_to_an_evacuated_data_centre_is_decided_there(
+        self,
+    ):
+        """Guards against "not run" for a job whose earlier attempt runs there."""
+        own = _Leader(free_cores=64.0)
+        other = _Leader(_DONE)
+        leaders = _Leaders(dc1=own, dc2=other)
+        outcome = await self.run_job(leaders, confined_to=lambda job: ["dc2"])
+        self.assertEqual(outcome, _DONE)
+
     async def test_part_that_may_have_run_stays_in_its_data_centre(self):
         """Guards against a second run of a task by a leader elsewhere."""
         lost = errors.PeerError("broken", step="ask peer")
