--- a/sesameroad/jobs/coordinator.py
+++ b/sesameroad/jobs/coordinator.py
@@ -1,7 +1,9 @@
 """Submits a caller's job to the leaders and collects its outcome."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 from typing import Protocol
 
@@ -78,6 +80,7 @@
         route: Route to the leader that has it, None while there is none.
         offered: Whether it was sent to any leader.
         refused_in: Evacuated data centres whose leaders have refused it.
+        confined: Whether only evacuated data centres can run it.
     """
 
     job: jobs.Job
@@ -88,6 +91,7 @@
     route: Route | None = None
     offered: bool = False
     refused_in: set[str] = dataclasses.field(default_factory=set)
+    confined: bool = False
 
 
 class JobCoordinator:
@@ -104,6 +108,10 @@
         "_evacuations",
         "_leaders",
         "_parts",
+        "_confined_to",
+        "_data_centre",
+        "_evacuations",
+        "_leaders",
     )
 
     def __init__(
@@ -113,6 +121,7 @@
         leaders: Leaders,
         clock: clocks.Clock,
         evacuations: evacuations_module.Evacuations | None = None,
+        confined_to: Callable[[jobs.Job], Sequence[str]] = lambda job: (),
     ) -> None:
         """Creates a coordinator.
 
@@ -122,8 +131,12 @@
             clock: Time source.
             evacuations: The evacuated data centres; None if there are never
                 any.
+            confined_to: Returns the evacuated data centres that alone can run a
+                job, none if others can. A leader there knows whether an
+                earlier attempt is running, and refuses the job otherwise.
         """
         self._evacuations = evacuations
+        self._confined_to = confined_to
         self._data_centre = data_centre
         self._leaders = leaders
         self._clock = clock
@@ -179,6 +192,9 @@
 
     async def _partition(self, job: jobs.Job) -> list[_Part]:
         """Partitions a job as soon as any leader is reachable."""
+        for data_centre in self._confined_to(job):
+            if self._leaders.route(data_centre) is not None:
+                return [_Part(job, data_centre, lent=False, confined=True)]
         search_until = self._search_until(job)
         while True:
             assignments = partitioning.partition(
@@ -319,9 +335,9 @@
                     part.data_centre = self._best(part) or self._data_centre
                 part.lent = False
                 return await self._resubmit(part)
-            case outcomes.NotRun(
-                cause=outcomes.Cause.NO_ENDPOINT
-            ) if not moved and self._is_evacuated(part.data_centre):
+            case outcomes.NotRun(cause=outcomes.Cause.NO_ENDPOINT) if not (
+                moved or part.confined
+            ) and self._is_evacuated(part.data_centre):
                 # The data centre was evacuated after the part was sent there.
                 part.refused_in.add(part.data_centre)
                 elsewhere = self._best(part)
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -158,6 +158,7 @@
             leaders=self._leaders,
             clock=clock,
             evacuations=self._evacuations,
+            confined_to=self._confined_to,
         )
         self._caller_jobs = caller_jobs.CallerJobs(
             coordinator=self._coordinator,
@@ -286,19 +287,19 @@
             self._log_refusal(request, queue, refusal)
             return refusal
         return await self._caller_jobs.run(job)
+        return await self._run(acceptance.job(request, queue, room=capacity))
 
-    def _evacuation_refusal(self, job: jobs.Job) -> outcomes.NotRun | None:
-        """Refuses a job that only evacuated data centres can run.
-
-        An attempt of a job that is running here joins it instead.
-        """
+    def _confined_to(self, job: jobs.Job) -> tuple[str, ...]:
+        """Returns the evacuated data centres that alone can run a job."""
         evacuated = self._evacuations.data_centres
         if not evacuated or self._caller_jobs.is_running(job.key):
             return None
         data_centres = eligibility.evacuated_only(
+        if not evacuated:
+            return ()
+        return eligibility.evacuated_only(
             job, self._endpoint_list.live, evacuated
         )
-        return eligibility.refusal(data_centres) if data_centres else None
 
     def _stop_refusal(self) -> outcomes.NotRun | None:
         """Refuses jobs late in a graceful stop, which the stop could abort."""
@@ -512,7 +513,7 @@
         self._heartbeat_cache = None
         self._mesh.send_heartbeats()
         self._leaders.apply_evacuations()
-        # Jobs are refused by what this instance knows of other endpoints.
+        # Jobs are offered by what this instance knows of all endpoints.
         self._endpoint_watcher.read_now()
 
     def _forward_new_configuration(self) -> None:
