Hold back an attempt that was moved from a leader it had joined

Cause: the schedules of several leaders, extended by callers that come again while the former origin lives, showed two runs at the same time. The later origin had joined the runs of the earlier one at a leader and then moved its job to another. As it still counted as waiting at the former leader, that one answered that none but its own runs were left.

Change: a job is held back for each notice that names another origin. Replaced names the tasks that are to run at the sender, and the receiver ends older parts with such tasks whoever waits for them.

tests.test_leader_schedules now links its leaders, and draws callers that come again and heartbeats that are held up. Its docstring says what is still left out: leaders that do not reach each other, and the first 0.2 s of a leader.

With either half of the change off, the new test in tests.test_attempts fails.

--- a/sesameroad/jobs/attempts.py
+++ b/sesameroad/jobs/attempts.py
@@ -116,7 +116,8 @@
         if not known or self._peers is None:
             return False
         for (leader, origins), earlier in known.items():
-            if origin not in origins:
+            # If both origins wait there, its tasks may have been moved here.
+            if origins - {origin}:
                 active.hold_back(leader, earlier.ends_by)
         if active.held_back_by:
             self._log_held(active, origin)
@@ -173,7 +174,7 @@
         known[leader, notice.origins] = earlier
         for active in self._table.of_key(notice.key):
             if (
-                notice.origins.isdisjoint(active.origins)
+                not notice.origins.issubset(active.origins)
                 and earlier.began_at < active.began_at
             ):
                 active.hold_back(leader, earlier.ends_by)
@@ -202,13 +203,20 @@
     def replaced_by(
         self, notice: attempts.Replaced
     ) -> list[active_job.ActiveJob]:
-        """Returns the jobs that a later attempt of another origin replaces."""
+        """Returns the jobs that a later attempt of another origin replaces.
+
+        A part for which that origin waits as well goes on unless its tasks run
+        at the other leader.
+        """
         began_at = self._clock.monotonic() - notice.age_s
         return [
             active
             for active in self._table.of_key(notice.key)
-            if notice.origin not in active.origins
-            and active.began_at < began_at
+            if active.began_at < began_at
+            and (
+                notice.origin not in active.origins
+                or not set(notice.indices).isdisjoint(active.job.indices)
+            )
         ]
 
     def answer(self, leader: str, notice: attempts.Replaced) -> None:
@@ -249,7 +257,10 @@
         age_s = self._clock.monotonic() - active.began_at
         for leader in active.held_back_by:
             self._peers.send(
-                leader, attempts.Replaced(active.job.key, origin, age_s)
+                leader,
+                attempts.Replaced(
+                    active.job.key, origin, age_s, active.job.indices
+                ),
             )
 
     def _remove_expired(self, now: float) -> None:
--- a/sesameroad/jobs/job_table.py
+++ b/sesameroad/jobs/job_table.py
@@ -1,5 +1,6 @@
 """Index of a leader's jobs and their live runs."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 from sesameroad.jobs import active_job
@@ -35,17 +36,29 @@
         """Returns the unfinished parts of a caller's job."""
         return [a for a in self._active.values() if a.job.key == key]
 
-    def has_runs_beside(self, key: str, origin: str) -> bool:
-        """Returns whether a job has runs for which an instance does not wait."""
+    def has_runs_beside(
+        self, key: str, origin: str, indices: Iterable[int]
+    ) -> bool:
+        """Returns whether a job has runs beside those of an attempt.
+
+        Args:
+            key: Key of the job.
+            origin: Instance that waits for the attempt.
+            indices: Tasks of the attempt that run elsewhere.
+        """
         prefix = f"{key}."
-        return any(
-            task.startswith(prefix)
-            and (
-                (active := self.job_of(run)) is None
+        elsewhere = set(indices)
+        for task, (_, run) in self._runs.items():
+            if not task.startswith(prefix):
+                continue
+            active = self.job_of(run)
+            if (
+                active is None
                 or origin not in active.origins
-            )
-            for task, (_, run) in self._runs.items()
-        )
+                or run.index in elsewhere
+            ):
+                return True
+        return False
 
     def add(self, active: active_job.ActiveJob) -> None:
         """Adds an unfinished job."""
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -240,10 +240,10 @@
         match notice:
             case notices.Running():
                 self._attempts.record_running(leader, notice)
-            case notices.Replaced(key=key, origin=origin):
+            case notices.Replaced():
                 for active in self._attempts.replaced_by(notice):
                     self._finish(active, ending.replaced())
-                if not self._may_run_beside(key, origin):
+                if not self._may_run_beside(notice):
                     self._attempts.answer(leader, notice)
             case notices.Ended():
                 self._attempts.record_ended(leader, notice)
@@ -251,10 +251,11 @@
                     active.release_expired(self._clock.monotonic())
                 self._wake.set()
 
-    def _may_run_beside(self, key: str, origin: str) -> bool:
-        """Returns whether tasks of another origin's attempt may run here."""
+    def _may_run_beside(self, notice: notices.Replaced) -> bool:
+        """Returns whether runs of other attempts may be left here."""
+        key = notice.key
         return (
-            self._table.has_runs_beside(key, origin)
+            self._table.has_runs_beside(key, notice.origin, notice.indices)
             or self._held_up_starts.blocks_key(key)
             or not self._pool.is_reconciled(self._clock.monotonic())
             or any(
--- a/sesameroad/model/attempts.py
+++ b/sesameroad/model/attempts.py
@@ -33,16 +33,19 @@
         key: Key of the job.
         origin: Instance that waits for the later attempt.
         age_s: Time since it accepted that attempt, in seconds.
+        indices: Tasks that the sender is to run. If the origin waits for them
+            at the receiver, too, it has moved them from there.
     """
 
     key: str
     origin: str
     age_s: float
+    indices: tuple[int, ...]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Ended:
-    """Answers `Replaced`: no run of another origin's attempt is left.
+    """Answers `Replaced`: no run is left beside which none may start.
 
     Attributes:
         key: Key of the job.
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -158,6 +158,7 @@
                     key=message.key,
                     origin=message.origin,
                     age_ms=_ceil_ms(message.age_s),
+                    indices=message.indices,
                 )
             )
         case messages.AttemptEnded():
@@ -296,7 +297,10 @@
         case "attempt_replaced":
             replaced = item.attempt_replaced
             return messages.AttemptReplaced(
-                replaced.key, replaced.origin, replaced.age_ms / _MS
+                replaced.key,
+                replaced.origin,
+                replaced.age_ms / _MS,
+                tuple(replaced.indices),
             )
         case "attempt_ended":
             ended = item.attempt_ended
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -289,3 +289,33 @@
                 answers = await fleet.repeat({1: fleet.all})
         self.assertEqual(answers, [outcomes.Complete(())])
         self.assertEqual(fleet.site.history.overlapping, [])
+
+    async def test_later_attempt_that_joined_the_earlier_one_moves(self):
+        """Guards against runs that the earlier origin keeps at their leader.
+
+        The later attempt has joined them there, and its origin offers the job
+        to another leader when it loses its stream. That leader is new, so it was
+        told of both origins.
+        """
+        for pause_s in (0.0, 0.3, 0.8):
+            async with _Fleet() as fleet:
+                # The earlier attempt would take 6 s.
+                long = dataclasses.replace(fleet.job, spec="6.0/8.0")
+                fleet.job = dataclasses.replace(long, estimate_s=6.0)
+                await fleet.start({0: fleet.all})
+                fleet.job = dataclasses.replace(long, spec=f"{_RUN_S}/8.0")
+                joined = asyncio.create_task(fleet.repeat({0: fleet.all}))
+                await fleet.add_leader(token=4)
+                await asyncio.sleep(0.1)
+                fleet.other.lose()
+                await asyncio.sleep(pause_s)
+                began_at = asyncio.get_running_loop().time()
+                outcome = await fleet.leaders[2].submit(
+                    fleet.job, _jobs.Origin("other"), moved=True
+                )
+                took_s = asyncio.get_running_loop().time() - began_at
+                await joined
+            self.assertEqual(outcome, outcomes.Complete(()), pause_s)
+            # A job that has moved waits 1.2 s.
+            self.assertLess(took_s, 1.2 + _RUN_S + 0.2)
+            self.assertEqual(fleet.site.history.overlapping, [], pause_s)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -21,7 +21,7 @@
     messages.Heartbeat(3, 4, True),
     messages.Heartbeat(3, 4, False, slow=True),
     messages.AttemptRunning("k", frozenset({"a", "b"}), 1.25, 8.5),
-    messages.AttemptReplaced("k", "b", 1.5),
+    messages.AttemptReplaced("k", "b", 1.5, (0, 3)),
     messages.AttemptEnded("k", "b", 1.25),
     messages.ConfigurationUpdate(b"{}"),
     messages.EndpointUpdate(b"x", (messages.LeavingMark("e", 3, 1_500),)),
--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -1,7 +1,8 @@
 """Several leaders under cuts, moves of jobs and repeated attempts, in virtual time.
 
 Schedules overlap cuts between a leader and endpoints, claims of next leaders,
-origins that move their jobs or are lost, and faults of endpoints.
+origins that move their jobs, are lost or have their heartbeats held up, callers
+that come again while the former origin lives, and faults of endpoints.
 
 Not generated, because two runs are possible then (docs/guarantees.md):
 
@@ -9,7 +10,8 @@
   its leader has given up, after a report of the former one without the run.
 - The same if the job has reached another leader, which does not know the start.
 - An origin that a leader hears although it has moved its jobs to another one.
-- An attempt by another origin while the former origin lives and has the job.
+- A later attempt while the former origin lives, if the leaders do not reach each
+  other, or one of them has led for less than 0.2 s.
 
 Clocks of endpoints are not slow here.
 """
@@ -37,6 +39,10 @@
 _RESET_S = 0.001
 # Time without a leader after which another one claims its endpoints.
 _CLAIM_PAUSE_S = 0.25
+# Time after which a caller without an answer comes again, at the earliest.
+_RETURN_S = 1.3
+# Time within which a new leader is told of the jobs of the others.
+_TOLD_S = 0.2
 # Distance of the tokens of two leaders, which raise them by one at a time.
 _TOKEN_STEP = 2**18
 _MAX_LEADERS = 3
@@ -110,6 +116,25 @@
     next_origin: int
 
 
+@dataclasses.dataclass(frozen=True)
+class _Repeat:
+    """Callers of an origin that lives come again at another one."""
+
+    at: float
+    origin: int
+    next_origin: int
+
+
+@dataclasses.dataclass(frozen=True)
+class _Delay:
+    """The heartbeats of an origin are held up on their way."""
+
+    at: float
+    origin: int
+    delay_s: float
+    for_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class _LostStops:
     """The next stops that are sent to an endpoint are lost."""
@@ -204,7 +229,9 @@
         self.paths = _Paths(play.site.fleet)
         self.names = set(names)
         self.closed = False
+        self.opened_at = play.site.clock.monotonic()
         self._play = play
+        self._name = f"leader{token}"
         self._scheduler = scheduler_module.Scheduler(
             token=token,
             orders_=self.paths,
@@ -212,7 +239,10 @@
             clock=play.site.clock,
             on_fenced=self._on_fenced,
             metrics=job_metrics.JobMetrics(),
+            peers=play.site.links.open(self._name),
+            attempt_notice_s=1.0,
         )
+        play.site.links.add(self._name, self._scheduler)
         self._update()
         self._task = asyncio.create_task(self._scheduler.run())
 
@@ -226,6 +256,7 @@
 
     def close(self):
         self.closed = True
+        self._play.site.links.remove(self._name)
         self._task.cancel()
 
     async def wait_closed(self):
@@ -368,6 +399,13 @@
                     await self._move(instance, event.leader, event.pause_s)
             case _Loss():
                 await self._lose(event)
+            case _Repeat():
+                self._repeat(event)
+            case _Delay():
+                link = self._instance(event.origin).link
+                link.delay_s = event.delay_s
+                await asyncio.sleep(event.for_s)
+                link.delay_s = 0.0
             case _LostStops():
                 self._simulated(event.endpoint).fault.lost_stops = event.count
             case _LateStarts():
@@ -390,7 +428,8 @@
             deadline_s=_DEADLINE_S,
             stretch=4.0,
         )
-        self._offer(instance, job)
+        accepted_at = self.site.clock.monotonic()
+        self._offer(instance, dataclasses.replace(job, accepted_at=accepted_at))
 
     async def _cut(self, cut):
         if cut.leader >= len(self._leaders):
@@ -438,15 +477,36 @@
         live = [one for one in self._instances if not one.lost]
         if not live:
             return
-        now = self.site.clock.monotonic()
         for job in jobs:
-            again = dataclasses.replace(
-                job,
-                objective_at=now + 4.0 * job.estimate_s,
-                expires_at=now + 12.0 * job.estimate_s,
-                deadline_at=now + _DEADLINE_S,
-            )
-            self._offer(live[loss.next_origin % len(live)], again)
+            self._offer_again(live[loss.next_origin % len(live)], job)
+
+    def _repeat(self, repeat):
+        instance = self._instance(repeat.origin)
+        other = self._instance(repeat.next_origin)
+        now = self.site.clock.monotonic()
+        if (
+            instance is other
+            or instance.lost
+            or other.lost
+            or other.leader is None
+            or now - other.leader.opened_at < _TOLD_S
+        ):
+            return
+        for job, _ in list(instance.jobs.values()):
+            if now - job.accepted_at >= _RETURN_S:
+                self._offer_again(other, job)
+
+    def _offer_again(self, instance, job):
+        """Offers a later attempt of a caller."""
+        now = self.site.clock.monotonic()
+        again = dataclasses.replace(
+            job,
+            accepted_at=now,
+            objective_at=now + 4.0 * job.estimate_s,
+            expires_at=now + 12.0 * job.estimate_s,
+            deadline_at=now + _DEADLINE_S,
+        )
+        self._offer(instance, again)
 
     def _offer(self, instance, job):
         """Offers a job to the leader of its origin, or keeps it for the next."""
@@ -617,6 +677,25 @@
             ),
             max_size=1,
         ),
+        st.lists(
+            st.builds(
+                _Repeat,
+                at=_seconds(1.4, _FAULTS_S),
+                origin=_ORIGINS,
+                next_origin=_ORIGINS,
+            ),
+            max_size=2,
+        ),
+        st.lists(
+            st.builds(
+                _Delay,
+                at=_times(),
+                origin=_ORIGINS,
+                delay_s=_seconds(0.1, 0.7),
+                for_s=_seconds(0.2, 2.0),
+            ),
+            max_size=1,
+        ),
         st.lists(late, max_size=2) | st.lists(restarts, max_size=2),
     )
 
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -191,8 +191,12 @@
         """Guards against a later attempt that waits for a former leader."""
         self.mesh.send = mock.Mock()
         self.peer("p2")
-        self.leaders.receive_notice("p2", messages.AttemptReplaced("k", "o", 1))
-        self.leaders.receive_notice("p9", messages.AttemptReplaced("k", "o", 1))
+        self.leaders.receive_notice(
+            "p2", messages.AttemptReplaced("k", "o", 1, ())
+        )
+        self.leaders.receive_notice(
+            "p9", messages.AttemptReplaced("k", "o", 1, ())
+        )
         self.mesh.send.assert_called_once_with(
             self.mesh.peers["p2"], messages.AttemptEnded("k", "o", 1.2)
         )
