--- a/sesameroad/jobs/coordinator.py
+++ b/sesameroad/jobs/coordinator.py
@@ -104,14 +104,11 @@
 
     __slots__ = (
         "_clock",
-        "_data_centre",
-        "_evacuations",
-        "_leaders",
-        "_parts",
         "_confined_to",
         "_data_centre",
         "_evacuations",
         "_leaders",
+        "_parts",
     )
 
     def __init__(
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -281,20 +281,13 @@
             self._log_refusal(request, queue, refusal)
             return refusal
         capacity = self._capacity(queue.service, request.steps[0].need)
-        job = acceptance.job(request, queue, room=capacity)
-        refusal = self._evacuation_refusal(job)
-        if refusal is not None:
-            self._log_refusal(request, queue, refusal)
-            return refusal
-        return await self._caller_jobs.run(job)
-        return await self._run(acceptance.job(request, queue, room=capacity))
+        return await self._caller_jobs.run(
+            acceptance.job(request, queue, room=capacity)
+        )
 
     def _confined_to(self, job: jobs.Job) -> tuple[str, ...]:
         """Returns the evacuated data centres that alone can run a job."""
         evacuated = self._evacuations.data_centres
-        if not evacuated or self._caller_jobs.is_running(job.key):
-            return None
-        data_centres = eligibility.evacuated_only(
         if not evacuated:
             return ()
         return eligibility.evacuated_only(
