Let a later attempt that joins an earlier one own its tasks

Cause: with more callers that come again beside a move, 300 fresh schedules showed two runs at the same time in three ways: a leader answered that nothing was left while a later attempt waited there without a run; a later attempt joined an earlier one at a leader that the earlier origin had left; and it did so after that origin had come back to the other leader.

Change: a leader does not answer while any part that it does not end is unfinished. An attempt that joins counts as the later one from then on, and is held back for notices that name another origin, before or after them. Only origins that live ask.

--- a/sesameroad/jobs/active_job.py
+++ b/sesameroad/jobs/active_job.py
@@ -125,6 +125,11 @@
         """Ids of the instances that wait for the outcome."""
         return list(self._waiters)
 
+    @property
+    def live_origins(self) -> list[str]:
+        """Ids of the instances that wait and are alive."""
+        return [name for name, (o, _) in self._waiters.items() if o.live]
+
     @property
     def has_live_origin(self) -> bool:
         """Whether any instance that waits for the outcome is alive."""
--- a/sesameroad/jobs/attempts.py
+++ b/sesameroad/jobs/attempts.py
@@ -154,7 +154,7 @@
             ):
                 hopeless.append(active)
                 continue
-            for origin in active.origins:
+            for origin in active.live_origins:
                 self._ask(active, origin)
         return hopeless
 
@@ -174,7 +174,7 @@
         known[leader, notice.origins] = earlier
         for active in self._table.of_key(notice.key):
             if (
-                not notice.origins.issubset(active.origins)
+                any(notice.origins - {origin} for origin in active.origins)
                 and earlier.began_at < active.began_at
             ):
                 active.hold_back(leader, earlier.ends_by)
--- a/sesameroad/jobs/job_table.py
+++ b/sesameroad/jobs/job_table.py
@@ -39,7 +39,7 @@
     def has_runs_beside(
         self, key: str, origin: str, indices: Iterable[int]
     ) -> bool:
-        """Returns whether a job has runs beside those of an attempt.
+        """Returns whether a job runs, or is about to, beside an attempt.
 
         Args:
             key: Key of the job.
@@ -48,15 +48,16 @@
         """
         prefix = f"{key}."
         elsewhere = set(indices)
+        for active in self.of_key(key):
+            if origin not in active.origins or not elsewhere.isdisjoint(
+                active.job.indices
+            ):
+                return True
         for task, (_, run) in self._runs.items():
             if not task.startswith(prefix):
                 continue
-            active = self.job_of(run)
-            if (
-                active is None
-                or origin not in active.origins
-                or run.index in elsewhere
-            ):
+            former = self.job_of(run)
+            if former is None or former.closing:
                 return True
         return False
 
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -213,9 +213,13 @@
             self._table.add(active)
             self._backlog.add(active, now)
             self._wake.set()
-        elif moved:
-            # The origin has offered the job to another leader in the meantime.
-            active.record_move(now)
+        else:
+            if moved:
+                # The origin has offered the job to another leader meanwhile.
+                active.record_move(now)
+            active.began_at = max(active.began_at, job.accepted_at)
+            if self._attempts.hold(active, origin.id):
+                active.started = True
         future = active.join(origin)
         if active.done >= job.count:
             self._finish(active, outcomes.Complete(()))
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -263,21 +263,30 @@
         """Guards against two attempts that end each other in turn.
 
         The origin of the earlier attempt offers its job again, as it takes its
-        stream to the leader for broken.
+        stream to the leader for broken. The later one runs, or waits for room.
         """
-        async with _Fleet() as fleet:
-            accepted_at = fleet.site.clock.monotonic()
-            await fleet.start({0: fleet.all})
-            later = asyncio.create_task(fleet.repeat({1: fleet.all}))
-            await asyncio.sleep(_RETURN_S)
-            older = dataclasses.replace(fleet.job, accepted_at=accepted_at)
-            back = await fleet.leaders[0].submit(
-                older, fleet.site.origin, moved=True
-            )
-            answers = await later
-        self.assertEqual(answers, [outcomes.Complete(())])
-        self.assertIsInstance(back, outcomes.Outcome)
-        self.assertEqual(fleet.site.history.overlapping, [])
+        for filler_s in (0.1, 1.6):
+            async with _Fleet() as fleet:
+                accepted_at = fleet.site.clock.monotonic()
+                await fleet.start({0: fleet.all})
+                full = fleet.site.job(
+                    "f" * 16, count=8, run_s=filler_s, deadline_s=9
+                )
+                filler = asyncio.create_task(
+                    fleet.leaders[1].submit(full, fleet.site.origin)
+                )
+                await asyncio.sleep(0.01)
+                later = asyncio.create_task(fleet.repeat({1: fleet.all}))
+                await asyncio.sleep(_RETURN_S)
+                older = dataclasses.replace(fleet.job, accepted_at=accepted_at)
+                back = await fleet.leaders[0].submit(
+                    older, fleet.site.origin, moved=True
+                )
+                answers = await later
+                await filler
+            self.assertEqual(answers, [outcomes.Complete(())])
+            self.assertIsInstance(back, outcomes.Outcome)
+            self.assertEqual(fleet.site.history.overlapping, [], filler_s)
 
     async def test_leader_that_claims_again_answers_for_its_former_term(self):
         """Guards against an answer that leaves out runs of the former term."""
--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -585,6 +585,15 @@
         if draw(st.sampled_from([False, False, True])):
             back_at = move.at + move.pause_s + draw(_seconds(0.05, 0.8))
             events.append(dataclasses.replace(move, at=round(back_at, 2)))
+        if draw(st.sampled_from([True, True, False])):
+            # Callers of an origin that has not moved come again at this one.
+            events.append(
+                _Repeat(
+                    max(1.5, round(move.at + draw(_seconds(0.3, 1.5)), 2)),
+                    origin=draw(_ORIGINS),
+                    next_origin=origin,
+                )
+            )
     if draw(st.sampled_from([True, True, False])):
         events.append(
             _LostStops(
@@ -724,6 +733,59 @@
     ],
 )
 
+# The later attempt waits for room at its leader, without a run, as the origin of the
+# earlier one offers its job to another leader again.
+_EARLIER_COMES_BACK = _Schedule(
+    endpoints=4,
+    phases=[0.11, 0.08, 0.11, 0.16],
+    events=[
+        _Arrival(0.62, origin=2, tasks=3, run_s=2.43, cores=8.0),
+        _Cut(2.0, leader=0, endpoints=frozenset({1}), reset=False, for_s=20.0),
+        _Repeat(2.22, origin=2, next_origin=1),
+        _Move(2.25, origin=1, leader=0, pause_s=0.07),
+        _Claim(2.73, endpoints=frozenset({1})),
+        _Move(2.75, origin=2, leader=0, pause_s=0.24),
+        _Move(3.54, origin=2, leader=0, pause_s=0.24),
+    ],
+)
+# The later attempt joins the earlier one at the leader that its origin has left.
+_JOINS_AFTER_MOVE = _Schedule(
+    endpoints=4,
+    phases=[0.0, 0.03, 0.17],
+    events=[
+        _Arrival(0.05, origin=0, tasks=3, run_s=3.17, cores=4.0),
+        _Arrival(0.1, origin=0, tasks=3, run_s=3.68, cores=2.0),
+        _Arrival(0.29, origin=1, tasks=2, run_s=3.67, cores=8.0),
+        _Cut(
+            1.9, leader=0, endpoints=frozenset({1, 2}), reset=True, for_s=1.55
+        ),
+        _Move(1.92, origin=0, leader=1, pause_s=0.03),
+        _Claim(2.19, endpoints=frozenset({1, 2})),
+        _Repeat(2.28, origin=0, next_origin=1),
+    ],
+)
+# The same after the origin has come back to the other leader.
+_JOINS_AFTER_RETURN = _Schedule(
+    endpoints=4,
+    phases=[0.12, 0.04, 0.16],
+    events=[
+        _Arrival(0.3, origin=2, tasks=1, run_s=2.61, cores=8.0),
+        _Arrival(1.47, origin=0, tasks=1, run_s=1.29, cores=2.0),
+        _Cut(
+            1.91,
+            leader=0,
+            endpoints=frozenset({0, 1, 3}),
+            reset=True,
+            for_s=20.0,
+        ),
+        _Claim(2.9, endpoints=frozenset({0, 3})),
+        _Move(2.94, origin=2, leader=0, pause_s=0.09),
+        _Move(2.96, origin=0, leader=2, pause_s=0.25),
+        _Move(3.42, origin=2, leader=0, pause_s=0.09),
+        _Repeat(3.7, origin=2, next_origin=0),
+    ],
+)
+
 
 class LeaderSchedulesTest(unittest.TestCase):
 
@@ -731,6 +793,9 @@
     @hypothesis.given(_schedules())
     @hypothesis.example(_MOVED_RUN)
     @hypothesis.example(_RESTORED_PATH)
+    @hypothesis.example(_EARLIER_COMES_BACK)
+    @hypothesis.example(_JOINS_AFTER_MOVE)
+    @hypothesis.example(_JOINS_AFTER_RETURN)
     def test_tasks_of_several_leaders_run_once_at_a_time(self, schedule):
         """Guards against leaders that rely on the end of the same lease."""
         self.assertEqual(_virtual.run(_Play(schedule).run()), [])
