Keep cores for the next arrivals of urgent jobs

In a burst of long, less urgent jobs all cores were in use when short, urgent ones arrived, which can wait for some 60 ms only.

With the option headroom, a job starts only if enough cores stay free for the more urgent, shorter jobs that arrive while these can wait, less what runs are expected to free by then. Off changes nothing.

--- a/benchmarks/scarcity.py
+++ b/benchmarks/scarcity.py
@@ -55,12 +55,15 @@
     },
 }
 _OFF = scheduling_module.Scheduling()
-_ALL = scheduling_module.Scheduling(whole_starts=True, start_answer_ms=25)
+_ALL = scheduling_module.Scheduling(
+    whole_starts=True, start_answer_ms=25, headroom=True
+)
 # Each part alone, and all of them.
 PARTS = {
     "off": _OFF,
     "whole starts": scheduling_module.Scheduling(whole_starts=True),
     "start answer": scheduling_module.Scheduling(start_answer_ms=25),
+    "headroom": scheduling_module.Scheduling(headroom=True),
     "all": _ALL,
 }
 # Time between the first and the last start of the tasks of a part, in
--- a/sesameroad/jobs/placement.py
+++ b/sesameroad/jobs/placement.py
@@ -32,6 +32,7 @@
 
     __slots__ = (
         "_available",
+        "_free_cores",
         "_largest_cores",
         "_median_slowness",
         "_now",
@@ -58,12 +59,23 @@
         ]
         # Most free cores of any endpoint, None if a run was placed there since.
         self._largest_cores: float | None = None
+        # Free cores of all endpoints, None if not asked for since a run.
+        self._free_cores: float | None = None
 
     def room(self, job: jobs.Job) -> int:
         """Returns how many tasks of a job fit, judged by cores only."""
         cores = max(job.need.cores, _MIN_CORES)
         return sum(int(leased.free_cores / cores) for leased in self._available)
 
+    @property
+    def free_cores(self) -> float:
+        """Cores that no run uses, less those used in this pass."""
+        if self._free_cores is None:
+            self._free_cores = sum(
+                leased.free_cores for leased in self._available
+            )
+        return self._free_cores
+
     def may_fit(self, cores: float) -> bool:
         """Returns whether any endpoint has this many free cores."""
         if self._largest_cores is None:
@@ -79,8 +91,9 @@
         return Ranking(self, active, self._available)
 
     def run_added(self) -> None:
-        """Forgets the most free cores after a run was placed."""
+        """Forgets the free cores after a run was placed."""
         self._largest_cores = None
+        self._free_cores = None
 
     def end_by(self, active: active_job.ActiveJob) -> float:
         """Returns the time by which the runs of a job must be able to end."""
--- a/sesameroad/jobs/placer.py
+++ b/sesameroad/jobs/placer.py
@@ -2,6 +2,7 @@
 
 from sesameroad.jobs import active_job
 from sesameroad.jobs import backlog as backlog_module
+from sesameroad.jobs import headroom as headroom_module
 from sesameroad.jobs import held_up_starts as held_up_starts_module
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placement
@@ -20,6 +21,7 @@
 
     __slots__ = (
         "_backlog",
+        "_headroom",
         "_held_up_starts",
         "_pool",
         "_table",
@@ -34,6 +36,7 @@
         backlog: backlog_module.Backlog,
         held_up_starts: held_up_starts_module.HeldUpStarts,
         whole_starts: whole_starts_module.WholeStarts | None = None,
+        headroom: headroom_module.Headroom | None = None,
     ) -> None:
         """Creates a placer.
 
@@ -43,12 +46,14 @@
             backlog: The waiting jobs.
             held_up_starts: Tasks that must not start.
             whole_starts: Decides whether a job may start, None if any may.
+            headroom: Reserves cores for urgent jobs, None if there are none.
         """
         self._pool = pool
         self._table = table
         self._backlog = backlog
         self._held_up_starts = held_up_starts
         self._whole_starts = whole_starts
+        self._headroom = headroom
 
     def place(self, now: float) -> None:
         """Starts waiting tasks while there is capacity."""
@@ -69,7 +74,10 @@
                 continue
             waiting = len(active.waiting)
             ranking = candidates.rank(active)
-            if not self._may_start(active, ranking, cores_ahead, now):
+            if not (
+                self._leaves_headroom(active, candidates, now)
+                and self._may_start(active, ranking, cores_ahead, now)
+            ):
                 placed = False
             else:
                 placed = self._place_job(active, candidates, ranking)
@@ -85,6 +93,22 @@
             # With less work left, it has a better rank.
             self._backlog.add(active, now)
 
+    def _leaves_headroom(
+        self,
+        active: active_job.ActiveJob,
+        candidates: placement.Candidates,
+        now: float,
+    ) -> bool:
+        rule = self._headroom
+        if rule is None or active.begun:
+            return True
+        job = active.job
+        reserved = rule.reserved_cores(job, now)
+        if reserved <= 0:
+            return True
+        needed = len(active.waiting) * job.need.cores
+        return candidates.free_cores - needed >= reserved
+
     def _may_start(
         self,
         active: active_job.ActiveJob,
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -9,6 +9,8 @@
 from sesameroad.jobs import admission
 from sesameroad.jobs import backlog
 from sesameroad.jobs import ending
+from sesameroad.jobs import forecast
+from sesameroad.jobs import headroom
 from sesameroad.jobs import held_up_starts
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placer
@@ -81,16 +83,21 @@
             backlog=self._backlog, pool=self._pool
         )
         self._held_up_starts = held_up_starts.HeldUpStarts()
+        forecast_ = forecast.Forecast(self._pool)
+        self._headroom = (
+            headroom.Headroom(forecast_) if scheduling.headroom else None
+        )
         self._placer = placer.Placer(
             pool=self._pool,
             table=self._table,
             backlog=self._backlog,
             held_up_starts=self._held_up_starts,
             whole_starts=(
-                whole_starts.WholeStarts(self._pool)
+                whole_starts.WholeStarts(forecast_)
                 if scheduling.whole_starts
                 else None
             ),
+            headroom=self._headroom,
         )
         self._wake = asyncio.Event()
         self._stopped = False
@@ -210,6 +217,8 @@
                     return refusal
             self._table.add(active)
             self._backlog.add(active, now)
+            if self._headroom is not None:
+                self._headroom.record(job, now)
             self._wake.set()
         elif moved:
             # The origin has offered the job to another leader in the meantime.
--- a/sesameroad/model/scheduling.py
+++ b/sesameroad/model/scheduling.py
@@ -15,7 +15,10 @@
             rest of it, and started jobs come before others.
         start_answer_ms: Shortest wait for the answer to a start before its task
             is started elsewhere, in milliseconds; 0 for the timeout of orders.
+        headroom: Whether cores are kept free for the next arrivals of urgent,
+            shorter jobs.
     """
 
     whole_starts: bool = False
     start_answer_ms: Annotated[int, msgspec.Meta(ge=0, le=300)] = 0
+    headroom: bool = False
--- a/tests/test_whole_starts.py
+++ b/tests/test_whole_starts.py
@@ -3,7 +3,10 @@
 import asyncio
 
 from sesameroad.jobs import active_job
+from sesameroad.jobs import forecast
 from sesameroad.jobs import whole_starts
+from sesameroad.leasing import leased_endpoint
+from sesameroad.leasing import leases
 from sesameroad.model import outcomes
 from sesameroad.model import scheduling
 from tests import _jobs
@@ -69,9 +72,15 @@
 
     def test_wide_jobs_start_in_waves(self):
         """Guards against wide jobs that never start."""
-        rule = whole_starts.WholeStarts([])
+        site = _jobs.Site(count=4)
+        pool = [
+            leased_endpoint.LeasedEndpoint(e, lease=leases.Lease(duration_s=1))
+            for e in site.endpoints
+        ]
+        for leased in pool:
+            leased.reconciled = True
+        rule = whole_starts.WholeStarts(forecast.Forecast(pool))
         job = _wide_job()
-        rule._forecast_at, rule._capacity = 0.0, 64.0
         wave = {"cores_ahead": 0.0, "now": 0.0}
         self.assertTrue(rule.may_start(job, room=2, **wave))
         self.assertFalse(rule.may_start(job, room=1, **wave))
