--- a/sesameroad/jobs/placement.py
+++ b/sesameroad/jobs/placement.py
@@ -37,6 +37,7 @@
     __slots__ = (
         "_available",
         "_interference",
+        "_free_cores",
         "_largest_cores",
         "_median_slowness",
         "_now",
@@ -68,12 +69,23 @@
         ]
         # Most free cores of any endpoint, None if a run was placed there since.
         self._largest_cores: float | None = None
+        # Free cores of all endpoints, None if not asked for yet.
+        self._free_cores: float | None = None
 
     def room(self, job: jobs.Job) -> int:
         """Returns how many tasks of a job fit, judged by cores only."""
         cores = max(job.need.cores, _MIN_CORES)
         return sum(int(leased.free_cores / cores) for leased in self._available)
 
+    @property
+    def free_cores(self) -> float:
+        """Cores that no run uses, less those used in this pass."""
+        if self._free_cores is None:
+            self._free_cores = sum(
+                leased.free_cores for leased in self._available
+            )
+        return self._free_cores
+
     def may_fit(self, cores: float) -> bool:
         """Returns whether any endpoint has this many free cores."""
         if self._largest_cores is None:
@@ -88,9 +100,11 @@
             return Ranking(self, active, ())
         return Ranking(self, active, self._available)
 
-    def run_added(self) -> None:
-        """Forgets the most free cores after a run was placed."""
+    def run_added(self, cores: float) -> None:
+        """Updates the free cores after a run was placed."""
         self._largest_cores = None
+        if self._free_cores is not None:
+            self._free_cores -= cores
 
     def partners(self, queue: str) -> dict[str, float] | None:
         """Returns the queues to keep apart from a queue, None if none."""
@@ -202,11 +216,15 @@
         # Lowest cost of an endpoint whose queue of starts is full.
         self._full_cost = math.inf
         self._partners = candidates.partners(active.job.queue)
-        # Heap of costs; the position breaks ties between equal ones.
+        cores = active.job.need.cores
+        # Heap of costs; the position breaks ties between equal ones. In an
+        # overload most endpoints have no free cores, and comparing these here
+        # takes a fraction of the processor time of evaluating the endpoint.
         self._costs = [
             (cost, position, leased)
             for position, leased in enumerate(available)
-            if (cost := self._cost(leased)) < math.inf
+            if leased.free_cores >= cores
+            and (cost := self._cost(leased)) < math.inf
         ]
         heapq.heapify(self._costs)
 
@@ -238,7 +256,7 @@
     def run_added(self) -> None:
         """Updates the ranking after a task was placed on the best endpoint."""
         _, position, leased = self._costs[0]
-        self._candidates.run_added()
+        self._candidates.run_added(self._active.job.need.cores)
         cost = self._cost(leased)
         if cost < math.inf:
             heapq.heapreplace(self._costs, (cost, position, leased))
--- a/sesameroad/jobs/placer.py
+++ b/sesameroad/jobs/placer.py
@@ -2,6 +2,7 @@
 
 from sesameroad.jobs import active_job
 from sesameroad.jobs import backlog as backlog_module
+from sesameroad.jobs import headroom as headroom_module
 from sesameroad.jobs import held_up_starts as held_up_starts_module
 from sesameroad.jobs import interference as interference_module
 from sesameroad.jobs import job_table
@@ -21,6 +22,7 @@
 
     __slots__ = (
         "_backlog",
+        "_headroom",
         "_held_up_starts",
         "_interference",
         "_pool",
@@ -37,6 +39,7 @@
         held_up_starts: held_up_starts_module.HeldUpStarts,
         whole_starts: whole_starts_module.WholeStarts | None = None,
         interference: interference_module.Interference | None = None,
+        headroom: headroom_module.Headroom | None = None,
     ) -> None:
         """Creates a placer.
 
@@ -47,6 +50,7 @@
             held_up_starts: Tasks that must not start.
             whole_starts: Decides whether a job may start, None if any may.
             interference: Queues to keep apart, None if detection is disabled.
+            headroom: Reserves cores for urgent jobs, None if there are none.
         """
         self._interference = interference
         self._pool = pool
@@ -54,6 +58,7 @@
         self._backlog = backlog
         self._held_up_starts = held_up_starts
         self._whole_starts = whole_starts
+        self._headroom = headroom
 
     def place(self, now: float) -> None:
         """Starts waiting tasks while there is capacity."""
@@ -73,11 +78,13 @@
             ):
                 continue
             waiting = len(active.waiting)
-            ranking = candidates.rank(active)
-            if not self._may_start(active, ranking, cores_ahead, now):
-                placed = False
-            else:
-                placed = self._place_job(active, candidates, ranking)
+            placed = False
+            if candidates.may_fit(
+                active.job.need.cores
+            ) and self._leaves_headroom(active, candidates, now):
+                ranking = candidates.rank(active)
+                if self._may_start(active, ranking, cores_ahead, now):
+                    placed = self._place_job(active, candidates, ranking)
             if not placed:
                 if len(active.waiting) < waiting:
                     partly_placed.append(active)
@@ -90,6 +97,22 @@
             # With less work left, it has a better rank.
             self._backlog.add(active, now)
 
+    def _leaves_headroom(
+        self,
+        active: active_job.ActiveJob,
+        candidates: placement.Candidates,
+        now: float,
+    ) -> bool:
+        rule = self._headroom
+        if rule is None or active.begun:
+            return True
+        job = active.job
+        reserved = rule.reserved_cores(job, now)
+        if reserved <= 0:
+            return True
+        needed = len(active.waiting) * job.need.cores
+        return candidates.free_cores - needed >= reserved
+
     def _may_start(
         self,
         active: active_job.ActiveJob,
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -12,6 +12,8 @@
 from sesameroad.jobs import cancellations
 from sesameroad.jobs import eligibility
 from sesameroad.jobs import ending
+from sesameroad.jobs import forecast
+from sesameroad.jobs import headroom
 from sesameroad.jobs import held_up_starts
 from sesameroad.jobs import interference as interference_module
 from sesameroad.jobs import interference_monitor
@@ -116,17 +118,22 @@
         self._interference_monitor = interference_monitor.InterferenceMonitor(
             interference, metrics=metrics
         )
+        forecast_ = forecast.Forecast(self._pool)
+        self._headroom = (
+            headroom.Headroom(forecast_) if scheduling.headroom else None
+        )
         self._placer = placer.Placer(
             pool=self._pool,
             table=self._table,
             backlog=self._backlog,
             held_up_starts=self._held_up_starts,
             whole_starts=(
-                whole_starts.WholeStarts(self._pool)
+                whole_starts.WholeStarts(forecast_)
                 if scheduling.whole_starts
                 else None
             ),
             interference=interference,
+            headroom=self._headroom,
         )
         self._wake = asyncio.Event()
         self._stopped = False
@@ -297,6 +304,8 @@
                     return refusal
             self._table.add(active)
             self._backlog.add(active, now)
+            if self._headroom is not None:
+                self._headroom.record(job, now)
             self._wake.set()
         else:
             if moved:
