Begin no job of a caller that left during the start

A connection that waits until the instance has loaded can outlast its caller, which sends the job to another instance after 1.3 s. The request was read before the end of its connection, so the job began and was cancelled at once; with several leaders, that is a second run for a moment. In the first second of an instance each request now waits 5 ms, in which the end is read.

--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -57,6 +57,11 @@
 # covers a second read, 0.4 s after a failed one. Without any configuration they are
 # refused before they would send the job again, 1.3 s after they first did.
 _FIRST_CONFIGURATION_S = 0.6
+# Callers whose connections waited during the start may have left and sent their
+# jobs to another instance. For a time after the start, which covers the connections
+# that waited, a request waits until the end of its connection would have been read.
+_ARREARS_S = 1.0
+_DEPARTURE_S = 0.005
 _METRICS_PATH = "/metrics"
 _STOP_POLL_S = 0.05
 # Retry delay for a caller that a stopping instance refuses. The next connection
@@ -91,6 +96,8 @@
         # Whether peers may still lack the current configuration.
         self._forward_due = False
         self._stop_began_at = math.inf
+        # Time from which on no request has waited during the start.
+        self._settled_at = math.inf
         self._loop_lag = loop_lag.LoopLag()
         self._supervisor = supervisor.Supervisor()
         self._servers: list[http_server.HttpServer] = []
@@ -171,8 +178,18 @@
         """Current configuration."""
         return self._configuration_watcher.catalogue
 
-    async def wait_configured(self) -> None:
-        """Waits a short time for the first configuration after the start."""
+    @property
+    def settled(self) -> bool:
+        """Whether requests can be handled without a wait after the start."""
+        return (
+            self.catalogue.version > 0
+            and self._clock.monotonic() >= self._settled_at
+        )
+
+    async def wait_settled(self) -> None:
+        """Waits a short time until requests can be handled after the start."""
+        if self._clock.monotonic() < self._settled_at:
+            await asyncio.sleep(_DEPARTURE_S)
         await self._configuration_watcher.wait_first(_FIRST_CONFIGURATION_S)
 
     @property
@@ -212,6 +229,7 @@
         await self._serve(
             listener or node.host_port(settings.web), self._job_api.handle
         )
+        self._settled_at = self._clock.monotonic() + _ARREARS_S
         log.event(
             "instance started",
             step="start",
--- a/sesameroad/platform/job_api.py
+++ b/sesameroad/platform/job_api.py
@@ -69,8 +69,12 @@
     def leaving(self) -> bool:
         """Whether the instance is shutting down."""
 
-    async def wait_configured(self) -> None:
-        """Waits a short time for the first configuration after the start."""
+    @property
+    def settled(self) -> bool:
+        """Whether requests can be handled without a wait after the start."""
+
+    async def wait_settled(self) -> None:
+        """Waits a short time until requests can be handled after the start."""
 
     async def submit(
         self, request: job_requests.JobRequest, queue: catalogue_module.Queue
@@ -101,8 +105,8 @@
     ) -> web_response.Response:
         """Responds to one request."""
         arrived_at = self._clock.monotonic()
-        if self._service.catalogue.version == 0:
-            await self._service.wait_configured()
+        if not self._service.settled:
+            await self._service.wait_settled()
         catalogue = self._service.catalogue
         if catalogue.version == 0:
             response = _error_response(
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -96,12 +96,13 @@
         self.addCleanup(connection.close)
         return connection
 
-    def call(self):
+    def call(self, target="GET /", body=""):
         """Sends a request as soon as the port listens."""
         connection = None
         while connection is None:
             connection = self.connect()
-        connection.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        head = f"{target} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}"
+        connection.sendall(f"{head}\r\n\r\n{body}".encode())
         return connection
 
     def assert_answered(self, connection, status=503):
@@ -155,17 +156,45 @@
         for connection in connections:
             await asyncio.to_thread(self.assert_answered, connection)
 
-    async def test_early_requests_wait_for_the_configuration(self):
-        """Guards against refusals in the moment before the first read.
-
-        After a restart of all instances, three of four callers were refused.
-        """
+    async def open_store(self, *, routes):
         platform = store.Store()
-        await platform.put("op", "config", {"version": 1, "routes": []})
+        await platform.put("op", "config", {"version": 1, "routes": routes})
         runner = web.AppRunner(platform.application(), access_log=None)
         await runner.setup()
         self.addAsyncCleanup(runner.cleanup)
         await web.TCPSite(runner, "127.0.0.1", self.store_port).start()
+
+    async def test_job_of_a_caller_that_left_meanwhile_does_not_begin(self):
+        """Guards against a job that begins although its caller has left.
+
+        The caller has sent it again to another instance, where it may run.
+        """
+        route = {"name": "q", "host": "a", "path-prefix": "/q/", "service": "s"}
+        await self.open_store(routes=[route])
+        process = await self.start()
+        step = {"count": 1, "cpu": 1, "est-runtime-ms": 1}
+        body = json.dumps({"steps": [step], "best-effort": True})
+        for number in range(50):
+            connection = await asyncio.to_thread(
+                self.call, f"POST /q/{number:016x}", body
+            )
+            connection.close()
+        # It is answered only after the others have been read.
+        last = await asyncio.to_thread(self.call, "GET /q/x")
+        await asyncio.to_thread(self.assert_answered, last, 400)
+        process.send_signal(signal.SIGTERM)
+        output, _ = await asyncio.to_thread(
+            process.communicate, timeout=_TIMEOUT_S
+        )
+        self.assertIn(b"instance stopped", output)
+        self.assertNotIn(b"caller answered", output)
+
+    async def test_early_requests_wait_for_the_configuration(self):
+        """Guards against refusals in the moment before the first read.
+
+        After a restart of all instances, three of four callers were refused.
+        """
+        await self.open_store(routes=[])
         await self.start()
         connection = await asyncio.to_thread(self.call)
         # The configuration has no queue.
