--- a/sesameroad/jobs/placement.py
+++ b/sesameroad/jobs/placement.py
@@ -124,11 +124,13 @@
         the charge does not move a task there.
         """
         job = active.job
-        endpoint = leased.endpoint
-        if endpoint.id in active.avoided or (
-            job.preferred_label and job.preferred_label not in endpoint.labels
-        ):
-            return interference_module.MAX_CHARGE
+        if active.avoided or job.preferred_label:
+            endpoint = leased.endpoint
+            if endpoint.id in active.avoided or (
+                job.preferred_label
+                and job.preferred_label not in endpoint.labels
+            ):
+                return interference_module.MAX_CHARGE
         return interference_module.charge(
             partners, job.estimate_s, leased, self._now
         )
