Judge hanging runs by reports, and repeat a lost poll at once

Cause: a run counted as hanging if no report had shown progress for 0.4 s.

Change: a run hangs if the reports show no progress. With the option poll_answer_ms, a poll is held until an end of a run is overdue, counts as unanswered after the usual time of answers, and is repeated once before its endpoint counts as silent.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -95,7 +95,8 @@
             lease_s=lease_s,
             events=self,
             clock=clock,
-            answer_times_=answer_times.AnswerTimes.from_options(scheduling),
+            start_times=answer_times.AnswerTimes.of_starts(scheduling),
+            poll_times=answer_times.AnswerTimes.of_polls(scheduling),
         )
         self._table = job_table.JobTable()
         self._takeover = takeover.Takeover(table=self._table, clock=clock)
@@ -865,7 +866,7 @@
     def _stop_hanging(
         self, leased: leased_endpoint.LeasedEndpoint, now: float
     ) -> None:
-        for run in leased.hanging_runs(now):
+        for run in leased.hanging_runs():
             log.problem(
                 "run stopped because it makes no progress",
                 step="run",
--- a/sesameroad/leasing/answer_times.py
+++ b/sesameroad/leasing/answer_times.py
@@ -42,12 +42,19 @@
         self._deviation_s = 0.0
 
     @classmethod
-    def from_options(cls, options: scheduling.Scheduling) -> Self | None:
+    def of_starts(cls, options: scheduling.Scheduling) -> Self | None:
         """Creates a wait; None if the options leave it to the orders."""
         if not options.start_answer_ms:
             return None
         return cls(min_s=options.start_answer_ms / 1_000)
 
+    @classmethod
+    def of_polls(cls, options: scheduling.Scheduling) -> Self | None:
+        """Creates a wait; None if the options leave it to the orders."""
+        if not options.poll_answer_ms:
+            return None
+        return cls(min_s=options.poll_answer_ms / 1_000)
+
     @property
     def wait_s(self) -> float:
         """Time after which a start counts as unanswered, in seconds."""
--- a/sesameroad/leasing/endpoint_pool.py
+++ b/sesameroad/leasing/endpoint_pool.py
@@ -26,14 +26,15 @@
     """Holds the listed endpoints and releases those no longer listed."""
 
     __slots__ = (
-        "_answer_times",
         "_clock",
         "_evacuated",
         "_events",
         "_leased",
         "_sessions",
+        "_start_times",
         "_lease_s",
         "_orders",
+        "_poll_times",
         "_released_fences",
         "_unlisted",
     )
@@ -45,7 +46,8 @@
         lease_s: float,
         events: Events,
         clock: clocks.Clock,
-        answer_times_: answer_times.AnswerTimes | None = None,
+        start_times: answer_times.AnswerTimes | None = None,
+        poll_times: answer_times.AnswerTimes | None = None,
     ) -> None:
         """Creates a pool without endpoints.
 
@@ -54,9 +56,11 @@
             lease_s: Longest lease that an endpoint grants, in seconds.
             events: Receives the events of the endpoints.
             clock: Time source.
-            answer_times_: Wait for answers to starts, None for that of orders.
+            start_times: Wait for answers to starts, None for that of orders.
+            poll_times: Wait for answers to polls, None for that of orders.
         """
-        self._answer_times = answer_times_
+        self._start_times = start_times
+        self._poll_times = poll_times
         self._orders = orders_
         self._lease_s = lease_s
         self._events = events
@@ -206,7 +210,8 @@
             orders_=self._orders,
             events=self._events,
             clock=self._clock,
-            answer_times_=self._answer_times,
+            start_times=self._start_times,
+            poll_times=self._poll_times,
         )
         self._sessions[endpoint.id] = asyncio.create_task(
             self._run_session(leased, session), name=f"endpoint {endpoint.id}"
--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -7,6 +7,7 @@
 from sesameroad.leasing import answer_times
 from sesameroad.leasing import leased_endpoint
 from sesameroad.leasing import orders
+from sesameroad.leasing import poll_schedule
 from sesameroad.leasing import runs
 from sesameroad.model import clocks
 from sesameroad.model import endpoints
@@ -130,13 +131,15 @@
     """Polls one endpoint and sends its orders on several connections."""
 
     __slots__ = (
-        "_answer_times",
         "_clock",
         "_events",
         "_leased",
         "_orders",
         "_poll_limit",
+        "_poll_times",
         "_polled",
+        "_repeats_poll",
+        "_start_times",
     )
 
     def __init__(
@@ -146,7 +149,8 @@
         orders_: orders.Orders,
         events: Events,
         clock: clocks.Clock,
-        answer_times_: answer_times.AnswerTimes | None = None,
+        start_times: answer_times.AnswerTimes | None = None,
+        poll_times: answer_times.AnswerTimes | None = None,
     ) -> None:
         """Creates a session.
 
@@ -155,9 +159,13 @@
             orders_: Sends orders.
             events: Receives the events of the endpoint.
             clock: Time source.
-            answer_times_: Wait for answers to starts, None for that of orders.
+            start_times: Wait for answers to starts, None for that of orders.
+            poll_times: Wait for answers to polls, None for that of orders.
         """
-        self._answer_times = answer_times_
+        self._start_times = start_times
+        self._poll_times = poll_times
+        # Whether the poll in progress repeats one without an answer.
+        self._repeats_poll = False
         # Ends the poll in progress at once; None if none is in progress.
         self._poll_limit: asyncio.Timeout | None = None
         # Set at the end of each poll that was not ended early.
@@ -242,7 +250,7 @@
                     seen=seen,
                     lease_until_ms=lease_until_ms,
                     wait_ms=wait_ms,
-                    timeout_s=wait_ms / 1_000 + _POLL_TIMEOUT_S,
+                    timeout_s=wait_ms / 1_000 + self._poll_timeout_s,
                 )
         except TimeoutError:
             # A report that was requested later is needed. The lease counts as
@@ -252,8 +260,11 @@
             self._poll_limit = None
         self._polled.set()
         now = self._clock.monotonic()
+        if self._poll_times is not None and not wait_ms:
+            self._poll_times.record(now - asked_at)
         match answer:
             case orders.Report():
+                self._repeats_poll = False
                 leased.silent_since = None
                 if reports_required == leased.reports_required:
                     self._record_report(
@@ -266,10 +277,22 @@
                     self._events.on_fenced(leased, token)
                     self._record_silence(now)
                     await asyncio.sleep(_RETRY_S)
+            case orders.NoAnswer() if (
+                self._poll_times is not None and not self._repeats_poll
+            ):
+                # One lost answer is no silence.
+                self._repeats_poll = leased.report_due = True
             case orders.Refused() | orders.NoAnswer():
                 self._check_replaced(answer, endpoint.url)
                 await self._wait_after_silence(now)
 
+    @property
+    def _poll_timeout_s(self) -> float:
+        """Time beyond its duration after which a poll counts as unanswered."""
+        if self._poll_times is None:
+            return _POLL_TIMEOUT_S
+        return min(self._poll_times.wait_s, _POLL_TIMEOUT_S)
+
     def _request_report(self) -> None:
         """Has the lists read at once, in place of the poll in progress."""
         self._leased.report_due = True
@@ -349,7 +372,17 @@
             return _IDLE_WAIT_MS
         if any(run.state is runs.State.STOPPING for run in sent):
             return _STOP_WAIT_MS
-        return _WAIT_MS
+        if self._poll_times is None:
+            return _WAIT_MS
+        return int(
+            1_000
+            * poll_schedule.wait_s(
+                sent,
+                slowness=leased.slowness,
+                now=self._clock.monotonic(),
+                longest_s=_WAIT_MS / 1_000,
+            )
+        )
 
     async def _wait_after_silence(self, now: float) -> None:
         """Records an unanswered poll and waits before the next one."""
@@ -411,16 +444,16 @@
                 self._check_replaced(answer, endpoint.url)
             case orders.NoAnswer():
                 leased.expect_held_up_start(now)
-                if self._answer_times is not None:
+                if self._start_times is not None:
                     # Only the answer may be lost, and the run goes on.
-                    await self._await_report(self._answer_times.wait_s)
+                    await self._await_report(self._start_times.wait_s)
                 self._events.on_unanswered(leased, run, answer.detail)
 
     async def _order_start(
         self, endpoint: endpoints.Endpoint, run: runs.Run, sent_at: float
     ) -> orders.Answer:
         """Sends a start and waits for its answer no longer than is usual."""
-        times = self._answer_times
+        times = self._start_times
         answer: orders.Answer
         limit: answer_times.Limit | None = None
         try:
@@ -440,8 +473,10 @@
         finally:
             if limit is not None:
                 limit.cancel()
-        if times is not None:
-            times.record(self._clock.monotonic() - sent_at)
+        took_s = self._clock.monotonic() - sent_at
+        for recorded in (times, self._poll_times):
+            if recorded is not None:
+                recorded.record(took_s)
         return answer
 
     def _update_clock(
@@ -480,7 +515,7 @@
             case orders.Accepted():
                 self._update_clock(answer.clock_ms, sent_at, fences=fences)
                 if stop.run is not None:
-                    if self._answer_times is not None and not (
+                    if self._start_times is not None and not (
                         stop.run.confirmed_at
                     ):
                         # The stop was carried out before its answer arrived, so
--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -437,14 +437,18 @@
         if math.log(ratio) > self._log_slowness:
             self._update_slowness(ratio)
 
-    def hanging_runs(self, now: float) -> list[runs_module.Run]:
-        """Returns the runs that no longer make progress."""
+    def hanging_runs(self) -> list[runs_module.Run]:
+        """Returns the runs that no longer make progress by its reports.
+
+        Without a report nothing is known of their progress: they may go on
+        while answers to polls are lost.
+        """
         return [
             run
             for run in self._runs.values()
             if run.state is runs_module.State.RUNNING
             and run.progressed_at
-            and now - run.progressed_at
+            and self.polled_at - run.progressed_at
             > max(_HANG_S, _HANG_RATIO * run.estimate_s)
         ]
 
--- a/sesameroad/model/scheduling.py
+++ b/sesameroad/model/scheduling.py
@@ -15,10 +15,15 @@
             rest of it, and started jobs come before others.
         start_answer_ms: Shortest wait for the answer to a start before its task
             is started elsewhere, in milliseconds; 0 for the timeout of orders.
+        poll_answer_ms: Shortest wait for the answer to a poll beyond the time for
+            which the endpoint may hold it, before it is sent once more, in
+            milliseconds; 0 for 250 ms, after which the endpoint counts as
+            silent.
         headroom: Whether cores are kept free for the next arrivals of urgent,
             shorter jobs.
     """
 
     whole_starts: bool = False
     start_answer_ms: Annotated[int, msgspec.Meta(ge=0, le=300)] = 0
+    poll_answer_ms: Annotated[int, msgspec.Meta(ge=0, le=250)] = 0
     headroom: bool = False
