Let the restarted instance read its own paths before the partition

Cause: tests.test_evacuation_processes failed in 2 of 11 runs: a job at an instance of the data centre that was cut off was answered 200 instead of refused. The instance that is restarted while the store is down takes the list from a peer, with the addresses of that peer's forwarders, and these are not cut. So it may reach the endpoints of the other data centre during the partition. Nothing was started in the evacuated one. The logs of the failed runs were not kept, so this is by the code.

Change: the store is back for a while before the partition, in which the evacuation must hold as well, and is down again during it.

--- a/tests/test_evacuation_processes.py
+++ b/tests/test_evacuation_processes.py
@@ -57,6 +57,10 @@
         await deployment.wait_ready(leader)
         await self.check_starts("dc1", some=False)
         await self.check_starts("dc2", some=True)
+        # The restarted instance has a peer's list, with that one's own paths.
+        store_.fault = store.Fault.NONE
+        await self.check_starts("dc1", some=False)
+        store_.fault = store.Fault.DOWN
         paths = deployment.paths_between("dc1", "dc2")
         await deployment.paths.cut(paths, reset=True)
         await self.check_starts("dc1", some=False)
