--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -46,7 +46,7 @@
                 orders_=site.fleet,
                 events=mock.Mock(token=1),
                 clock=site.clock,
-                answer_times_=answer_times.AnswerTimes(min_s=0.025),
+                start_times=answer_times.AnswerTimes(min_s=0.025),
             )
             began_at = site.clock.monotonic()
             poll = asyncio.create_task(session._poll())
