Move the runs of a leader's jobs out of the scheduler

Change: jobs.run_tracker follows starts, ends and losses of runs and ends jobs; the scheduler accepts, places and checks jobs. No behaviour changes.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
-import math
 
 from sesameroad.jobs import active_job
 from sesameroad.jobs import admission
@@ -19,13 +18,13 @@
 from sesameroad.jobs import interference_monitor
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placer
+from sesameroad.jobs import run_tracker
 from sesameroad.jobs import takeover
 from sesameroad.jobs import whole_starts
 from sesameroad.leasing import answer_times
 from sesameroad.leasing import endpoint_pool
 from sesameroad.leasing import leased_endpoint
 from sesameroad.leasing import orders
-from sesameroad.leasing import runs
 from sesameroad.membership import evacuations as evacuations_module
 from sesameroad.model import attempts as notices
 from sesameroad.model import clocks
@@ -84,22 +83,35 @@
             scheduling: Options for a shortage of capacity.
             interference: Learns which queues to keep apart, None if disabled.
         """
-        self._token = token
         self._clock = clock
-        self._on_fenced = on_fenced
-        self._metrics = metrics
         self._evacuations = evacuations
         self._scheduling = scheduling
+        self._table = job_table.JobTable()
+        self._takeover = takeover.Takeover(table=self._table, clock=clock)
+        self._backlog = backlog.Backlog(begun_first=scheduling.whole_starts)
+        self._held_up_starts = held_up_starts.HeldUpStarts()
+        self._wake = asyncio.Event()
+        self._tracker = run_tracker.RunTracker(
+            token=token,
+            table=self._table,
+            backlog=self._backlog,
+            takeover=self._takeover,
+            held_up_starts=self._held_up_starts,
+            interference=interference,
+            clock=clock,
+            on_fenced=on_fenced,
+            metrics=metrics,
+            wake=self._wake,
+        )
         self._pool = endpoint_pool.EndpointPool(
             orders_=orders_,
             lease_s=lease_s,
-            events=self,
+            events=self._tracker,
             clock=clock,
             start_times=answer_times.AnswerTimes.of_starts(scheduling),
             poll_times=answer_times.AnswerTimes.of_polls(scheduling),
         )
-        self._table = job_table.JobTable()
-        self._takeover = takeover.Takeover(table=self._table, clock=clock)
+        self._tracker.attach(self._pool)
         self._cancellations = cancellations.Cancellations()
         self._attempts = attempts.Attempts(
             table=self._table,
@@ -108,14 +120,11 @@
             notice_s=attempt_notice_s,
         )
         self._eligibility = eligibility.Eligibility(self._pool)
-        self._backlog = backlog.Backlog(begun_first=scheduling.whole_starts)
         self._admission = admission.Admission(
             backlog=self._backlog,
             pool=self._pool,
             eligibility=self._eligibility,
         )
-        self._held_up_starts = held_up_starts.HeldUpStarts()
-        self._interference = interference
         self._interference_monitor = interference_monitor.InterferenceMonitor(
             interference, metrics=metrics
         )
@@ -136,14 +145,12 @@
             interference=interference,
             headroom=self._headroom,
         )
-        self._wake = asyncio.Event()
-        self._stopped = False
         self.apply_evacuations()
 
     @property
     def token(self) -> int:
         """Fencing token of all orders."""
-        return self._token
+        return self._tracker.token
 
     @property
     def free_cores(self) -> float:
@@ -212,7 +219,7 @@
         The other leader may have started tasks until now, so the lists of all
         endpoints must be read again.
         """
-        self._token = max(self._token, token)
+        self._tracker.token = max(self._tracker.token, token)
         self._pool.invalidate()
 
     def is_established(self, data_centre: str) -> bool:
@@ -242,7 +249,7 @@
         for leased in self._pool:
             withdrawn = leased.withdraw_starts()
             for run in reversed(withdrawn):
-                self._retry(run, "withdrawn")
+                self._tracker.retry(run, "withdrawn")
             if withdrawn:
                 log.event(
                     "queued starts withdrawn",
@@ -269,7 +276,7 @@
             moved: Whether an earlier leader may have started tasks of it.
             lent: Whether to refuse it unless all tasks can start immediately.
         """
-        if self._stopped:
+        if self._tracker.stopped:
             return ending.not_leader()
         now = self._clock.monotonic()
         if self._cancellations.contains(job.key, now):
@@ -277,7 +284,7 @@
         active = self._table.find(job.name)
         if active is not None and active.job.indices != job.indices:
             # An earlier attempt of the caller was partitioned differently.
-            self._finish(active, ending.replaced())
+            self._tracker.finish(active, ending.replaced())
             active = None
         if active is None:
             active = active_job.ActiveJob(job, now=now)
@@ -301,7 +308,7 @@
             if not is_known and not job.committed:
                 refusal = self._admission.refusal(active, now)
                 if refusal is not None:
-                    self._log_end(active, refusal)
+                    self._tracker.log_end(active, refusal)
                     return refusal
             self._table.add(active)
             self._backlog.add(active, now)
@@ -317,8 +324,8 @@
                 active.started = True
         future = active.join(origin)
         if active.done >= job.count:
-            self._finish(active, outcomes.Complete(()))
-        self._answer_held_up(active)
+            self._tracker.finish(active, outcomes.Complete(()))
+        self._tracker.answer_held_up(active)
         return await future
 
     def cancel(self, name: str, origin_id: str) -> None:
@@ -329,7 +336,7 @@
         if active.origins != [origin_id]:
             active.leave(origin_id)
         else:
-            self._finish(
+            self._tracker.finish(
                 active,
                 ending.abandoned(active, outcomes.Cause.CANCELLED, "cancelled"),
             )
@@ -346,7 +353,7 @@
         self._cancellations.add(key, self._clock.monotonic())
         parts = list(self._table.of_key(key))
         for active in parts:
-            self._finish(active, ending.cancelled())
+            self._tracker.finish(active, ending.cancelled())
         return bool(parts)
 
     def receive_notice(self, leader: str, notice: notices.Notice) -> None:
@@ -356,7 +363,7 @@
                 self._attempts.record_running(leader, notice)
             case notices.Replaced():
                 for active in self._attempts.replaced_by(notice):
-                    self._finish(active, ending.replaced())
+                    self._tracker.finish(active, ending.replaced())
                 if not self._may_run_beside(notice):
                     self._attempts.answer(leader, notice)
             case notices.Ended():
@@ -379,414 +386,6 @@
             )
         )
 
-    # Events of the endpoint sessions.
-
-    def may_start(self, run: runs.Run) -> bool:
-        """Returns whether a run may start; called just before its order."""
-        active = self._table.job_of(run)
-        if (
-            not self._stopped
-            and active is not None
-            and not active.closing
-            and active.has_live_origin
-            and run.state is runs.State.STARTING
-            and (leased := self._table.endpoint_of(run)).takes(run)
-            and (
-                not active.job.required_label
-                or leased.has_label(active.job.required_label)
-            )
-            and self._may_share_lease(active, leased)
-        ):
-            if leased.is_start_queue_short and len(self._backlog):
-                self._wake.set()
-            active.started = True
-            active.sends += 1
-            if not active.first_sent_at:
-                active.first_sent_at = self._clock.monotonic()
-                self._metrics.first_start(
-                    active.first_sent_at - active.arrived_at
-                )
-            return True
-        self._retry(run, "not sent")
-        return False
-
-    def _may_share_lease(
-        self,
-        active: active_job.ActiveJob,
-        leased: leased_endpoint.LeasedEndpoint,
-    ) -> bool:
-        """Returns whether the lease of an endpoint suits a run of a job.
-
-        A lease is never shortened. One that was granted for other jobs must not
-        outlast the time by which the run must end if its origin is lost.
-        """
-        if leased.orphans or not leased.reconciled:
-            return False
-        end_by = active.runs_end_by(self._clock.monotonic())
-        return leased.lease.latest_end <= end_by
-
-    def runs_end_by(self, leased: leased_endpoint.LeasedEndpoint) -> float:
-        """Returns the earliest time by which a run there must have ended.
-
-        A run that no job claims, or that is not known yet, belongs to an origin
-        that another leader may hear. That leader takes it as ended when the
-        lease expires which it has granted itself, so the lease is not extended
-        here.
-        """
-        now = self._clock.monotonic()
-        if leased.orphans or not leased.reconciled:
-            return now
-        earliest = math.inf
-        for run in leased.runs.values():
-            if not run.sent_at:
-                continue
-            earliest = min(earliest, run.end_by)
-            active = self._table.job_of(run)
-            if active is not None and not active.closing:
-                earliest = min(earliest, active.runs_end_by(now))
-        return earliest
-
-    def on_accepted(
-        self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run
-    ) -> None:
-        """Handles a confirmed start."""
-        run.held_up_until = 0.0
-        if run.state is runs.State.STARTING:
-            run.state = runs.State.RUNNING
-        leased.wake()
-
-    def on_refused(
-        self,
-        leased: leased_endpoint.LeasedEndpoint,
-        run: runs.Run,
-        refusal: orders.Refusal,
-    ) -> None:
-        """Requeues a task whose start was refused without effect.
-
-        After a refusal as an old run, the next report decides.
-        """
-        log.event(
-            "endpoint refused a start",
-            step="start",
-            peer=leased.endpoint.id,
-            request=run.key,
-            task=run.task,
-            run=run.number,
-            reason=refusal.value,
-        )
-        match refusal:
-            case (
-                orders.Refusal.NO_ROOM
-                | orders.Refusal.UNHEALTHY
-                | orders.Refusal.MISDIRECTED
-                | orders.Refusal.TOO_LATE
-            ):
-                leased.pause(self._clock.monotonic())
-            case orders.Refusal.OLD_RUN:
-                # An unknown run of the task may be active on the endpoint.
-                run.state = runs.State.STOPPING
-                run.confirmed_at = self._clock.monotonic()
-                leased.require_report()
-                return
-            case _:
-                pass
-        if run.state is runs.State.STOPPING:
-            self._remove_run(run, refusal.value)
-        else:
-            self._retry(run, refusal.value)
-
-    def on_unanswered(
-        self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run, detail: str
-    ) -> None:
-        """Stops a run whose start was not answered.
-
-        The endpoint may carry out the start later, so the run is barred there
-        before the task is started elsewhere.
-        """
-        log.problem(
-            "start without an answer",
-            step="start",
-            peer=leased.endpoint.id,
-            request=run.key,
-            task=run.task,
-            run=run.number,
-            error=detail,
-        )
-        leased.pause(self._clock.monotonic())
-        if run.state is runs.State.STARTING:
-            self._stop_run(leased, run)
-
-    def on_reported(
-        self,
-        leased: leased_endpoint.LeasedEndpoint,
-        report: orders.Report,
-        *,
-        asked_at: float,
-        token: int,
-    ) -> None:
-        """Applies the lists of running and ended runs of an endpoint."""
-        now = self._clock.monotonic()
-        first = not leased.reconciled
-        leased.reconciled = True
-        self._held_up_starts.remove_fenced(leased, token)
-        for end in report.ended:
-            if end.number <= leased.seen:
-                continue
-            self._apply_end(leased, end, now)
-        if report.ended:
-            leased.seen = max(leased.seen, report.ended[-1].number)
-        listed = {entry.task: entry.run for entry in report.running}
-        for entry in report.running:
-            run = leased.runs.get(entry.task)
-            if run is not None and run.number == entry.run and run.sent_at:
-                leased.record_progress(run, entry.percent, now)
-        for run in list(leased.runs.values()):
-            if listed.get(run.task) == run.number:
-                run.held_up_until = 0.0
-                if run.state is runs.State.STARTING:
-                    run.state = runs.State.RUNNING
-                    run.confirmed_at = now
-            elif run.is_gone(asked_at=asked_at, token=token):
-                self._mark_lost(leased, run, "not listed any more")
-        if self._takeover.record_running(leased, listed) or first:
-            for active in self._table:
-                self._takeover.adopt(active, self._pool)
-        if leased.orphans:
-            self._takeover.stop_unclaimed((leased,))
-        if first or report.ended:
-            self._wake.set()
-
-    def on_restarted(
-        self,
-        leased: leased_endpoint.LeasedEndpoint,
-        report: orders.Report,
-        *,
-        former_born_ms: int,
-    ) -> None:
-        """Logs a restart; the next report shows which runs it has ended."""
-        leased.orphans.clear()
-        log.event(
-            "endpoint started again",
-            step="run",
-            peer=leased.endpoint.id,
-            born_ms=report.born_ms,
-            former_born_ms=former_born_ms,
-            listed=[f"{r.task}#{r.run}" for r in report.running],
-        )
-
-    def on_fenced(
-        self, leased: leased_endpoint.LeasedEndpoint, token: int
-    ) -> None:
-        """Reports an endpoint that has seen a higher token of another leader."""
-        if self._stopped:
-            return
-        log.problem(
-            "an endpoint has seen a higher token",
-            step="steward",
-            peer=leased.endpoint.id,
-            token=token,
-            established=self.is_established(leased.endpoint.data_centre),
-        )
-        self._on_fenced(leased.endpoint.data_centre)
-
-    def on_replaced(
-        self, leased: leased_endpoint.LeasedEndpoint, url: str
-    ) -> None:
-        """Marks the runs as lost that were sent to an address of an endpoint.
-
-        The endpoint may run others at the address that the list shows now.
-        """
-        for run in list(leased.runs.values()):
-            if run.sent_at and run.url == url:
-                self._mark_lost(leased, run, "another endpoint answers")
-
-    def on_all_ended(
-        self, leased: leased_endpoint.LeasedEndpoint, cause: str
-    ) -> None:
-        """Gives up all runs that were sent to an endpoint."""
-        leased.orphans.clear()
-        self._give_up_runs(leased, cause)
-
-    def on_released(self, leased: leased_endpoint.LeasedEndpoint) -> None:
-        """Marks all runs of a released endpoint as lost."""
-        self._give_up_runs(leased, "the endpoint is gone")
-        for run in list(leased.runs.values()):
-            self._mark_lost(leased, run, "the endpoint is gone")
-
-    def _give_up_runs(
-        self, leased: leased_endpoint.LeasedEndpoint, cause: str
-    ) -> None:
-        """Marks the runs as lost whose lease has expired without a report.
-
-        Another leader may have renewed it if the origin of a run has moved its
-        job there. An origin that is heard from now on has not. A start without
-        an answer may still be carried out if the endpoint starts again, so its
-        task starts nowhere else for now.
-        """
-        now = self._clock.monotonic()
-        for run in list(leased.runs.values()):
-            if not run.sent_at:
-                continue
-            active = self._table.job_of(run)
-            if active is not None:
-                active.resumes_after = now
-            if now < run.held_up_until:
-                self._held_up_starts.add(leased, run)
-            self._mark_lost(leased, run, cause)
-            if active is not None:
-                self._answer_held_up(active)
-
-    # Ends of runs.
-
-    def _apply_end(
-        self,
-        leased: leased_endpoint.LeasedEndpoint,
-        end: orders.End,
-        now: float,
-    ) -> None:
-        run = leased.runs.get(end.task)
-        if run is None or run.number != end.run:
-            self._takeover.record_end(leased, end.task)
-            if end.ending is orders.Ending.DONE and not leased.acknowledged:
-                self._takeover.record_done(end.task)
-            return
-        active = self._table.job_of(run)
-        self._remove_run(run, end.ending.value)
-        if active is None or active.closing:
-            return
-        match end.ending:
-            case orders.Ending.DONE:
-                leased.record_success(run, now)
-                active.done += 1
-                if active.done >= active.job.count:
-                    self._finish(active, outcomes.Complete(()))
-            case orders.Ending.FAILED:
-                self._fail(leased, active, run)
-            case _:
-                self._requeue(active, run.index)
-
-    def _fail(
-        self,
-        leased: leased_endpoint.LeasedEndpoint,
-        active: active_job.ActiveJob,
-        run: runs.Run,
-    ) -> None:
-        log.event(
-            "run failed",
-            step="run",
-            peer=leased.endpoint.id,
-            request=run.key,
-            task=run.task,
-            run=run.number,
-        )
-        leased.record_failure(run, self._clock.monotonic())
-        active.avoided.add(leased.endpoint.id)
-        if active.record_failure(run.index):
-            self._requeue(active, run.index)
-            return
-        self._finish(
-            active,
-            outcomes.Failed(
-                outcomes.Cause.TASK_FAILED,
-                f"task {run.index} failed {active.job.max_attempts} times",
-                may_have_run=True,
-            ),
-        )
-
-    def _mark_lost(
-        self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run, cause: str
-    ) -> None:
-        log.problem(
-            "run lost",
-            step="run",
-            peer=leased.endpoint.id,
-            request=run.key,
-            task=run.task,
-            run=run.number,
-            reason=cause,
-            state=run.state.value,
-            sent_ms_ago=int((self._clock.monotonic() - run.sent_at) * 1_000),
-        )
-        self._retry(run, cause)
-
-    def _retry(self, run: runs.Run, reason: str) -> None:
-        active = self._table.job_of(run)
-        self._remove_run(run, reason)
-        if active is not None and not active.closing:
-            self._requeue(active, run.index)
-
-    def _requeue(self, active: active_job.ActiveJob, index: int) -> None:
-        active.waiting.appendleft(index)
-        self._backlog.add(active, self._clock.monotonic())
-        self._wake.set()
-
-    def _remove_run(self, run: runs.Run, reason: str) -> None:
-        """Removes a run that has ended.
-
-        Args:
-            run: The run.
-            reason: How it ended, or why it counts as ended.
-        """
-        active = self._table.job_of(run)
-        leased = self._table.remove_run(run)
-        if leased is None:
-            return
-        self._metrics.run_ended(reason)
-        now = self._clock.monotonic()
-        if self._interference is not None:
-            done = active is not None and reason == orders.Ending.DONE.value
-            tasks = active.job.count if done else 0
-            self._interference.run_ended(leased, run, now=now, tasks=tasks)
-        if active is not None:
-            active.add_history(
-                ending.describe_run(active, leased, run, reason, now)
-            )
-        self._wake.set()
-
-    def _stop_run(
-        self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run
-    ) -> None:
-        run.state = runs.State.STOPPING
-        if run.stop_sent:
-            return
-        run.stop_sent = True
-        leased.stops.put_nowait(runs.StopOrder(run.task, run.number, run))
-        leased.wake()
-
-    # Ends of jobs.
-
-    def _finish(
-        self, active: active_job.ActiveJob, outcome: outcomes.Outcome
-    ) -> None:
-        """Sends the outcome of a job and stops its remaining runs."""
-        self._log_end(active, outcome)
-        self._backlog.discard(active)
-        end_by = active.runs_end_by(self._clock.monotonic())
-        active.settle(outcome)
-        for run in list(active.runs.values()):
-            run.end_by = end_by
-            if not run.sent_at:
-                self._remove_run(run, "not sent")
-            else:
-                self._stop_run(self._table.endpoint_of(run), run)
-        self._table.close(active)
-
-    def _answer_held_up(self, active: active_job.ActiveJob) -> None:
-        """Ends a job that a held-up start blocks for longer than is of use."""
-        if self._held_up_starts.outlast(active):
-            self._finish(active, ending.held_up())
-
-    def _log_end(
-        self, active: active_job.ActiveJob, outcome: outcomes.Outcome
-    ) -> None:
-        ending.log_end(
-            active,
-            outcome,
-            now=self._clock.monotonic(),
-            waiting_jobs=len(self._backlog),
-            token=self._token,
-        )
-
     async def _check_periodically(self) -> None:
         while True:
             await asyncio.sleep(_CHECK_PERIOD_S)
@@ -795,9 +394,9 @@
             for active in self._table:
                 self._check(active, now)
             for active in self._attempts.check(now):
-                self._finish(active, ending.held_back())
+                self._tracker.finish(active, ending.held_back())
             for active, refusal in list(self._admission.refusals(now)):
-                self._finish(active, refusal)
+                self._tracker.finish(active, refusal)
             for leased in self._pool:
                 self._stop_hanging(leased, now)
             self._takeover.stop_unclaimed(self._pool)
@@ -809,14 +408,14 @@
     def _check(self, active: active_job.ActiveJob, now: float) -> None:
         """Ends a job without a live origin or past its time limits."""
         if not active.has_live_origin:
-            self._finish(
+            self._tracker.finish(
                 active,
                 outcomes.Unknown(
                     outcomes.Cause.HOME_UNREACHABLE, "its home is silent"
                 ),
             )
         elif now >= active.job.deadline_at:
-            self._finish(
+            self._tracker.finish(
                 active,
                 ending.abandoned(
                     active,
@@ -827,7 +426,7 @@
         elif active.waiting and self._is_useless(active, now):
             # Runs in progress may still finish late with some value. Tasks that
             # would start now could not finish before the response is worthless.
-            self._finish(
+            self._tracker.finish(
                 active,
                 ending.abandoned(
                     active, outcomes.Cause.OVERLOAD, "no room while of use"
@@ -853,7 +452,7 @@
             return
         refusal = self._eligibility.refusal(active.job)
         if refusal is not None:
-            self._finish(
+            self._tracker.finish(
                 active, ending.abandoned(active, refusal.cause, refusal.detail)
             )
 
@@ -878,11 +477,11 @@
                 estimate_ms=int(run.estimate_s * 1_000),
             )
             leased.record_hang(now)
-            self._stop_run(leased, run)
+            self._tracker.stop_run(leased, run)
 
     async def _close(self) -> None:
         """Ends all jobs here; their origins submit them to the next leader."""
-        self._stopped = True
+        self._tracker.stopped = True
         self._interference_monitor.close()
         await self._pool.close()
         for active in self._table:
