Give up a start only after a report without its run

On a busy machine an endpoint answered neither its starts nor its stops in the usual time: the starts were given up, the stops timed out in turn, and a job was answered 502 with the option start_answer_ms on (a trial of the process tests with a load average of 13).

A late answer now makes the leader read the lists while the start is still waited for. Only a report without the run ends the wait; an endpoint that is slow with its lists as well keeps its starts until the timeout.

The new test fails without the change.

--- a/sesameroad/leasing/answer_times.py
+++ b/sesameroad/leasing/answer_times.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Self
 
 from sesameroad.model import scheduling
@@ -62,18 +63,18 @@
 
 
 class Limit:
-    """Ends the wait for an answer, unless the answer has arrived by then."""
+    """Reports that an answer is late, unless it has arrived by then."""
 
-    __slots__ = ("_loop", "_timeout", "_timer")
+    __slots__ = ("_late", "_loop", "_timer")
 
-    def __init__(self, timeout: asyncio.Timeout, wait_s: float) -> None:
+    def __init__(self, wait_s: float, late: Callable[[], None]) -> None:
         """Starts the wait.
 
         Args:
-            timeout: Entered timeout around the order, which is made to expire.
-            wait_s: Time until then, in seconds.
+            wait_s: Time until the answer is late, in seconds.
+            late: Called then.
         """
-        self._timeout = timeout
+        self._late = late
         self._loop = asyncio.get_running_loop()
         self._timer = self._loop.call_later(wait_s, self._read)
 
@@ -82,7 +83,4 @@
         self._timer.cancel()
 
     def _read(self) -> None:
-        self._timer = self._loop.call_later(_READ_S, self._end)
-
-    def _end(self) -> None:
-        self._timeout.reschedule(self._loop.time())
+        self._timer = self._loop.call_later(_READ_S, self._late)
--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -1,6 +1,7 @@
 """Session with one endpoint: lease renewal, polling and sending of orders."""
 
 import asyncio
+import functools
 import math
 from typing import Protocol
 
@@ -136,7 +137,7 @@
         "_leased",
         "_orders",
         "_poll_limit",
-        "_reported",
+        "_overdue",
     )
 
     def __init__(
@@ -160,8 +161,9 @@
         self._answer_times = answer_times_
         # Ends the poll in progress at once; None if none is in progress.
         self._poll_limit: asyncio.Timeout | None = None
-        # Set by each report whose lists were used.
-        self._reported = asyncio.Event()
+        # Starts whose usual time of an answer is over, by run, until the lists
+        # have been read.
+        self._overdue: dict[runs.Run, asyncio.Timeout] = {}
         self._leased = leased
         self._orders = orders_
         self._events = events
@@ -277,15 +279,20 @@
         if limit is not None and limit.when() is None:
             limit.reschedule(asyncio.get_running_loop().time())
 
-    async def _await_report(self, wait_s: float) -> None:
-        """Has the lists read and waits until they have been, or for a time."""
-        self._reported.clear()
+    def _record_overdue(self, run: runs.Run, timeout: asyncio.Timeout) -> None:
+        """Has the lists read, as the answer to a start is late.
+
+        An endpoint that does not answer this either is slow itself. Its starts
+        then end with the timeout of orders.
+        """
+        self._overdue[run] = timeout
         self._request_report()
-        try:
-            async with asyncio.timeout(wait_s):
-                await self._reported.wait()
-        except TimeoutError:
-            return
+
+    def _give_up_overdue(self) -> None:
+        """Gives up the starts that a report has not shown."""
+        for run, timeout in self._overdue.items():
+            if run.state is not runs.State.RUNNING and timeout.when() is None:
+                timeout.reschedule(asyncio.get_running_loop().time())
 
     def _check_replaced(self, answer: orders.PollAnswer, url: str) -> None:
         """Reports an answer that shows another endpoint at the address."""
@@ -333,7 +340,7 @@
             return
         leased.acknowledged = max(leased.acknowledged, seen)
         self._events.on_reported(leased, report, asked_at=asked_at, token=token)
-        self._reported.set()
+        self._give_up_overdue()
 
     def _wait_ms(self) -> int:
         leased = self._leased
@@ -412,9 +419,6 @@
                 self._check_replaced(answer, endpoint.url)
             case orders.NoAnswer():
                 leased.expect_held_up_start(now)
-                if self._answer_times is not None:
-                    # Only the answer may be lost, and the run goes on.
-                    await self._await_report(self._answer_times.wait_s)
                 self._events.on_unanswered(leased, run, answer.detail)
 
     async def _order_start(
@@ -427,7 +431,10 @@
         try:
             async with asyncio.timeout(None) as timeout:
                 if times is not None:
-                    limit = answer_times.Limit(timeout, times.wait_s)
+                    limit = answer_times.Limit(
+                        times.wait_s,
+                        functools.partial(self._record_overdue, run, timeout),
+                    )
                 answer = await self._orders.start(
                     endpoint,
                     task=run.task,
@@ -441,6 +448,7 @@
         finally:
             if limit is not None:
                 limit.cancel()
+                self._overdue.pop(run, None)
         if times is not None:
             times.record(self._clock.monotonic() - sent_at)
         return answer
--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -33,6 +33,16 @@
         # The held-up start had no effect when it arrived.
         self.assertEqual(len(site.history.starts), 1)
 
+    async def test_endpoint_that_is_slow_itself_keeps_its_starts(self):
+        """Guards against starts and stops given up in turn by a busy endpoint."""
+        site = _jobs.Site(count=1, delay_s=0.1)
+        async with site.leader(scheduling=_ON) as scheduler:
+            await asyncio.sleep(0.5)
+            job = site.job(count=2, run_s=0.3)
+            outcome = await scheduler.submit(job, site.origin)
+            self.assertEqual(outcome, outcomes.Complete(()))
+            self.assertEqual(len(site.history.starts), 2)
+
     async def test_report_that_is_requested_twice(self):
         """Guards against a session that ends as two starts are given up."""
         for turns in range(4):
@@ -107,7 +117,10 @@
         async def wait():
             answer = asyncio.get_running_loop().create_future()
             async with asyncio.timeout(None) as timeout:
-                limit = answer_times.Limit(timeout, 0.01)
+                loop = asyncio.get_running_loop()
+                limit = answer_times.Limit(
+                    0.01, lambda: timeout.reschedule(loop.time())
+                )
                 asyncio.get_running_loop().call_later(
                     0.005, lambda: answer.set_result("answer")
                 )
