Count endpoints in admission until they were silent for a lease

Cause: admission counted only endpoints that answered their last poll. Idle endpoints are not polled, so restarts of all of them are noticed together, by the first starts; for up to 0.75 s there were no cores then, and jobs were refused with 503, "no endpoint responds".

Change: an endpoint that has answered before counts until it has been silent for the longest lease, 1.07 s, the time after which its runs are given up as well. Placement, free cores and the offers to other instances are unchanged: nothing is started on an endpoint that does not answer. A job that waits is refused as before when that time is over.

Jobs for endpoints that stay away are refused within 1.2 s.

--- a/sesameroad/jobs/admission.py
+++ b/sesameroad/jobs/admission.py
@@ -60,14 +60,14 @@
     def wait_s(self) -> float:
         """Expected wait of a new job that is placed after all others."""
         ahead = sum(active.waiting_core_seconds for active in self._backlog)
-        return self._wait_s(ahead, self._cores())
+        return self._wait_s(ahead, self._pool.expected_cores)
 
     def refusal(
         self, active: active_job.ActiveJob, now: float
     ) -> outcomes.NotRun | None:
         """Returns the refusal of a job that has not started, or None."""
         ahead = self._backlog.core_seconds_before(active, now)
-        return self._refusal(active, ahead, self._cores(), now)
+        return self._refusal(active, ahead, self._pool.expected_cores, now)
 
     def refusals(
         self, now: float
@@ -77,7 +77,7 @@
         Jobs that may have started are not refused, nor are parts of a job of
         which another part may have started, as that would waste the other part.
         """
-        cores = self._cores()
+        cores = self._pool.expected_cores
         ahead = 0.0
         for active in self._backlog.ordered(now):
             if not (active.started or active.moved or active.job.committed):
@@ -124,11 +124,3 @@
             return math.inf
         processing_s = _LOOP_TURNS * self.loop_delay_s
         return ahead * _FRAGMENTATION / cores + processing_s
-
-    def _cores(self) -> float:
-        """Returns the cores of responsive endpoints, weighted by speed."""
-        return sum(
-            leased.endpoint.offer.cores / max(1.0, leased.slowness)
-            for leased in self._pool
-            if leased.silent_since is None and not leased.endpoint.leaving
-        )
--- a/sesameroad/leasing/endpoint_pool.py
+++ b/sesameroad/leasing/endpoint_pool.py
@@ -76,6 +76,16 @@
             leased.free_cores for leased in self if leased.accepts_runs(now)
         )
 
+    @property
+    def expected_cores(self) -> float:
+        """Cores on which jobs can count, used or not, weighted by speed."""
+        now = self._clock.monotonic()
+        return sum(
+            leased.endpoint.offer.cores / max(1.0, leased.slowness)
+            for leased in self
+            if leased.is_expected(now) and not leased.endpoint.leaving
+        )
+
     def is_established(self, data_centre: str) -> bool:
         """Whether any endpoint of a data centre has accepted the token."""
         return any(
--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -202,6 +202,17 @@
             and need.accelerators <= offer.accelerators - self._accelerators
         )
 
+    def is_expected(self, now: float) -> bool:
+        """Returns whether it responds, or did before and may soon do so again.
+
+        One that starts again misses one poll, and the restarts of idle ones are
+        noticed together. A silent endpoint is given up with its lease.
+        """
+        if self.silent_since is None:
+            return True
+        silent_s = now - self.silent_since
+        return self.polled_at > 0 and silent_s < self.lease.longest_s
+
     def accepts_runs(self, now: float) -> bool:
         """Returns whether new runs may be started."""
         return (
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -276,6 +276,55 @@
         self.assertIsInstance(answer, outcomes.NotRun)
         self.assertEqual(answer.detail, "no endpoint responds")
 
+    async def test_job_waits_for_endpoints_that_start_again(self):
+        """Guards against a refusal while all endpoints are briefly silent.
+
+        Idle endpoints are not polled, so their restarts are noticed together,
+        by the first starts.
+        """
+        for silent_s in (0.1, 0.3, 0.6):
+            site = _jobs.Site()
+            async with site.leader() as leader:
+                await asyncio.sleep(1.0)
+                for endpoint in site.fleet.endpoints.values():
+                    endpoint.crash(down_s=silent_s)
+                jobs = [
+                    site.job(f"{n:016x}", count=1, run_s=0.3, stretch=4.0)
+                    for n in range(8)
+                ]
+                answers = []
+                for job in jobs:
+                    answers.append(
+                        asyncio.create_task(leader.submit(job, site.origin))
+                    )
+                    await asyncio.sleep(0.07)
+                answers = await asyncio.gather(*answers)
+            self.assertEqual(
+                answers, [outcomes.Complete(())] * len(jobs), silent_s
+            )
+            self.assertEqual(site.history.overlapping, [])
+
+    async def test_job_is_refused_when_silent_endpoints_stay_away(self):
+        """Guards against jobs that wait for endpoints that are gone."""
+        site = _jobs.Site()
+        async with site.leader() as leader:
+            await leader.submit(site.job("a" * 16), site.origin)
+            for endpoint in site.fleet.endpoints.values():
+                endpoint.fault.silent = True
+            first = asyncio.create_task(
+                leader.submit(site.job("b" * 16, count=4), site.origin)
+            )
+            await asyncio.sleep(0.6)
+            before = site.clock.monotonic()
+            answer = await leader.submit(
+                site.job("c" * 16, stretch=8.0, deadline_s=9), site.origin
+            )
+            waited_s = site.clock.monotonic() - before
+            await first
+        self.assertIsInstance(answer, outcomes.NotRun)
+        self.assertEqual(answer.detail, "no endpoint responds")
+        self.assertLess(waited_s, 1.2)
+
     async def test_job_that_cannot_meet_its_limit_is_refused_at_once(self):
         """Guards against a refusal too late for a retry elsewhere."""
         site = _jobs.Site(count=1)
