Offer a refused job once to another leader with room

Change: with the option reroute_refused, the origin offers such a job once to another leader that reports free cores for all of it. That one takes it only at once.

--- a/sesameroad/jobs/coordinator.py
+++ b/sesameroad/jobs/coordinator.py
@@ -79,6 +79,8 @@
         lost_at: Time at which a leader was lost, 0 if none was.
         route: Route to the leader that has it, None while there is none.
         offered: Whether it was sent to any leader.
+        refusal: Refusal of a leader without capacity, after which it was offered
+            to another one.
         refused_in: Evacuated data centres whose leaders have refused it.
         confined: Whether only evacuated data centres can run it.
     """
@@ -90,6 +92,7 @@
     lost_at: float = 0.0
     route: Route | None = None
     offered: bool = False
+    refusal: outcomes.NotRun | None = None
     refused_in: set[str] = dataclasses.field(default_factory=set)
     confined: bool = False
 
@@ -109,6 +112,7 @@
         "_evacuations",
         "_leaders",
         "_parts",
+        "_reroutes",
     )
 
     def __init__(
@@ -119,6 +123,7 @@
         clock: clocks.Clock,
         evacuations: evacuations_module.Evacuations | None = None,
         confined_to: Callable[[jobs.Job], Sequence[str]] = lambda job: (),
+        reroutes: bool = False,
     ) -> None:
         """Creates a coordinator.
 
@@ -131,12 +136,15 @@
             confined_to: Returns the evacuated data centres that alone can run a
                 job, none if others can. A leader there knows whether an
                 earlier attempt is running, and refuses the job otherwise.
+            reroutes: Whether a job that one leader refuses for want of capacity
+                is offered once to another one.
         """
         self._evacuations = evacuations
         self._confined_to = confined_to
         self._data_centre = data_centre
         self._leaders = leaders
         self._clock = clock
+        self._reroutes = reroutes
         # Parts of the running jobs, by key.
         self._parts: dict[str, list[_Part]] = {}
 
@@ -323,6 +331,16 @@
         finally:
             part.route = None
         match outcome:
+            case outcomes.NotRun(cause=outcomes.Cause.OVERLOAD) if (
+                not moved and part.refusal is None
+            ):
+                return await self._reroute(part, outcome)
+            case outcomes.NotRun(cause=outcomes.Cause.NO_ROOM) if (
+                part.refusal is not None and not moved
+            ):
+                # Both leaders have refused it, so none has started a task.
+                self._leaders.mark_full(part.data_centre)
+                return part.refusal
             case outcomes.NotRun(cause=outcomes.Cause.NO_ROOM) if not moved:
                 # Other jobs have taken the capacity in the meantime; the part
                 # waits in its own data centre instead.
@@ -355,6 +373,34 @@
             case _:
                 return outcome
 
+    async def _reroute(
+        self, part: _Part, refusal: outcomes.NotRun
+    ) -> outcomes.Outcome | None:
+        """Offers a refused job once to a leader with room for all of it.
+
+        Load that peaks in one data centre makes its leader refuse jobs while
+        others have free cores. What they report is up to a heartbeat old, so
+        the other leader takes the job only if it can start at once.
+        """
+        job = part.job
+        if not self._reroutes or job.committed:
+            return refusal
+        offers = [
+            offer
+            for offer in self._leaders.offers()
+            if offer.data_centre != part.data_centre
+            and not self._is_evacuated(offer.data_centre)
+            and offer.room(job) >= job.count
+        ]
+        if not offers:
+            return refusal
+        best = min(offers, key=partitioning.preference)
+        part.refusal = refusal
+        part.data_centre = best.data_centre
+        part.lent = True
+        self._leaders.reserve(best.data_centre, job)
+        return await self._resubmit(part)
+
     async def _resubmit(self, part: _Part) -> outcomes.Outcome | None:
         route = self._leaders.route(part.data_centre)
         return None if route is None else await self._submit(route, part)
--- a/sesameroad/model/scheduling.py
+++ b/sesameroad/model/scheduling.py
@@ -1,4 +1,4 @@
-"""Options of a leader's scheduling under a shortage of capacity."""
+"""Options of the scheduling under a shortage of capacity."""
 
 import dataclasses
 from typing import Annotated
@@ -8,7 +8,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Scheduling:
-    """Options of a leader; each is off by default and then changes nothing.
+    """Options of leaders and origins; each is off by default and then changes nothing.
 
     Attributes:
         whole_starts: Whether a job starts only when there is capacity for the
@@ -21,9 +21,12 @@
             silent.
         headroom: Whether cores are kept free for the next arrivals of urgent,
             shorter jobs.
+        reroute_refused: Whether an origin offers a job that one leader refuses
+            for want of capacity once to another one with free cores.
     """
 
     whole_starts: bool = False
     start_answer_ms: Annotated[int, msgspec.Meta(ge=0, le=300)] = 0
     poll_answer_ms: Annotated[int, msgspec.Meta(ge=0, le=250)] = 0
     headroom: bool = False
+    reroute_refused: bool = False
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -166,6 +166,7 @@
             clock=clock,
             evacuations=self._evacuations,
             confined_to=self._confined_to,
+            reroutes=settings.scheduling.reroute_refused,
         )
         self._caller_jobs = caller_jobs.CallerJobs(
             coordinator=self._coordinator,
--- a/tests/test_job_coordinator.py
+++ b/tests/test_job_coordinator.py
@@ -121,6 +121,48 @@
             )
             self.assertEqual(outcome, expected)
 
+    async def test_job_that_its_leader_refuses_is_offered_once_more(self):
+        """Guards against refusals while another data centre has free cores.
+
+        The load peaks in one data centre, and its leader reports a wait.
+        """
+        refusal = outcomes.NotRun(outcomes.Cause.OVERLOAD, "busy", 2.0)
+        full = outcomes.NotRun(outcomes.Cause.NO_ROOM, "full")
+        for answers, free_cores, expected, offers in (
+            ((_DONE,), 64.0, _DONE, 1),
+            # The report of the other leader was out of date.
+            ((full,), 64.0, refusal, 1),
+            ((refusal,), 64.0, refusal, 1),
+            # Too little for the whole job.
+            ((), 8.0, refusal, 0),
+        ):
+            # The first leader had room when it reported last.
+            own = _Leader(refusal, free_cores=64.0)
+            other = _Leader(*answers, free_cores=free_cores)
+            leaders = _Leaders(dc1=own, dc2=other)
+            outcome = await self.run_job(leaders, reroutes=True)
+            self.assertEqual(outcome, expected)
+            self.assertEqual(len(own.asked), 1)
+            self.assertEqual(
+                other.asked, [((0, 1, 2, 3), False, True)] * offers
+            )
+        own = _Leader(refusal, free_cores=64.0)
+        outcome = await self.run_job(
+            _Leaders(dc1=own, dc2=_Leader(free_cores=64.0))
+        )
+        self.assertEqual(outcome, refusal)
+
+    async def test_lost_leader_of_a_refused_job_makes_it_unknown(self):
+        """Guards against "not run" after a second leader may have started it."""
+        refusal = outcomes.NotRun(outcomes.Cause.OVERLOAD, "busy", 2.0)
+        lost = errors.PeerError("broken", step="ask peer")
+        own = _Leader(refusal, free_cores=64.0)
+        other = _Leader(lost, refusal, free_cores=64.0)
+        outcome = await self.run_job(
+            _Leaders(dc1=own, dc2=other), reroutes=True
+        )
+        self.assertIsInstance(outcome, outcomes.Unknown)
+
     async def test_part_that_may_have_run_stays_in_its_data_centre(self):
         """Guards against a second run of a task by a leader elsewhere."""
         lost = errors.PeerError("broken", step="ask peer")
