--- a/benchmarks/interference.py
+++ b/benchmarks/interference.py
@@ -44,7 +44,7 @@
 _SEED = 20_261_206
 _LOAD = 0.6
 _SLOWDOWN = 2.0
-# Time in which detection must take effect, from the page.
+# Time in which detection must take effect, in seconds.
 _SETTLED_S = 30.0
 _GOAL = 0.9
 _CORES = 64.0
