--- a/sesameroad/leasing/ramp.py
+++ b/sesameroad/leasing/ramp.py
@@ -5,7 +5,8 @@
 """
 
 # Share of its cores that an endpoint may use at once, and the time until it may use
-# all of them. Without a ramp every waiting task would go to the idle endpoints of the data centre, which may still be cold.
+# all of them. Without a ramp every waiting task would go to the idle endpoints of
+# the data centre, which may still be cold.
 _FIRST_SHARE = 0.25
 _DURATION_S = 2.0
 
