--- a/review/scene.py
+++ b/review/scene.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 import itertools
 import json
+import logging
 import os
 import pathlib
 import random
@@ -31,6 +32,7 @@
 from sesameroad.model import endpoints
 from sesameroad.model import needs
 from standins import fleet
+from standins import network_paths
 from standins import simulated_endpoint
 from standins import simulated_endpoint_server
 from standins import store
@@ -145,6 +147,7 @@
             "bounds.max-hold-ms": 1000,
         }
         self.front = fields["listen-addrs.front"]
+        self.peer = f"{self.ip}:{fields['port-range.0']}"
         self.ready = fields["listen-addrs.ready"]
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         role = deploy["roles"]["entry"]
@@ -231,6 +234,7 @@
         folder: pathlib.Path,
         instance_count: int = 3,
         endpoint_count: int = 6,
+        can_cut: bool = False,
     ) -> None:
         self.record = Record(pathlib.Path(folder) / "record.txt")
         self.history = History(self.record)
@@ -248,6 +252,11 @@
         self._numbers = itertools.count()
         self._directory = tempfile.TemporaryDirectory()
         self._runners = []
+        # Paths between instances and to endpoints, if they can be cut.
+        self._paths = network_paths.Paths() if can_cut else None
+        # Instances that don't reach the store until the cut ends.
+        self._without_store: set[str] = set()
+        self._restored = asyncio.Event()
 
     async def __aenter__(self) -> Self:
         instance_count, endpoint_count = self._counts
@@ -266,6 +275,8 @@
                     record=self.record,
                 )
             )
+        if self._paths is not None:
+            await self._open_paths(self._paths)
         for instance in self.instances:
             instance.start()
         for instance in self.instances:
@@ -276,6 +287,9 @@
         for instance in self.instances:
             instance.end()
         await self.session.close()
+        self._restored.set()
+        if self._paths is not None:
+            await self._paths.close()
         for server in self.servers.values():
             await server.close()
         for runner in self._runners:
@@ -290,12 +304,16 @@
             request: web.Request, handler: Any
         ) -> web.StreamResponse:
             await asyncio.sleep(_STORE_S)
+            if reader in self._without_store:
+                await self._restored.wait()
             response = await handler(request)
             if request.query.get("table") == "servers":
                 self.list_reads[reader] = self.record.now
             return response
 
         application = self.store.application()
+        if self._paths is not None:
+            self._paths.replace_addresses(application, reader=reader)
         application.middlewares.append(answer)
         runner = web.AppRunner(application, access_log=None)
         await runner.setup()
@@ -362,6 +380,34 @@
         await self.servers.pop(name).close()
         self.endpoints.pop(name)
 
+    async def cut_zone(self, zone: str) -> None:
+        """Cuts a zone off from the others and from the store."""
+        near = {i.name for i in self.instances if i.zone == zone}
+        far = {i.name for i in self.instances if i.zone != zone}
+        self._without_store |= near
+        for name, simulated in self.endpoints.items():
+            is_near = simulated.endpoint.data_centre == zone
+            (near if is_near else far).add(name)
+        self.record.add(f"{zone} is cut off")
+        await self._paths.cut(itertools.product(near, far), reset=False)
+
+    async def end_cut(self) -> None:
+        """Restores all paths."""
+        self.record.add("the cut ends")
+        self._without_store.clear()
+        self._restored.set()
+        await self._paths.restore()
+
+    async def _open_paths(self, paths: network_paths.Paths) -> None:
+        for instance in self.instances:
+            for other in self.instances:
+                if other is not instance:
+                    await paths.open(instance.name, other.name, other.peer)
+            for name, server in self.servers.items():
+                await paths.open(
+                    instance.name, name, f"127.0.0.1:{server.port}"
+                )
+
     async def write_row(self, name: str, *, state: str = "ready") -> None:
         """Writes the row of an endpoint, as the endpoint does."""
         simulated = self.endpoints[name]
@@ -462,6 +508,8 @@
 
 def run(folder: pathlib.Path, play: Play) -> None:
     """Plays a case and exits with its result."""
+    # Calls whose caller was killed or cut off are no errors here.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     try:
         result = asyncio.run(_play(folder, play))
     except Exception as error:  # noqa: BLE001  # The case could not run.
