--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,15 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the second review start. They are
-# Python and use the libraries that the build of the deploy file has installed.
+# Builds what the scripts of the second review start. The stand-ins are Python like the
+# project, so it checks that the build of the deploy file is there and that they load.
+# It leaves no files in review/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 -m compileall -q standins review/scene.py review/[6-9] review/10
-PYTHONPATH="target/deps:." python3 -c "from review import scene"
+[ -e target/deps/.complete ] || { echo "run the build of deploy/system.toml first" >&2; exit 2; }
+python3 -m compileall -q standins
+PYTHONPATH="target/deps:." PYTHONDONTWRITEBYTECODE=1 python3 -c '
+import pathlib
+from review import scene
+for case in [6, 7, 8, 9, 10]:
+    path = pathlib.Path("review", str(case), "case.py")
+    compile(path.read_text(), path, "exec")
+'
--- a/review/scene.py
+++ b/review/scene.py
@@ -521,13 +521,16 @@
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     try:
         result = asyncio.run(_play(folder, play))
-    except Exception as error:  # noqa: BLE001  # The case could not run.
+    except (asyncio.CancelledError, Exception) as error:  # noqa: BLE001
         print(f"the case could not run: {error!r}")
         result = FAILED_TO_RUN
     sys.exit(result)
 
 
 async def _play(folder: pathlib.Path, play: Play) -> int:
+    # Processes and servers are ended also if the script is terminated.
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     async with asyncio.timeout(115):
         return await play(folder)
 
