--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -270,7 +270,13 @@
             await asyncio.sleep(_STOP_POLL_S)
         await self._caller_jobs.withdraw_all()
         await self._resign(stop_began_at)
-        await self._close()
+        try:
+            await self._close()
+        finally:
+            took_s = self._clock.monotonic() - stop_began_at
+            log.event(
+                "instance stopped", step="stop", took_ms=int(took_s * 1_000)
+            )
 
     async def _resign(self, stop_began_at: float) -> None:
         """Resigns the data centres that no other instance has taken over.
@@ -692,6 +698,5 @@
                 await step()
             except Exception as error:  # noqa: BLE001
                 failures.append(error)
-        log.event("instance stopped", step="stop")
         if failures:
             raise ExceptionGroup("graceful stop", failures)
