Answer jobs whose tasks ended before the next leader read its endpoints

An origin offers its job to the next leader before that has read the lists of its endpoints. The first report then adds the tasks that have ended to the job, and nothing compared the sum with the size of the job: only the offer itself did, and the end of a run that the leader knows. A job that was complete by what an endpoint had told stayed open.

Each place that adds to the tasks that have succeeded now calls one function that ends a complete job. Successes that are found before their job is offered are kept for 2 s instead of being cleared 0.2 s after the claim, so that a job that is offered later is not run again.

A job in which a task neither waits, runs nor has succeeded is a fault in the leader. It is now logged and answered as unknown within 0.1 s instead of staying open, and all tests of leaders in memory fail if one is ever found.

--- a/sesameroad/jobs/active_job.py
+++ b/sesameroad/jobs/active_job.py
@@ -167,6 +167,20 @@
             if now >= until:
                 del self.held_back_by[leader]
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether all tasks have succeeded."""
+        return self.done >= self._job.count
+
+    @property
+    def is_accounted_for(self) -> bool:
+        """Whether each task waits, has a run, or has succeeded.
+
+        A job that is not complete would otherwise never end.
+        """
+        known = len(self.waiting) + len(self.runs) + self.done
+        return known == self._job.count
+
     @property
     def begun(self) -> bool:
         """Whether tasks of it, or of another part of the job, may have run."""
--- a/sesameroad/jobs/ending.py
+++ b/sesameroad/jobs/ending.py
@@ -37,6 +37,13 @@
     )
 
 
+def unaccounted() -> outcomes.Unknown:
+    """Returns the outcome of a job of which a task was lost track of."""
+    return outcomes.Unknown(
+        outcomes.Cause.ENDPOINT_LOST, "the leader has lost track of a task"
+    )
+
+
 def held_back() -> outcomes.Unknown:
     """Returns the outcome of a job that an earlier attempt blocks."""
     return outcomes.Unknown(
--- a/sesameroad/jobs/job_table.py
+++ b/sesameroad/jobs/job_table.py
@@ -36,6 +36,19 @@
         """Returns the unfinished parts of a caller's job."""
         return [a for a in self._active.values() if a.job.key == key]
 
+    @property
+    def unaccounted(self) -> list[active_job.ActiveJob]:
+        """Unfinished jobs that nothing would end: a task of them is lost track of.
+
+        Each task of an unfinished job waits, has a run, or has succeeded, and
+        one at least has not succeeded.
+        """
+        return [
+            active
+            for active in self._active.values()
+            if active.is_complete or not active.is_accounted_for
+        ]
+
     def has_runs_beside(
         self, key: str, origin: str, indices: Iterable[int]
     ) -> bool:
--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -261,6 +261,7 @@
         if self._takeover.record_running(leased, listed) or first:
             for active in self._table:
                 self._takeover.adopt(active, self._pool)
+                self.finish_if_complete(active)
         if leased.orphans:
             self._takeover.stop_unclaimed((leased,))
         if first or report.ended:
@@ -368,8 +369,7 @@
             case orders.Ending.DONE:
                 leased.record_success(run, now)
                 active.done += 1
-                if active.done >= active.job.count:
-                    self.finish(active, outcomes.Complete(()))
+                self.finish_if_complete(active)
             case orders.Ending.FAILED:
                 self._fail(leased, active, run)
             case _:
@@ -488,6 +488,14 @@
                 self.stop_run(self._table.endpoint_of(run), run)
         self._table.close(active)
 
+    def finish_if_complete(self, active: active_job.ActiveJob) -> None:
+        """Ends a job all of whose tasks have succeeded.
+
+        Whatever adds to the tasks that have succeeded calls this afterwards.
+        """
+        if active.is_complete:
+            self.finish(active, outcomes.Complete(()))
+
     def answer_held_up(self, active: active_job.ActiveJob) -> None:
         """Ends a job that a held-up start blocks for longer than is of use."""
         if self._held_up_starts.outlast(active):
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -185,6 +185,11 @@
                 counts[name] = counts.get(name, 0) + 1
         return counts
 
+    @property
+    def unaccounted_jobs(self) -> list[str]:
+        """Keys of unfinished jobs that nothing would end, by a fault here."""
+        return [active.job.key for active in self._table.unaccounted]
+
     @property
     def interference_report(self) -> list[dict[str, object]]:
         """Pairs of queues that interfere, with delay and evidence."""
@@ -323,8 +328,7 @@
             if self._attempts.hold(active, origin.id):
                 active.started = True
         future = active.join(origin)
-        if active.done >= job.count:
-            self._tracker.finish(active, outcomes.Complete(()))
+        self._tracker.finish_if_complete(active)
         self._tracker.answer_held_up(active)
         return await future
 
@@ -391,6 +395,8 @@
             await asyncio.sleep(_CHECK_PERIOD_S)
             now = self._clock.monotonic()
             self._held_up_starts.remove_expired(now)
+            for active in self._table.unaccounted:
+                self._end_unaccounted(active)
             for active in self._table:
                 self._check(active, now)
             for active in self._attempts.check(now):
@@ -435,6 +441,19 @@
         else:
             self._end_if_evacuated(active)
 
+    def _end_unaccounted(self, active: active_job.ActiveJob) -> None:
+        """Ends a job that would otherwise wait until its caller leaves."""
+        log.problem(
+            "a task of a job was lost track of",
+            step="schedule",
+            request=active.job.key,
+            tasks=active.job.count,
+            waiting=len(active.waiting),
+            running=len(active.runs),
+            done=active.done,
+        )
+        self._tracker.finish(active, ending.unaccounted())
+
     def _end_if_evacuated(self, active: active_job.ActiveJob) -> None:
         """Ends a job whose waiting tasks only evacuated data centres can run.
 
--- a/sesameroad/jobs/takeover.py
+++ b/sesameroad/jobs/takeover.py
@@ -13,22 +13,25 @@
 # runs are stopped. A new leader tells all of them at once. The leases of other
 # runs on the endpoint are not renewed before, so this is short against 1 s.
 _RESUBMIT_TIMEOUT_S = 0.2
+# Time for which tasks that were found done count for jobs that are submitted
+# later. An origin looks for the next leader for up to 1.2 s after the loss of the
+# former one.
+_DONE_KEPT_S = 2.0
 
 
 class Takeover:
     """Assigns runs found on endpoints to the jobs that are submitted again."""
 
-    __slots__ = ("_clock", "_done", "_started_at", "_table")
+    __slots__ = ("_clock", "_done", "_table")
 
     def __init__(
         self, *, table: job_table.JobTable, clock: clocks.Clock
     ) -> None:
         self._table = table
         self._clock = clock
-        self._started_at = clock.monotonic()
         # Tasks that were found to have succeeded before their job was
-        # submitted.
-        self._done: set[str] = set()
+        # submitted, and when, in that order.
+        self._done: dict[str, float] = {}
 
     def record_running(
         self, leased: leased_endpoint.LeasedEndpoint, listed: dict[str, int]
@@ -76,7 +79,7 @@
 
     def record_done(self, task: str) -> None:
         """Records the success of a task whose job is not known yet."""
-        self._done.add(task)
+        self._done[task] = self._clock.monotonic()
 
     def adopt(
         self,
@@ -90,7 +93,7 @@
         for index in tuple(active.waiting):
             task = active.job.task(index)
             if task in self._done:
-                self._done.discard(task)
+                del self._done[task]
                 active.waiting.remove(index)
                 active.started = True
                 active.done += 1
@@ -106,8 +109,7 @@
     ) -> None:
         """Stops orphans that no job claims in time, or that run elsewhere."""
         now = self._clock.monotonic()
-        if now - self._started_at > _RESUBMIT_TIMEOUT_S:
-            self._done.clear()
+        self._forget_done(now)
         for leased in pool:
             if not leased.stops.empty():
                 # Stops of the last time have not been sent yet.
@@ -118,6 +120,14 @@
                     self._log_unclaimed("unclaimed run stopped", leased, task)
                     leased.stops.put_nowait(runs.StopOrder(task, number))
 
+    def _forget_done(self, now: float) -> None:
+        """Forgets the successes that no job has claimed in time."""
+        while self._done:
+            task, found_at = next(iter(self._done.items()))
+            if now - found_at < _DONE_KEPT_S:
+                return
+            del self._done[task]
+
     def _adopt_run(
         self,
         active: active_job.ActiveJob,
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -19,6 +19,10 @@
 from standins import simulated_endpoint
 from tests import _virtual
 
+# Period of the checks of what must hold between any two events. A leader looks
+# for jobs that nothing would end each 0.1 s.
+_INVARIANT_PERIOD_S = 0.013
+
 
 class Origin:
     """An instance whose caller waits for jobs."""
@@ -101,6 +105,13 @@
         )
 
 
+async def find_unaccounted_job(scheduler):
+    """Returns the first jobs that nothing would end, if there ever are any."""
+    while not scheduler.unaccounted_jobs:  # noqa: ASYNC110
+        await asyncio.sleep(_INVARIANT_PERIOD_S)
+    return scheduler.unaccounted_jobs
+
+
 class CutOrders:
     """Orders of one leader, which other leaders' orders do not depend on.
 
@@ -265,7 +276,12 @@
         evacuations=None,
         scheduling=scheduling_module.Scheduling(),  # noqa: B008  # Frozen.
         interference=None,
+        settle_s=0.05,
     ):
+        """Runs a leader; yields it after the first reports have arrived.
+
+        With 0 as `settle_s`, it has read no list of an endpoint yet.
+        """
         scheduler = scheduler_module.Scheduler(
             token=token,
             orders_=orders_ or self.fleet,
@@ -282,13 +298,17 @@
         self.links.add(f"leader{token}", scheduler)
         scheduler.update(self.endpoints)
         task = asyncio.create_task(scheduler.run())
-        await asyncio.sleep(0.05)
+        check = asyncio.create_task(find_unaccounted_job(scheduler))
+        await asyncio.sleep(settle_s)
         try:
             yield scheduler
         finally:
             self.links.remove(f"leader{token}")
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
+            if check.done():
+                raise AssertionError(f"unaccounted for: {check.result()}")
+            check.cancel()
 
     def job(
         self,
--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -245,6 +245,9 @@
         play.site.links.add(self._name, self._scheduler)
         self._update()
         self._task = asyncio.create_task(self._scheduler.run())
+        self._check = asyncio.create_task(
+            _jobs.find_unaccounted_job(self._scheduler)
+        )
 
     @property
     def submit(self):
@@ -261,6 +264,9 @@
 
     async def wait_closed(self):
         await asyncio.gather(self._task, return_exceptions=True)
+        if self._check.done():
+            raise AssertionError(f"unaccounted for: {self._check.result()}")
+        self._check.cancel()
 
     def _update(self):
         self._scheduler.update(
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,79 @@
+"""Jobs that a leader takes over from another one at a planned change."""
+
+import asyncio
+
+from sesameroad.model import outcomes
+from tests import _jobs
+from tests import _virtual
+
+_RUN_S = 0.3
+# Longer than a leader needs to read the lists of all endpoints.
+_PROMPT_S = 0.1
+
+
+class TakeoverTest(_virtual.VirtualTimeTest):
+    """A leader stops by plan while the tasks of a job are running."""
+
+    def setUp(self):
+        super().setUp()
+        self.site = _jobs.Site(count=2)
+
+    async def begin(self, *, count=4, run_s=_RUN_S):
+        """Starts a job at a leader that stops before a task has ended."""
+        job = self.site.job(count=count, run_s=run_s, deadline_s=9, stretch=4.0)
+        async with self.site.leader(token=1) as first:
+            submitted = asyncio.create_task(first.submit(job, self.site.origin))
+            await asyncio.sleep(_RUN_S / 3)
+        answer = await submitted
+        self.assertEqual(answer.cause, outcomes.Cause.STEWARD_LOST)
+        return job
+
+    async def test_job_that_ended_between_leaders_is_answered_at_once(self):
+        """Guards against a finished job whose caller waits until it leaves.
+
+        The job was offered before the first report of its endpoints, which lists
+        all of its tasks as done. The leader counted them and did not compare the
+        sum with the size of the job.
+        """
+        job = await self.begin()
+        await asyncio.sleep(_RUN_S)
+        async with self.site.leader(token=2, settle_s=0.0) as second:
+            async with asyncio.timeout(_PROMPT_S):
+                outcome = await second.submit(job, self.site.origin, moved=True)
+        self.assertEqual(outcome, outcomes.Complete(()))
+        self.assertEqual(len(self.site.history.starts), job.count)
+
+    async def test_job_that_ends_in_parts_between_leaders_is_answered(self):
+        """Guards against a job that waits although its last run has ended.
+
+        Some of its tasks end before the next leader reads the lists, the others
+        after it.
+        """
+        job = await self.begin(count=4, run_s=_RUN_S)
+        await asyncio.sleep(_RUN_S / 3)
+        self.site.fleet.endpoints["e0"].fault.silent = True
+        await asyncio.sleep(_RUN_S)
+        async with self.site.leader(token=2, settle_s=0.0) as second:
+            submitted = asyncio.create_task(
+                second.submit(job, self.site.origin, moved=True)
+            )
+            await asyncio.sleep(_PROMPT_S)
+            self.assertFalse(submitted.done())
+            self.site.fleet.endpoints["e0"].fault.silent = False
+            async with asyncio.timeout(1.0):
+                outcome = await submitted
+        self.assertEqual(outcome, outcomes.Complete(()))
+
+    async def test_tasks_found_done_are_not_run_again_for_a_late_offer(self):
+        """Guards against a second run of tasks that are known to be done.
+
+        An origin that notices the new leader late offers its job again up to
+        1.2 s after it lost the former one.
+        """
+        job = await self.begin()
+        await asyncio.sleep(_RUN_S)
+        async with self.site.leader(token=2) as second:
+            await asyncio.sleep(0.8)
+            outcome = await second.submit(job, self.site.origin, moved=True)
+        self.assertEqual(outcome, outcomes.Complete(()))
+        self.assertEqual(len(self.site.history.starts), job.count)
