Answer callers whose job is cancelled by nobody of them, and late attempts

A caller waits for the answer of a job, not for its task. If the task ended cancelled while a caller waited, the answer was cancelled too, which ended the handler of the request, and the server closed the connection without a line in the log. The caller is now answered as unknown, and the log says so.

A request that waited for the end of its former attempt could begin a job after the stop had withdrawn all others, when nothing would answer it. It is refused as not run.

--- a/sesameroad/node/caller_jobs.py
+++ b/sesameroad/node/caller_jobs.py
@@ -10,9 +10,14 @@
 from sesameroad.model import clocks
 from sesameroad.model import jobs
 from sesameroad.model import outcomes
+from sesameroad.telemetry import log
 
 # Time within which the leaders report whether a withdrawn job has started.
 _WITHDRAW_TIMEOUT_S = 0.3
+_RETRY_AFTER_S = 1.0
+_CANCELLED = outcomes.Unknown(
+    outcomes.Cause.CANCELLED, "its task was cancelled"
+)
 
 # Called at the end of each job with its outcome, None if its callers have left,
 # and the time at which it began.
@@ -45,7 +50,14 @@
 class CallerJobs:
     """Runs each job once for all calls that wait for it, and answers them."""
 
-    __slots__ = ("_cancellations", "_clock", "_coordinator", "_ended", "_jobs")
+    __slots__ = (
+        "_cancellations",
+        "_clock",
+        "_coordinator",
+        "_ended",
+        "_jobs",
+        "_withdrawn",
+    )
 
     def __init__(
         self, *, coordinator: Coordinator, ended: Ended, clock: clocks.Clock
@@ -62,6 +74,8 @@
         self._clock = clock
         self._jobs: dict[str, _RunningJob] = {}
         self._cancellations = cancellations_module.Cancellations()
+        # Whether no job may begin any more.
+        self._withdrawn = False
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -83,6 +97,12 @@
             await asyncio.wait([running.task])
             running = self._jobs.get(job.key)
         if running is None:
+            if self._withdrawn:
+                return outcomes.NotRun(
+                    outcomes.Cause.STOPPING,
+                    "this instance stops",
+                    _RETRY_AFTER_S,
+                )
             running = self._begin(job)
         running.callers += 1
         try:
@@ -107,8 +127,10 @@
         """Ends all jobs and answers their callers.
 
         A job that waits at a leader without a started task is answered as not
-        run. One whose leaders do not answer in time may have started.
+        run. One whose leaders do not answer in time may have started. Jobs that
+        arrive later are refused.
         """
+        self._withdrawn = True
         for key in list(self._jobs):
             self._coordinator.withdraw(key)
         remaining = [running.task for running in self._jobs.values()]
@@ -137,6 +159,14 @@
                     self._answer(running, task.result())
                 elif not running.answer.done():
                     running.answer.set_exception(error)
+            elif running.callers and not running.answer.done():
+                # Otherwise the connections of its callers would be closed.
+                log.problem(
+                    "job was cancelled while a caller waits",
+                    step="answer",
+                    request=job.key,
+                )
+                self._answer(running, _CANCELLED)
             running.answer.cancel()
             answered = (
                 not running.answer.cancelled()
--- a/tests/test_caller_jobs.py
+++ b/tests/test_caller_jobs.py
@@ -217,3 +217,55 @@
         outcome = await self.withdraw(_Leaders())
         self.assertIsInstance(outcome, outcomes.NotRun)
         self.assertEqual(outcome.cause, outcomes.Cause.STOPPING)
+
+
+class _CancellingCoordinator(_Coordinator):
+    """Fake coordinator whose jobs are cancelled without a caller's doing."""
+
+    async def run(self, job):
+        raise asyncio.CancelledError
+
+
+class _SlowCoordinator(_Coordinator):
+    """Fake coordinator that ends cancelled jobs when the test says so."""
+
+    async def run(self, job):
+        self.begun += 1
+        try:
+            await asyncio.Event().wait()
+        finally:
+            await self.ended.wait()
+
+
+class CancelledTaskTest(_CallerJobsTest):
+
+    async def test_caller_of_a_job_that_is_cancelled_elsewhere_is_answered(
+        self,
+    ):
+        """Guards against a connection that closes without an answer.
+
+        The end of the job's task cancelled the answer for which its caller
+        waits, and with it the handler of the request.
+        """
+        self.open(_CancellingCoordinator())
+        call = await self.call()
+        self.assertIsInstance(await call, outcomes.Unknown)
+
+    async def test_request_that_waits_for_its_former_attempt_begins_no_job(
+        self,
+    ):
+        """Guards against a job that begins after all others were withdrawn.
+
+        Nothing would answer it before the instance ends. The request waited for
+        the end of an attempt whose caller had left.
+        """
+        self.open(_SlowCoordinator())
+        former = await self.call()
+        former.cancel()
+        later = await self.call()
+        withdrawal = asyncio.create_task(self.jobs.withdraw_all())
+        await asyncio.sleep(0.01)
+        self.coordinator.ended.set()
+        await withdrawal
+        self.assertIsInstance(await later, outcomes.NotRun)
+        self.assertEqual(self.coordinator.begun, 1)
