Answer all requests that arrive until an instance has closed

Callers whose requests arrived in pieces while their instance stopped lost their connection without an answer: 7 of about 180 in each of two planned stops.

From the first step of its close on, the HTTP library reads and drops what arrives on open connections, also the rest of a body for which a handler waits, and ends handlers 0.3 s later. The stop waited for jobs only, so a cancel or a request that waited for the first configuration could be ended like that.

Each connection now knows whether it owes an answer, from the first byte of a request to the end of the answer. A closing server answers what is on its way, keeps idle connections open meanwhile, and closes all of them at once when no answer is owed. What outlasts the graceful stop is answered as refused: jobs have been answered before, so nothing of it has run. A request that stalls for a second does not hold up the stop. The steps of a stop run one after the other, also if one of them fails; an error in an early one used to end the rest.

--- a/sesameroad/node/http_server.py
+++ b/sesameroad/node/http_server.py
@@ -15,35 +15,56 @@
 from aiohttp import web_response
 from aiohttp import web_server
 
+from sesameroad.model import clocks
 from sesameroad.telemetry import log
 
 Handler = Callable[
     [web_request.BaseRequest], Awaitable[web_response.StreamResponse]
 ]
+# Returns the answer to a request whose handler is ended by the close.
+Interrupted = Callable[[web_request.BaseRequest], web_response.StreamResponse]
 
 # Connections that wait until they are accepted.
 _BACKLOG = 128
-# Time to write the last answers to callers that read slowly. The platform kills the
-# process soon after the graceful stop.
-_SHUTDOWN_S = 0.3
+# Period of the checks whether a closing server still owes answers, in seconds.
+_POLL_S = 0.01
+# Time after which a request that is not whole counts as abandoned, in seconds. A
+# segment that was lost is sent again within 0.2 s, or 0.6 s the second time.
+_STALL_S = 1.0
+# Time to write the last answers, in seconds. The platform kills the process soon
+# after the graceful stop.
+_SHUTDOWN_S = 0.2
 
 
 class _Connection(web_protocol.RequestHandler):
     """A connection that knows whether it owes an answer.
 
     Attributes:
-        unanswered: Whether data has arrived since the last answer was written.
+        request: The request that is handled, None between two requests.
     """
 
-    __slots__ = ("unanswered",)
+    __slots__ = ("_received_at", "_unanswered", "request")
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self.unanswered = False
+        self._received_at = 0.0
+        # Whether data has arrived since the last answer was written.
+        self._unanswered = False
+        self.request: web_request.BaseRequest | None = None
+
+    @property
+    def owes_answer(self) -> bool:
+        """Whether a request has arrived, or is still arriving."""
+        if not self._unanswered:
+            return False
+        if self.request is not None and self.request.content.is_eof():
+            return True
+        return clocks.elapsed_s() - self._received_at < _STALL_S
 
     def data_received(self, data: bytes) -> None:
         """Handles data from the client."""
-        self.unanswered = True
+        self._received_at = clocks.elapsed_s()
+        self._unanswered = True
         super().data_received(data)
 
     async def finish_response(
@@ -54,25 +75,31 @@
     ) -> tuple[web_response.StreamResponse, bool]:
         """Writes an answer."""
         result = await super().finish_response(request, resp, start_time)
-        self.unanswered = False
+        self._unanswered = False
         return result
 
 
 class _Connections(web_server.Server):
-    """The open connections of a server."""
+    """The open connections of a server and their requests."""
 
-    def __init__(self, handler: Handler, *, keepalive_s: float) -> None:
+    def __init__(
+        self, handler: Handler, *, interrupted: Interrupted, keepalive_s: float
+    ) -> None:
         """Creates a server without connections.
 
         Args:
             handler: Answers a request.
+            interrupted: Answers a request whose handler `interrupt` has ended.
             keepalive_s: Time until an idle connection is closed, in seconds.
         """
         super().__init__(self._handle, handler_cancellation=True)
         self._loop = asyncio.get_running_loop()
         self._handler = handler
+        self._interrupted = interrupted
         self._keepalive_s = keepalive_s
-        self._closing = False
+        # Tasks that handle requests.
+        self._handling: set[asyncio.Task[Any]] = set()
+        self._interrupting = False
 
     def __call__(self) -> _Connection:
         return _Connection(
@@ -83,31 +110,61 @@
         )
 
     @property
-    def unanswered(self) -> int:
+    def owed_answers(self) -> int:
         """Number of connections that owe an answer."""
-        return sum(connection.unanswered for connection in self.connections)
+        return sum(connection.owes_answer for connection in self.connections)
+
+    async def wait_answered(self, timeout_s: float) -> int:
+        """Waits until no answer is owed; returns how many are, at the end."""
+        until = clocks.elapsed_s() + timeout_s
+        while owed := self.owed_answers:
+            if clocks.elapsed_s() >= until:
+                break
+            await asyncio.sleep(_POLL_S)
+        return owed
+
+    def interrupt(self) -> None:
+        """Ends all handlers; their requests are answered as interrupted."""
+        self._interrupting = True
+        for task in self._handling:
+            task.cancel()
 
-    def pre_shutdown(self) -> None:
-        """Closes idle connections."""
-        self._closing = True
-        super().pre_shutdown()
+    async def close(self) -> None:
+        """Closes all connections."""
+        for connection in self.connections:
+            connection.force_close()
+        await self.shutdown(_SHUTDOWN_S)
 
     async def _handle(
         self, request: web_request.BaseRequest
     ) -> web_response.StreamResponse:
-        """Answers a request, and logs one that ends without an answer here."""
+        connection = request.protocol
+        task = asyncio.current_task()
+        assert isinstance(connection, _Connection)
+        assert task is not None
+        connection.request = request
+        self._handling.add(task)
         try:
             return await self._handler(request)
         except asyncio.CancelledError:
-            if self._closing or request.transport is not None:
-                log.problem(
-                    "request ended without an answer",
-                    step="answer",
-                    method=request.method,
-                    path=request.path,
-                    closing=self._closing,
-                )
-            raise
+            if request.transport is None:
+                raise  # The client has left.
+            log.problem(
+                "handler of a request was ended",
+                step="answer",
+                method=request.method,
+                path=request.path,
+                stopping=self._interrupting,
+            )
+            if not self._interrupting:
+                raise
+            task.uncancel()
+            response = self._interrupted(request)
+            response.force_close()
+            return response
+        finally:
+            self._handling.discard(task)
+            connection.request = None
 
 
 class HttpServer:
@@ -127,6 +184,7 @@
         address: tuple[str, int] | socket.socket,
         handler: Handler,
         *,
+        interrupted: Interrupted,
         keepalive_s: float,
     ) -> Self:
         """Starts to accept connections.
@@ -134,12 +192,15 @@
         Args:
             address: Host and port, or a socket that listens already.
             handler: Answers a request; cancelled if its client leaves.
+            interrupted: Answers a request that outlasts the close.
             keepalive_s: Time until an idle connection is closed, in seconds.
 
         Raises:
             OSError: If the address cannot be used.
         """
-        connections = _Connections(handler, keepalive_s=keepalive_s)
+        connections = _Connections(
+            handler, interrupted=interrupted, keepalive_s=keepalive_s
+        )
         loop = asyncio.get_running_loop()
         if isinstance(address, socket.socket):
             listener = await loop.create_server(connections, sock=address)
@@ -149,19 +210,36 @@
             )
         return cls(connections, listener)
 
-    async def close(self) -> None:
-        """Accepts no more connections and ends those that are open."""
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port."""
+        host, port, *_ = self._listener.sockets[0].getsockname()
+        return host, port
+
+    async def close(self, *, timeout_s: float) -> None:
+        """Accepts no more connections, and answers what arrives on open ones.
+
+        Connections are closed together once none owes an answer. Requests that
+        outlast the time are answered as interrupted.
+
+        Args:
+            timeout_s: Time for requests that have arrived or are arriving, in
+                seconds.
+        """
+        # Connections that wait in the queue of the listener are accepted first.
+        await asyncio.sleep(0)
         self._listener.close()
-        # Requests that have arrived begin before idle connections are closed.
         await asyncio.sleep(0)
-        open_connections = len(self._connections.connections)
-        unanswered = self._connections.unanswered
-        self._connections.pre_shutdown()
-        await self._connections.shutdown(_SHUTDOWN_S)
-        if open_connections:
+        count = len(self._connections.connections)
+        owed = await self._connections.wait_answered(timeout_s)
+        if owed:
+            self._connections.interrupt()
+            await self._connections.wait_answered(_SHUTDOWN_S)
+        if count:
             log.event(
                 "connections closed",
                 step="stop",
-                connections=open_connections,
-                unanswered=unanswered,
+                connections=count,
+                interrupted=owed,
             )
+        await self._connections.close()
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -74,6 +74,11 @@
 _STOP_RETRY_AFTER_S = 1.0
 # Time for an instance of another data centre to see a resignation and to claim.
 _HANDOVER_S = 0.8
+# Time, in seconds, for which requests that are not jobs are answered after the end
+# of the graceful stop, and the least time for them if that is over. With
+# the time to withdraw jobs, 0.1 s is left before the platform kills the process.
+_LAST_REQUESTS_S = 0.4
+_MIN_CLOSE_S = 0.1
 
 
 class Node:
@@ -246,57 +251,107 @@
             data_centres=sorted(settings.data_centres),
         )
 
-    async def stop(self) -> None:
-        """Stops gracefully, after the requests in flight have been answered."""
+    async def stop(self, *, requested_at: float | None = None) -> None:
+        """Stops gracefully, after the requests in flight have been answered.
+
+        A step that fails does not keep the next ones from their work.
+
+        Args:
+            requested_at: Monotonic time at which the stop was requested, now by
+                default. The platform kills the process some time after that.
+
+        Raises:
+            ExceptionGroup: If any step failed.
+        """
         log.event(
             "instance stops", step="stop", in_flight=len(self._caller_jobs)
         )
-        timing = self._settings.timing
-        stop_began_at = self._stop_began_at = self._clock.monotonic()
+        now = self._clock.monotonic()
+        self._stop_began_at = now if requested_at is None else requested_at
+        failures = await self._run_steps(
+            self._announce_stop,
+            self._finish_jobs,
+            self._caller_jobs.withdraw_all,
+            self._resign,
+            self._close_servers,
+            self._close,
+        )
+        log.event(
+            "instance stopped",
+            step="stop",
+            took_ms=int(self._stopping_s * 1_000),
+        )
+        if failures:
+            raise ExceptionGroup("graceful stop", failures)
+
+    @property
+    def _stopping_s(self) -> float:
+        """Time since the stop was requested, in seconds; negative before."""
+        return self._clock.monotonic() - self._stop_began_at
+
+    async def _run_steps(
+        self, *steps: Callable[[], Awaitable[None]]
+    ) -> list[Exception]:
+        """Runs all steps in order; returns the errors of those that failed."""
+        failures: list[Exception] = []
+        for step in steps:
+            try:
+                await step()
+            except Exception as error:  # noqa: BLE001
+                log.problem(
+                    "step of the stop failed", step="stop", error=repr(error)
+                )
+                failures.append(error)
+        return failures
+
+    async def _announce_stop(self) -> None:
+        """Tells peers and the load balancer, and waits until that notices.
+
+        It sends callers here until two of its checks have failed.
+        """
         self._leaving = True
         self._heartbeat_cache = None
         self._leaders.prepare_stop()
         self._mesh.send_heartbeats()
-        # The load balancer sends callers here until two checks have failed.
-        await asyncio.sleep(timing.stop_notice_s)
+        remaining_s = self._settings.timing.stop_notice_s - self._stopping_s
+        await asyncio.sleep(max(0.0, remaining_s))
+
+    async def _finish_jobs(self) -> None:
+        """Waits until the jobs of callers have ended, for a limited time."""
         while len(self._caller_jobs):
-            if self._clock.monotonic() - stop_began_at > timing.graceful_stop_s:
+            if self._stopping_s > self._settings.timing.graceful_stop_s:
                 log.problem(
                     "jobs are still in flight at the end of the graceful stop",
                     step="stop",
                     in_flight=len(self._caller_jobs),
                 )
-                break
+                return
             await asyncio.sleep(_STOP_POLL_S)
-        await self._caller_jobs.withdraw_all()
-        await self._resign(stop_began_at)
-        try:
-            await self._close()
-        finally:
-            took_s = self._clock.monotonic() - stop_began_at
-            log.event(
-                "instance stopped", step="stop", took_ms=int(took_s * 1_000)
-            )
 
-    async def _resign(self, stop_began_at: float) -> None:
+    async def _resign(self) -> None:
         """Resigns the data centres that no other instance has taken over.
 
         It keeps its streams for a short time, so that other instances notice
         the resignation and claim the data centres.
-
-        Args:
-            stop_began_at: Monotonic time at which the stop began.
         """
         if not self._leaders.is_leader:
             return
         await self._leaders.close()
         self._mesh.send_heartbeats()
-        timing = self._settings.timing
-        remaining_s = (
-            stop_began_at + timing.graceful_stop_s - self._clock.monotonic()
-        )
+        remaining_s = self._settings.timing.graceful_stop_s - self._stopping_s
         await asyncio.sleep(max(0.0, min(_HANDOVER_S, remaining_s)))
 
+    async def _close_servers(self) -> None:
+        """Closes the server for callers, then the others.
+
+        Requests that are not jobs, such as cancels, are answered until the end of
+        the graceful stop, and for a short time after it.
+        """
+        limit_s = self._settings.timing.graceful_stop_s + _LAST_REQUESTS_S
+        remaining_s = limit_s - self._stopping_s
+        for server in reversed(self._servers):
+            await server.close(timeout_s=max(_MIN_CLOSE_S, remaining_s))
+
     async def submit(
         self, request: job_requests.JobRequest, queue: catalogue_module.Queue
     ) -> outcomes.Outcome:
@@ -321,8 +376,7 @@
 
     def _stop_refusal(self) -> outcomes.NotRun | None:
         """Refuses jobs late in a graceful stop, which the stop could abort."""
-        stopping_s = self._clock.monotonic() - self._stop_began_at
-        if stopping_s < self._settings.timing.stop_notice_s:
+        if self._stopping_s < self._settings.timing.stop_notice_s:
             return None
         return outcomes.NotRun(
             outcomes.Cause.STOPPING, "this instance stops", _STOP_RETRY_AFTER_S
@@ -641,6 +695,7 @@
             await http_server.HttpServer.open(
                 address,
                 handler,
+                interrupted=self._job_api.interrupted,
                 keepalive_s=self.catalogue.limits.idle_timeout_s,
             )
         )
@@ -684,19 +739,12 @@
         Raises:
             ExceptionGroup: If any part failed to close.
         """
-        steps: list[Callable[[], Awaitable[None]]] = [
-            *(server.close for server in self._servers),
+        failures = await self._run_steps(
             self._supervisor.stop,
             self._leaders.close,
             self._mesh.stop,
             self._orders.close,
             self._client.close,
-        ]
-        failures: list[Exception] = []
-        for step in steps:
-            try:
-                await step()
-            except Exception as error:  # noqa: BLE001
-                failures.append(error)
+        )
         if failures:
-            raise ExceptionGroup("graceful stop", failures)
+            raise ExceptionGroup("close", failures)
--- a/sesameroad/platform/job_api.py
+++ b/sesameroad/platform/job_api.py
@@ -127,6 +127,17 @@
             response.force_close()
         return response
 
+    def interrupted(
+        self, request: web_request.BaseRequest
+    ) -> web_response.Response:
+        """Returns the answer to a request that the stop of the instance ends.
+
+        No task of it has started here. Jobs have been answered before, and a
+        cancel may be repeated at another instance.
+        """
+        del request
+        return _error_response(503, "this instance stops", retry_after_s=1.0)
+
     async def _handle_queue(
         self,
         request: web_request.BaseRequest,
