--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -84,6 +84,7 @@
             interference: Learns which queues to keep apart, None if disabled.
         """
         self._clock = clock
+        self._metrics = metrics
         self._evacuations = evacuations
         self._scheduling = scheduling
         self._table = job_table.JobTable()
@@ -452,6 +453,7 @@
             running=len(active.runs),
             done=active.done,
         )
+        self._metrics.job_unaccounted()
         self._tracker.finish(active, ending.unaccounted())
 
     def _end_if_evacuated(self, active: active_job.ActiveJob) -> None:
--- a/sesameroad/telemetry/job_metrics.py
+++ b/sesameroad/telemetry/job_metrics.py
@@ -86,6 +86,11 @@
             ["how"],
             registry=registry,
         )
+        self._jobs_unaccounted = prometheus_client.Counter(
+            "sesameroad_jobs_unaccounted",
+            "Jobs that a leader ended because it lost track of a task.",
+            registry=registry,
+        )
         self._orders = prometheus_client.Counter(
             "sesameroad_orders",
             "Orders to endpoints, by kind and answer.",
@@ -155,6 +160,10 @@
         """Counts a run that has ended."""
         self._runs_ended_by(result).inc()
 
+    def job_unaccounted(self) -> None:
+        """Counts a job that was ended because a task was lost track of."""
+        self._jobs_unaccounted.inc()
+
     def ordered(
         self, order: str, answer: orders.PollAnswer | orders.Answer
     ) -> None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -77,3 +77,22 @@
             outcome = await second.submit(job, self.site.origin, moved=True)
         self.assertEqual(outcome, outcomes.Complete(()))
         self.assertEqual(len(self.site.history.starts), job.count)
+
+
+class UnaccountedJobTest(_virtual.VirtualTimeTest):
+
+    async def test_job_of_which_a_task_is_lost_is_answered(self):
+        """Guards against a fault in a leader that keeps a caller waiting.
+
+        The fault is brought about: a waiting task is dropped from the job.
+        """
+        site = _jobs.Site(count=1)
+        job = site.job(count=4, run_s=0.1, deadline_s=9)
+        with self.assertRaisesRegex(AssertionError, job.key):
+            async with site.leader() as leader:
+                submitted = asyncio.create_task(leader.submit(job, site.origin))
+                await asyncio.sleep(0.01)
+                leader._table.find(job.name).waiting.pop()
+                async with asyncio.timeout(0.3):
+                    outcome = await submitted
+        self.assertIsInstance(outcome, outcomes.Unknown)
