Let no later signal cut a graceful stop short

A whole request that was in flight got no answer if its instance received SIGINT beside or after SIGTERM. aiomisc creates a task for each of both signals that are handled in the same turn of the event loop. The second task finds the stop under way, returns at once and ends the loop, while the first one still waits for jobs; the process exits with code 70. Later, a SIGINT raised KeyboardInterrupt within the loop. Closing the loop restored the default effect of SIGHUP, and the end of the interpreter those of all signals, so that late ones ended the process with codes -1, -2 and -15.

node.process_signals replaces node.startup_signals. It handles SIGTERM, SIGINT and SIGHUP from the start of the process on, records the first request to stop and wakes the event loop. aiomisc handles no signals. From the end of the command on, the signals are ignored. A stop that hangs is still ended after the same time, with a traceback and exit code 1 instead of 70.

--- a/sesameroad/command_line/main.py
+++ b/sesameroad/command_line/main.py
@@ -6,7 +6,7 @@
 import types
 
 from sesameroad.command_line import exits
-from sesameroad.node import startup_signals
+from sesameroad.node import process_signals
 
 # Modules of this package, with hyphens for underscores. Each is imported only when needed, because importing
 # all of them would make the start of an instance take 1.5 times as long. absl is
@@ -49,7 +49,7 @@
 def run() -> None:
     """Entry point of the installed script."""
     if sys.argv[1:2] == ["serve"]:
-        startup_signals.install()
+        process_signals.install()
     # Not by absl.app, whose import of the debugger takes a tenth of the time
     # until an instance listens.
     from absl import flags
@@ -60,7 +60,9 @@
     # Parses no flags, because each subcommand defines its own.
     flags.FLAGS(sys.argv[:1])
     logging.set_verbosity(logging.INFO)
-    sys.exit(main(sys.argv))
+    code = main(sys.argv)
+    process_signals.ignore()
+    sys.exit(code)
 
 
 def _load_module(name: str) -> types.ModuleType:
--- a/sesameroad/node/service.py
+++ b/sesameroad/node/service.py
@@ -2,18 +2,17 @@
 
 import asyncio
 import gc
-import signal
 import socket
 from typing import Any
 
 import aiomisc
 
 from sesameroad.node import node
-from sesameroad.node import startup_signals
+from sesameroad.node import process_signals
 from sesameroad.settings import node as node_module
 
-# aiomisc cancels a service whose stop exceeds the timeout. The margin leaves
-# the whole graceful stop for the jobs of callers.
+# A stop that takes longer by this than it may is ended with an error. The platform
+# kills the process before that.
 _SHUTDOWN_MARGIN_S = 5.0
 # Number of new container objects after which the youngest generation is
 # collected. A busy leader has several thousand live at a time, and with the
@@ -22,24 +21,32 @@
 
 
 class NodeService(aiomisc.Service):
-    """Starts an instance and stops it gracefully on SIGTERM or SIGINT."""
+    """Starts an instance, and stops it gracefully on SIGTERM or SIGINT."""
 
     settings: node_module.NodeSettings
     listener: socket.socket
 
     async def start(self) -> None:
         """Starts the instance."""
+        self._stop_requested = asyncio.Event()
         self._node = node.Node.from_settings(self.settings)
-        asyncio.get_running_loop().add_signal_handler(
-            signal.SIGHUP, self._node.reload
+        process_signals.attach(
+            asyncio.get_running_loop(),
+            stop=self._stop_requested.set,
+            reload=self._node.reload,
         )
-        if startup_signals.reload_requested():
-            self._node.reload()
         await self._node.start(self.listener)
 
+    async def wait_until_stop_requested(self) -> None:
+        """Waits for SIGTERM or SIGINT, which may have arrived before."""
+        await self._stop_requested.wait()
+
     async def stop(self, exception: Exception | None = None) -> Any:
         """Stops the instance gracefully."""
-        await self._node.stop()
+        async with asyncio.timeout(
+            self.settings.timing.graceful_stop_s + _SHUTDOWN_MARGIN_S
+        ):
+            await self._node.stop()
 
 
 def run(settings: node_module.NodeSettings, listener: socket.socket) -> None:
@@ -54,12 +61,11 @@
     gc.set_threshold(_COLLECTION_THRESHOLD)
     gc.enable()
     service = NodeService(settings=settings, listener=listener)
-    timeout_s = settings.timing.graceful_stop_s + _SHUTDOWN_MARGIN_S
-    startup_signals.finish_loading()
+    process_signals.finish_loading()
+    # Signals are not left to aiomisc: its handler of a second SIGTERM in the same
+    # turn of the event loop ended the loop while the first one was stopping.
     with aiomisc.entrypoint(
-        service, log_config=False, shutdown_timeout=timeout_s
+        service, log_config=False, catch_signals=()
     ) as loop:
-        # A SIGTERM during the start was recorded only. Leaving the block stops
-        # the instance gracefully.
-        if not startup_signals.stop_requested():
-            loop.run_forever()
+        # Leaving the block stops the instance gracefully.
+        loop.run_until_complete(service.wait_until_stop_requested())
