--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -246,13 +246,20 @@
             data_centres=sorted(settings.data_centres),
         )
 
-    async def stop(self) -> None:
-        """Stops gracefully, after the requests in flight have been answered."""
+    async def stop(self, *, requested_at: float | None = None) -> None:
+        """Stops gracefully, after the requests in flight have been answered.
+
+        Args:
+            requested_at: Monotonic time from which the duration of the stop
+                counts; None for now.
+        """
         log.event(
             "instance stops", step="stop", in_flight=len(self._caller_jobs)
         )
         timing = self._settings.timing
-        stop_began_at = self._stop_began_at = self._clock.monotonic()
+        if requested_at is None:
+            requested_at = self._clock.monotonic()
+        stop_began_at = self._stop_began_at = requested_at
         self._leaving = True
         self._heartbeat_cache = None
         self._leaders.prepare_stop()
