Count the duration of a graceful stop from the signal

A stop that is requested while the services start begins once they have started, and its 5.3 s counted from there, whereas the platform kills the process 6 s after the signal. The jobs then in flight ended without an answer. The service now passes the time of the first SIGTERM or SIGINT to the instance.

--- a/sesameroad/node/service.py
+++ b/sesameroad/node/service.py
@@ -42,11 +42,17 @@
         await self._stop_requested.wait()
 
     async def stop(self, exception: Exception | None = None) -> Any:
-        """Stops the instance gracefully."""
+        """Stops the instance gracefully.
+
+        The platform kills the process a fixed time after the signal, so the time
+        that has passed since then is part of the stop.
+        """
         async with asyncio.timeout(
             self.settings.timing.graceful_stop_s + _SHUTDOWN_MARGIN_S
         ):
-            await self._node.stop()
+            await self._node.stop(
+                requested_at=process_signals.stop_requested_at()
+            )
 
 
 def run(settings: node_module.NodeSettings, listener: socket.socket) -> None:
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 
 from aiohttp import web
@@ -21,6 +22,38 @@
 # Signals are sent from the first instruction of the program on, in steps that
 # reach the end of the start.
 _DELAYS_S = (0.0, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.7)
+# Programs that run an instance with a slow step, and print a line as that begins.
+_MARK = b"slow step"
+_SLOW_IMPORT = """
+import importlib.abc, sys, time
+from sesameroad.command_line import main
+
+class Finder(importlib.abc.MetaPathFinder):
+    def find_spec(self, name, path, target=None):
+        if name == "sesameroad.node.node":
+            print("slow step", flush=True)
+            time.sleep(1.0)
+
+sys.meta_path.insert(0, Finder())
+main.run()
+"""
+_SLOW_SERVICE_S = 2.0
+_SLOW_SERVICE = f"""
+import asyncio
+from sesameroad.command_line import main
+from sesameroad.peering import mesh
+
+async def start(self, *address, do_start=mesh.Mesh.start):
+    print("slow step", flush=True)
+    await asyncio.sleep({_SLOW_SERVICE_S})
+    await do_start(self, *address)
+
+mesh.Mesh.start = start
+main.run()
+"""
+# Longest time after the end of a graceful stop until the process has ended. The
+# platform kills it 0.7 s after that.
+_CLOSE_S = 0.7
 
 
 class StartupTest(unittest.IsolatedAsyncioTestCase):
@@ -33,8 +66,14 @@
         self.address = "127.0.0.1", fleet.free_port()
         self.store_port = fleet.free_port()
 
-    async def start(self):
-        """Starts an instance; returns it once it handles SIGTERM."""
+    async def start(self, *, program=None, **timing):
+        """Starts an instance; returns it once it handles SIGTERM.
+
+        Args:
+            program: Python program that runs it with a slow step; it is returned
+                as that begins.
+            **timing: Periods and timeouts.
+        """
         addresses = {
             name: f"127.0.0.1:{fleet.free_port()}"
             for name in ("ready", "peer", "metrics")
@@ -48,17 +87,16 @@
                     "data_centres": {"dc1": "region"},
                     "web": f"{self.address[0]}:{self.address[1]}",
                     "max_lease_ms": 1_000,
-                    "timing": {"stop_notice_s": 0.1},
+                    "timing": {"stop_notice_s": 0.1, **timing},
                     **addresses,
                 }
             )
         )
+        run = ("-m", "sesameroad.command_line.main")
+        if program is not None:
+            run = ("-c", program)
         process = subprocess.Popen(
-            [
-                sys.executable,
-                *("-m", "sesameroad.command_line.main", "serve"),
-                f"--settings={self.settings}",
-            ],
+            [sys.executable, *run, "serve", f"--settings={self.settings}"],
             cwd=_CHECKOUT,
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
@@ -67,6 +105,9 @@
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
         await asyncio.to_thread(self.wait_until_handled, process.pid)
+        if program is not None:
+            line = await asyncio.to_thread(process.stdout.readline)
+            self.assertEqual(line.strip(), _MARK)
         return process
 
     def wait_until_handled(self, pid):
@@ -189,6 +230,34 @@
         self.assertIn(b"instance stopped", output)
         self.assertNotIn(b"caller answered", output)
 
+    async def test_duration_of_a_stop_counts_from_the_signal(self):
+        """Guards against a graceful stop that lasts until the process is killed.
+
+        The platform kills it 6 s after SIGTERM. A stop that was requested while the
+        services started began its time only after that.
+        """
+        route = {"name": "q", "host": "a", "path-prefix": "/q/", "service": "s"}
+        await self.open_store(routes=[route])
+        timing = {"stop_notice_s": 2.2, "graceful_stop_s": 4.5}
+        process = await self.start(program=_SLOW_SERVICE, **timing)
+        # Waits for an endpoint until the stop ends it.
+        step = {"count": 1, "cpu": 1, "est-runtime-ms": 20_000}
+        body = json.dumps({"steps": [step], "best-effort": True})
+        connection = await asyncio.to_thread(
+            self.call, f"POST /q/{1:016x}", body
+        )
+        process.send_signal(signal.SIGTERM)
+        signalled_at = time.monotonic()
+        output, _ = await asyncio.to_thread(
+            process.communicate, timeout=_TIMEOUT_S
+        )
+        took_s = time.monotonic() - signalled_at
+        self.assertEqual(process.returncode, os.EX_OK, output)
+        # The job was in flight as long as it may be.
+        self.assertIn(b"jobs are still in flight", output)
+        self.assert_answered(connection, 503)
+        self.assertLess(took_s, timing["graceful_stop_s"] + _CLOSE_S)
+
     async def test_early_requests_wait_for_the_configuration(self):
         """Guards against refusals in the moment before the first read.
 
