Stop a service whose start failed without a second error

NodeService.stop read an attribute that only start sets. A stop before that, or after a start that failed early, raised AttributeError, which hides the cause. aiomisc does not call stop in this case at present: no process that does so was found.

tests.test_signals.ServiceTest failed before with AttributeError.

--- a/sesameroad/node/service.py
+++ b/sesameroad/node/service.py
@@ -25,28 +25,31 @@
 
     settings: node_module.NodeSettings
     listener: socket.socket
+    _node: node.Node | None = None
 
     async def start(self) -> None:
         """Starts the instance."""
         self._stop_requested = asyncio.Event()
-        self._node = node.Node.from_settings(self.settings)
+        self._node = instance = node.Node.from_settings(self.settings)
         process_signals.attach(
             asyncio.get_running_loop(),
             stop=self._stop_requested.set,
-            reload=self._node.reload,
+            reload=instance.reload,
         )
-        await self._node.start(self.listener)
+        await instance.start(self.listener)
 
     async def wait_until_stop_requested(self) -> None:
         """Waits for SIGTERM or SIGINT, which may have arrived before."""
         await self._stop_requested.wait()
 
     async def stop(self, exception: Exception | None = None) -> Any:
-        """Stops the instance gracefully.
+        """Stops the instance gracefully, if there is one.
 
         The platform kills the process a fixed time after the signal, so the time
         that has passed since then is part of the stop.
         """
+        if self._node is None:
+            return
         async with asyncio.timeout(
             self.settings.timing.graceful_stop_s + _SHUTDOWN_MARGIN_S
         ):
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -3,7 +3,10 @@
 import asyncio
 import os
 import signal
+import unittest
 
+from sesameroad.node import service
+from sesameroad.settings import node
 from tests import _processes
 
 # Longest times between two signals of a series.
@@ -87,3 +90,22 @@
                 log = instance.log.read_text()
                 self.assertEqual(instance.wait(), os.EX_OK, log)
                 self.assertNotIn("Traceback", log)
+
+
+class ServiceTest(unittest.IsolatedAsyncioTestCase):
+    """The service of an instance, in the process of the test."""
+
+    async def test_stop_before_the_start_is_no_error(self):
+        """Guards against an error of the stop that hides that of the start."""
+        settings = node.NodeSettings(
+            instance_id="i1",
+            data_centre="dc1",
+            data_centres={"dc1": "region"},
+            web="127.0.0.1:1",
+            ready="127.0.0.1:1",
+            peer="127.0.0.1:1",
+            metrics="127.0.0.1:1",
+            platform="127.0.0.1:1",
+            max_lease_ms=1_000,
+        )
+        await service.NodeService(settings=settings, listener=None).stop()
