Answer the requests that wait when a stop arrives during the imports

SIGTERM while the modules load ended the process at once, so connections with whole requests in the listener's queue were reset. The signal is now only recorded: the instance goes on loading, starts and stops gracefully. Before the port listens, it still ends early with exit code 0.

The rest of the start is part of the 5.3 s of a stop.

tests.test_startup: 50 connections were reset before, for SIGTERM and for SIGINT, and are answered now.

--- a/sesameroad/command_line/serve.py
+++ b/sesameroad/command_line/serve.py
@@ -14,6 +14,7 @@
 
 from sesameroad import errors
 from sesameroad.command_line import exits
+from sesameroad.node import process_signals
 from sesameroad.settings import node
 
 _PATH_VARIABLE = "SESAMEROAD_SETTINGS"
@@ -45,6 +46,9 @@
     except errors.SettingsError as error:
         print(f"sesameroad: {error}", file=sys.stderr)
         return exits.USAGE
+    if process_signals.stop_requested_at() is not None:
+        # No connection waits yet, so there is nobody to answer.
+        return exits.OK
     # The instance takes the callers' connections once it has loaded, so that a
     # caller waits for that and is not refused.
     host, port = node.host_port(settings.web)
--- a/sesameroad/node/process_signals.py
+++ b/sesameroad/node/process_signals.py
@@ -10,7 +10,6 @@
 """
 
 from collections.abc import Callable
-import os
 import signal
 import types
 from typing import TYPE_CHECKING
@@ -28,7 +27,6 @@
     """Signals received so far, and who waits for them.
 
     Attributes:
-        loading: Whether a request to stop may end the process at once.
         stop_requested_at: Monotonic time of the first SIGTERM or SIGINT.
         reload_requested: Whether a SIGHUP has arrived that was not passed on.
         loop: Event loop that is woken by signals.
@@ -37,7 +35,6 @@
     """
 
     __slots__ = (
-        "loading",
         "loop",
         "reload",
         "reload_requested",
@@ -46,7 +43,6 @@
     )
 
     def __init__(self) -> None:
-        self.loading = True
         self.stop_requested_at: float | None = None
         self.reload_requested = False
         self.loop: asyncio.AbstractEventLoop | None = None
@@ -58,22 +54,13 @@
 
 
 def install() -> None:
-    """Handles the signals from now on.
-
-    A request to stop ends the process with exit code 0 at once until
-    `finish_loading`.
-    """
+    """Handles the signals from now on."""
     for number in _STOP:
         signal.signal(number, _handle_stop)
     for number in _RELOAD:
         signal.signal(number, _handle_reload)
 
 
-def finish_loading() -> None:
-    """From now on, a request to stop is only recorded: there are tasks to close."""
-    _state.loading = False
-
-
 def ignore() -> None:
     """Ignores the signals until the process has ended.
 
@@ -113,9 +100,6 @@
     # It must not raise: the exception would appear in whatever code is running, and
     # msgspec crashed on one within its decoder.
     del number, frame
-    if _state.loading:
-        # Nothing runs that must be closed.
-        os._exit(0)
     if _state.stop_requested_at is None:
         _state.stop_requested_at = clocks.elapsed_s()
         _wake()
--- a/sesameroad/node/service.py
+++ b/sesameroad/node/service.py
@@ -70,7 +70,6 @@
     gc.set_threshold(_COLLECTION_THRESHOLD)
     gc.enable()
     service = NodeService(settings=settings, listener=listener)
-    process_signals.finish_loading()
     # Signals are not left to aiomisc: its handler of a second SIGTERM in the same
     # turn of the event loop ended the loop while the first one was stopping.
     with aiomisc.entrypoint(
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -230,6 +230,31 @@
         self.assertIn(b"instance stopped", output)
         self.assertNotIn(b"caller answered", output)
 
+    async def test_stop_while_loading_answers_those_that_wait(self):
+        """Guards against whole requests that a stop during the imports cuts off.
+
+        The process ended at once, with their connections in the listener's queue.
+        """
+        route = {"name": "q", "host": "a", "path-prefix": "/q/", "service": "s"}
+        await self.open_store(routes=[route])
+        for number in (signal.SIGTERM, signal.SIGINT):
+            with self.subTest(number=number):
+                process = await self.start(program=_SLOW_IMPORT)
+                connections = [
+                    await asyncio.to_thread(self.call, "GET /q/")
+                    for _ in range(50)
+                ]
+                process.send_signal(number)
+                for connection in connections:
+                    await asyncio.to_thread(
+                        self.assert_answered, connection, 200
+                    )
+                output, _ = await asyncio.to_thread(
+                    process.communicate, timeout=_TIMEOUT_S
+                )
+                self.assertEqual(process.returncode, os.EX_OK, output)
+                self.assertIn(b"instance stopped", output)
+
     async def test_duration_of_a_stop_counts_from_the_signal(self):
         """Guards against a graceful stop that lasts until the process is killed.
 
