Count pipelined requests, and no answered ones, as owed by a closing server

The answer to a request also counted for a second one that had arrived meanwhile, whose connection the close then ended. The rest of a body that the handler does not read counted as a request without an answer, which held up the close for a second. On the event loop of asyncio, connections in the queue of the listener were reset: its close overtakes a callback that accepts. On uvloop, which instances use, they were not.

A connection now keeps apart the request that is handled and what arrives after it, and the close waits 10 ms before and after it stops to accept.

tests.test_http_server: the three tests fail on (connection ended, close after 0.96 s, connection reset; on uvloop the first two) and pass now, on both event loops.

--- a/sesameroad/node/http_server.py
+++ b/sesameroad/node/http_server.py
@@ -10,6 +10,7 @@
 from typing import Any
 from typing import Self
 
+from aiohttp import streams
 from aiohttp import web_protocol
 from aiohttp import web_request
 from aiohttp import web_response
@@ -37,36 +38,46 @@
 
 
 class _Connection(web_protocol.RequestHandler):
-    """A connection that knows whether it owes an answer.
+    """A connection that knows whether it owes an answer."""
 
-    Attributes:
-        request: The request that is handled, None between two requests.
-    """
-
-    __slots__ = ("_received_at", "_unanswered", "request")
+    __slots__ = ("_arriving", "_body", "_received_at", "_unanswered")
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._received_at = 0.0
-        # Whether data has arrived since the last answer was written.
+        # Whether a request arrives that is not handled yet.
+        self._arriving = False
+        # Whether a request is handled whose answer has not been written.
         self._unanswered = False
-        self.request: web_request.BaseRequest | None = None
+        # Body of the last request that was handled.
+        self._body: streams.StreamReader | None = None
 
     @property
     def owes_answer(self) -> bool:
         """Whether a request has arrived, or is still arriving."""
-        if not self._unanswered:
-            return False
-        if self.request is not None and self.request.content.is_eof():
+        if self._messages:
             return True
+        if self._unanswered:
+            if self._body is not None and self._body.is_eof():
+                return True
+        elif not self._arriving:
+            return False
         return clocks.elapsed_s() - self._received_at < _STALL_S
 
     def data_received(self, data: bytes) -> None:
         """Handles data from the client."""
         self._received_at = clocks.elapsed_s()
-        self._unanswered = True
+        # The rest of a body that was not read belongs to an answered request.
+        if self._body is None or self._body.is_eof():
+            self._arriving = True
         super().data_received(data)
 
+    def begin(self, request: web_request.BaseRequest) -> None:
+        """Records that a request is handled from now on."""
+        self._arriving = False
+        self._unanswered = True
+        self._body = request.content
+
     async def finish_response(
         self,
         request: web_request.BaseRequest,
@@ -142,7 +153,7 @@
         task = asyncio.current_task()
         assert isinstance(connection, _Connection)
         assert task is not None
-        connection.request = request
+        connection.begin(request)
         self._handling.add(task)
         try:
             return await self._handler(request)
@@ -164,7 +175,6 @@
             return response
         finally:
             self._handling.discard(task)
-            connection.request = None
 
 
 class HttpServer:
@@ -227,9 +237,10 @@
                 seconds.
         """
         # Connections that wait in the queue of the listener are accepted first.
-        await asyncio.sleep(0)
+        # It takes several turns of the event loop until their requests are read.
+        await asyncio.sleep(_POLL_S)
         self._listener.close()
-        await asyncio.sleep(0)
+        await asyncio.sleep(_POLL_S)
         count = len(self._connections.connections)
         owed = await self._connections.wait_answered(timeout_s)
         if owed:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,6 +1,7 @@
 """The HTTP server while it closes, with clients on open connections."""
 
 import asyncio
+import socket
 import time
 import unittest
 
@@ -10,14 +11,21 @@
 
 _TIMEOUT_S = 1.0
 _PROMPT_S = 0.3
+_GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
 class CloseTest(unittest.IsolatedAsyncioTestCase):
-    """A server whose handler reads the body, and waits for `release`."""
+    """A server whose handler reads the body, and waits for `release`.
+
+    Attributes:
+        release: Set while answers are given.
+        reads_body: Whether the handler reads the body first.
+    """
 
     async def asyncSetUp(self):
         self.release = asyncio.Event()
         self.release.set()
+        self.reads_body = True
         self.server = await http_server.HttpServer.open(
             ("127.0.0.1", 0),
             self.handle,
@@ -27,7 +35,8 @@
         self.addAsyncCleanup(self.server.close, timeout_s=0.0)
 
     async def handle(self, request):
-        await request.read()
+        if self.reads_body:
+            await request.read()
         await self.release.wait()
         return web_response.Response(status=200)
 
@@ -138,3 +147,47 @@
         await self.server.close(timeout_s=30.0)
         self.assertEqual(await self.status(reader), 0)
         self.assertLess(time.monotonic() - began_at, _PROMPT_S)
+
+    async def test_connection_that_is_not_accepted_yet_is_answered(self):
+        """Guards against a reset of a caller that has sent its request.
+
+        Its connection waits in the queue of the listener when that closes.
+        """
+        with socket.create_connection(self.server.address) as client:
+            client.sendall(_GET)
+            await self.server.close(timeout_s=_TIMEOUT_S)
+            client.settimeout(_TIMEOUT_S)
+            self.assertIn(b"200", client.recv(100))
+
+    async def test_request_behind_another_one_is_answered(self):
+        """Guards against a request that was read during the one before it.
+
+        The answer to the first one counted for both.
+        """
+        reader, writer = await self.connect()
+        self.release.clear()
+        writer.write(_GET + _GET)
+        await asyncio.sleep(0.05)
+        closing = asyncio.create_task(self.server.close(timeout_s=_TIMEOUT_S))
+        self.release.set()
+        self.assertEqual(await self.status(reader), 200)
+        self.release.clear()
+        await asyncio.sleep(0.2)
+        self.release.set()
+        self.assertEqual(await self.status(reader), 200)
+        await closing
+
+    async def test_unread_body_does_not_hold_up_the_close(self):
+        """Guards against a stop that waits for an answer it has written.
+
+        The rest of a body that the handler has not read arrives after the answer.
+        """
+        self.reads_body = False
+        reader, writer = await self.connect()
+        await self.send(writer, body=b"ab", missing=100)
+        self.assertEqual(await self.status(reader), 200)
+        writer.write(b"cd")
+        await asyncio.sleep(0.05)
+        began_at = time.monotonic()
+        await self.server.close(timeout_s=30.0)
+        self.assertLess(time.monotonic() - began_at, _PROMPT_S)
