Answer all requests that arrive until an entry has closed

An entry had the same fault as an instance had. The sites of aiohttp drop what arrives from the first step of their close on, so a request whose body came in pieces was read and its connection ended. A request that was relayed to the home of its key was not waited for as work in flight, and its handler was cancelled at the end of the close: its connection ended without an answer.

The entry now uses the server of the instances for its application. What outlasts the graceful stop is answered: as unknown, to be asked for again, or as not run if it is not whole. The close no longer gets the time of a graceful stop twice.

--- a/sesameroad/entry/entry.py
+++ b/sesameroad/entry/entry.py
@@ -27,6 +27,7 @@
 from sesameroad.model import clocks
 from sesameroad.model import outcomes
 from sesameroad.model import work as work_module
+from sesameroad.node import http_server
 from sesameroad.operators import access
 from sesameroad.operators import interpreter
 from sesameroad.operators import recent_events
@@ -63,6 +64,11 @@
 # How long a stop waits for open sends. Their outcomes are decided before, so no
 # caller waits for them.
 _CLOSE_TIMEOUT_S = 5.0
+# Time to write the answers that are decided at the end of the graceful stop.
+_LAST_REQUESTS_S = 1.0
+# Time until an idle connection of a caller is closed. It is longer than proxies
+# keep theirs, so that no request crosses the close.
+_KEEPALIVE_S = 3_630.0
 
 
 class Entry:
@@ -77,7 +83,11 @@
         self._incarnation = keys.new_incarnation()
         self._leaving = False
         self._supervisor = supervisor.Supervisor()
+        self._clock = clock
         self._runner: web.AppRunner | None = None
+        self._server: http_server.HttpServer | None = None
+        # Time of the end of the graceful stop.
+        self._stop_by = 0.0
         self._platform = platform_client.PlatformClient.open(
             settings.platform_url, timeout_s=timing.platform_timeout_s
         )
@@ -308,14 +318,20 @@
         application = self._web.application(
             max_body_bytes=settings.limits.max_body_bytes
         )
-        self._runner = web.AppRunner(
-            application,
-            access_log=None,
-            shutdown_timeout=settings.timing.graceful_stop_s,
-        )
+        self._runner = web.AppRunner(application)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, settings.web.host, settings.web.port)
-        await site.start()
+        application_server = self._runner.server
+        assert application_server is not None
+        # The sites of aiohttp drop what arrives on open connections while they
+        # are closed.
+        self._server = await http_server.HttpServer.open(
+            (settings.web.host, settings.web.port),
+            application_server.request_handler,
+            interrupted=self._web.interrupted,
+            keepalive_s=_KEEPALIVE_S,
+            request_factory=application_server.request_factory,
+            ends_abandoned=False,
+        )
         log.event(
             "entry started",
             step="start",
@@ -331,8 +347,10 @@
         # check.
         await asyncio.sleep(self._settings.timing.stop_notice_s)
         self._dispatcher.stop_accepting()
+        graceful_stop_s = self._settings.timing.graceful_stop_s
+        self._stop_by = self._clock.monotonic() + graceful_stop_s
         try:
-            async with asyncio.timeout(self._settings.timing.graceful_stop_s):
+            async with asyncio.timeout(graceful_stop_s):
                 await self._dispatcher.drain()
         except TimeoutError:
             log.problem(
@@ -360,9 +378,11 @@
             self._platform.close,
         ]
         if self._runner is not None:
+            steps.insert(2, self._runner.cleanup)
+        if self._server is not None:
             # The HTTP server closes only now, so that callers get responses
             # for the outcomes that the stop has decided.
-            steps.insert(2, self._runner.cleanup)
+            steps.insert(2, self._close_server)
         failures: list[Exception] = []
         for step in steps:
             try:
@@ -372,6 +392,16 @@
         if failures:
             raise ExceptionGroup("graceful stop", failures)
 
+    async def _close_server(self) -> None:
+        """Closes the HTTP server once all requests have been answered.
+
+        Work whose home is another entry is answered as unknown at the end of the
+        graceful stop.
+        """
+        assert self._server is not None
+        remaining_s = self._stop_by - self._clock.monotonic()
+        await self._server.close(timeout_s=max(_LAST_REQUESTS_S, remaining_s))
+
     async def _close_connections(self) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_CLOSE_TIMEOUT_S):
--- a/sesameroad/entry/web.py
+++ b/sesameroad/entry/web.py
@@ -29,6 +29,8 @@
 _MAX_KEY_CHARACTERS = 255
 _UNPROCESSABLE = 422
 _ACCEPTED = 202
+_ASK_AGAIN_MS = 1_000
+_STOPPING = "this entry is stopping"
 
 _Timeout = Annotated[int, msgspec.Meta(ge=1, le=_MAX_TIMEOUT_MS)]
 _T = TypeVar("_T")
@@ -126,6 +128,26 @@
         )
         return application
 
+    def interrupted(self, request: web.BaseRequest) -> web.Response:
+        """Returns the answer to a request that the stop of the entry ends.
+
+        Work of which this entry is the home has been answered before, so it is
+        one that another entry may have run, or one that is not whole.
+        """
+        if not request.content.is_eof():
+            return problem.outcome_response(
+                outcomes.NotRun(outcomes.Cause.STOPPING, _STOPPING, 0.0)
+            )
+        key = request.headers.get(KEY_HEADER)
+        return problem.outcome_response(
+            outcomes.Unknown(
+                outcomes.Cause.STOPPING,
+                _STOPPING,
+                ask_again_at_ms=self._clock.wall_ms() + _ASK_AGAIN_MS,
+            ),
+            key=key if key and _validate_key(key) is None else "",
+        )
+
     async def _post_request(self, request: web.Request) -> web.Response:
         text = await request.read()
         body = _decode(text, _RequestBody)
--- a/sesameroad/node/http_server.py
+++ b/sesameroad/node/http_server.py
@@ -22,6 +22,7 @@
 Handler = Callable[
     [web_request.BaseRequest], Awaitable[web_response.StreamResponse]
 ]
+RequestFactory = Callable[..., web_request.BaseRequest]
 # Returns the answer to a request whose handler is ended by the close.
 Interrupted = Callable[[web_request.BaseRequest], web_response.StreamResponse]
 
@@ -94,7 +95,13 @@
     """The open connections of a server and their requests."""
 
     def __init__(
-        self, handler: Handler, *, interrupted: Interrupted, keepalive_s: float
+        self,
+        handler: Handler,
+        *,
+        interrupted: Interrupted,
+        keepalive_s: float,
+        request_factory: RequestFactory | None,
+        ends_abandoned: bool,
     ) -> None:
         """Creates a server without connections.
 
@@ -102,8 +109,14 @@
             handler: Answers a request.
             interrupted: Answers a request whose handler `interrupt` has ended.
             keepalive_s: Time until an idle connection is closed, in seconds.
+            request_factory: Creates a request, None for a basic one.
+            ends_abandoned: Whether a handler is cancelled if its client leaves.
         """
-        super().__init__(self._handle, handler_cancellation=True)
+        super().__init__(
+            self._handle,
+            request_factory=request_factory,
+            handler_cancellation=ends_abandoned,
+        )
         self._loop = asyncio.get_running_loop()
         self._handler = handler
         self._interrupted = interrupted
@@ -196,20 +209,29 @@
         *,
         interrupted: Interrupted,
         keepalive_s: float,
+        request_factory: RequestFactory | None = None,
+        ends_abandoned: bool = True,
     ) -> Self:
         """Starts to accept connections.
 
         Args:
             address: Host and port, or a socket that listens already.
-            handler: Answers a request; cancelled if its client leaves.
+            handler: Answers a request.
             interrupted: Answers a request that outlasts the close.
             keepalive_s: Time until an idle connection is closed, in seconds.
+            request_factory: Creates the requests of an application, None for
+                basic ones.
+            ends_abandoned: Whether a handler is cancelled if its client leaves.
 
         Raises:
             OSError: If the address cannot be used.
         """
         connections = _Connections(
-            handler, interrupted=interrupted, keepalive_s=keepalive_s
+            handler,
+            interrupted=interrupted,
+            keepalive_s=keepalive_s,
+            request_factory=request_factory,
+            ends_abandoned=ends_abandoned,
         )
         loop = asyncio.get_running_loop()
         if isinstance(address, socket.socket):
