Show jobs that a leader leaves open when its task ends early

A leader whose task is cancelled before its first step runs none of its code: it answers no job and leaves the sessions with its endpoints running, whose polls carry an outdated token. Claiming and resigning in one turn of the event loop does this. An error in the periodic checks ends these without a line in the log, and nothing ends a job at its deadline any more.

--- /dev/null
+++ b/tests/test_leader_ends.py
@@ -0,0 +1,111 @@
+"""Ends of a leader that keep it from ending its jobs."""
+
+import asyncio
+import contextlib
+import types
+from unittest import mock
+
+from sesameroad.leasing import endpoint_pool
+from sesameroad.model import outcomes
+from sesameroad.node import endpoint_list as endpoint_list_module
+from sesameroad.node import instance_registry
+from sesameroad.node import leaders as leaders_module
+from sesameroad.settings import node
+from sesameroad.telemetry import job_metrics
+from tests import _jobs
+from tests import _virtual
+
+_PROMPT_S = 0.5
+
+
+class LeaderEndsTest(_virtual.VirtualTimeTest):
+
+    def setUp(self):
+        super().setUp()
+        self.site = _jobs.Site(count=1)
+
+    def leaders(self):
+        """Returns an instance that may lead dc1."""
+        endpoint_list = endpoint_list_module.EndpointList(clock=self.site.clock)
+        endpoint_list.apply(self.site.endpoints, period_s=1.0)
+        return leaders_module.Leaders(
+            settings=node.NodeSettings(
+                instance_id="i1",
+                data_centre="dc1",
+                data_centres={"dc1": "r"},
+                web="10.0.0.1:1",
+                ready="10.0.0.1:2",
+                peer="10.0.0.1:3",
+                metrics="10.0.0.1:4",
+                platform="10.0.0.1:5",
+                max_lease_ms=1_000,
+            ),
+            mesh=types.SimpleNamespace(peers={}),
+            registry=instance_registry.InstanceRegistry(
+                clock=self.site.clock, fresh_s=5.0
+            ),
+            endpoint_list=endpoint_list,
+            orders_=self.site.fleet,
+            clock=self.site.clock,
+            metrics=job_metrics.JobMetrics(),
+            changed=lambda: None,
+        )
+
+    async def lead_for_a_moment(self, job):
+        """Claims, gets a job and resigns in one turn of the event loop.
+
+        Two instances claim at about the same time after the loss of a leader, and
+        one of them resigns as soon as it hears the other one.
+        """
+        leaders = self.leaders()
+        loop = asyncio.get_running_loop()
+        loop.call_soon(leaders._claim, ["dc1"])
+        submitted = asyncio.create_task(
+            leaders.submit(
+                "dc1", job, self.site.origin, moved=False, lent=False
+            )
+        )
+        loop.call_soon(leaders._resign_all, "i2 has a higher token")
+        async with asyncio.timeout(_PROMPT_S):
+            return await submitted
+
+    async def test_job_of_a_leader_that_resigns_at_once_is_answered(self):
+        """Guards against a job that stays open at a leader that has ended.
+
+        A task that is cancelled before its first step runs none of its code, also
+        not the one that answers the jobs.
+        """
+        outcome = await self.lead_for_a_moment(self.site.job(deadline_s=9))
+        self.assertEqual(outcome.cause, outcomes.Cause.NOT_STEWARD)
+
+    async def test_leader_that_resigns_at_once_ends_its_sessions(self):
+        """Guards against polls with an outdated token that go on.
+
+        Endpoints refuse them once the next leader has polled, which makes this
+        instance resign if it leads again.
+        """
+        with contextlib.suppress(TimeoutError):
+            await self.lead_for_a_moment(self.site.job())
+        sessions = [
+            task.get_name()
+            for task in asyncio.all_tasks()
+            if task.get_name().startswith("endpoint ")
+        ]
+        self.assertEqual(sessions, [])
+
+    async def test_leader_goes_on_with_its_checks_after_an_error(self):
+        """Guards against jobs that nothing ends after one error in a check."""
+        fails_once = mock.patch.object(
+            endpoint_pool.EndpointPool,
+            "update_recovery",
+            side_effect=[ValueError("fault"), *[None] * 1_000],
+        )
+        with fails_once:
+            async with self.site.leader() as leader:
+                await asyncio.sleep(_PROMPT_S)
+                job = self.site.job(run_s=9.0, estimate_s=0.5, deadline_s=1.0)
+                submitted = asyncio.create_task(
+                    leader.submit(job, self.site.origin)
+                )
+                await asyncio.wait([submitted], timeout=1.0 + _PROMPT_S)
+                self.assertTrue(submitted.done())
