Keep the run of a former attempt when a later one claims another run

A task can have two runs that a leader knows: one of an attempt that is being ended, and one of an earlier leader on an endpoint that was silent. A later attempt adopted the second one, which took the place of the first one in the table of runs. That one was then never removed from its endpoint, whose cores counted as used until the leader changed.

The later attempt now waits until the former run has ended, as it does for any other task that runs; the other run is stopped as before.

The test of tests.test_takeover fails before and passes now.

--- a/sesameroad/jobs/takeover.py
+++ b/sesameroad/jobs/takeover.py
@@ -98,6 +98,10 @@
                 active.started = True
                 active.done += 1
                 continue
+            if self._table.has_run(task):
+                # It runs for an earlier attempt that is being ended. The table
+                # has one run of a task, and `stop_unclaimed` stops the others.
+                continue
             for leased in holders:
                 number = leased.orphans.pop(task, None)
                 if number is not None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -2,6 +2,11 @@
 
 import asyncio
 
+from sesameroad.jobs import active_job
+from sesameroad.jobs import job_table
+from sesameroad.jobs import takeover
+from sesameroad.leasing import leased_endpoint
+from sesameroad.leasing import leases
 from sesameroad.model import outcomes
 from tests import _jobs
 from tests import _virtual
@@ -77,3 +82,34 @@
             outcome = await second.submit(job, self.site.origin, moved=True)
         self.assertEqual(outcome, outcomes.Complete(()))
         self.assertEqual(len(self.site.history.starts), job.count)
+
+    async def test_run_of_a_former_attempt_is_not_lost_track_of(self):
+        """Guards against cores that count as used for as long as a leader leads.
+
+        A task runs here for an attempt that is being ended, and on an endpoint
+        that was silent so far for an earlier leader. A later attempt claimed the
+        second run, which replaced the first one in the table.
+        """
+        table = job_table.JobTable()
+        adopting = takeover.Takeover(table=table, clock=self.site.clock)
+        job = self.site.job(count=1)
+        task = job.task(0)
+        holder, lister = (
+            leased_endpoint.LeasedEndpoint(
+                endpoint, lease=leases.Lease(duration_s=1.0)
+            )
+            for endpoint in self.site.endpoints
+        )
+        former = active_job.ActiveJob(job, now=0.0)
+        table.add(former)
+        run = former.new_run(0, 2)
+        table.add_run(former, holder, run)
+        former.settle(outcomes.Complete(()))
+        table.close(former)
+        adopting.record_running(lister, {task: 1})
+        later = active_job.ActiveJob(job, now=1.0)
+        adopting.adopt(later, (holder, lister))
+        table.add(later)
+        self.assertIs(table.remove_run(run), holder)
+        self.assertFalse(holder.runs)
+        self.assertTrue(later.is_accounted_for)
