Count a run of an earlier leader as done that ends before its job is offered

A leader counted successes of runs that it does not know only until it had acknowledged any end to their endpoint, which it does with its second poll. A run that its first report lists and that ends soon after it, before the origin has offered the job, was forgotten: the task ran a second time, and as the endpoint refuses the first start of it as an old run, the job took 2 s longer.

A run whose start was listed now counts, and a job that is here already gets such a success at once. A task that is found done twice is kept from the second time on; the others would have been kept up to 2 s longer before.

The test of tests.test_takeover fails before (6 starts of 4 tasks) and passes now.

--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -258,7 +258,8 @@
                     run.confirmed_at = now
             elif run.is_gone(asked_at=asked_at, token=token):
                 self._mark_lost(leased, run, "not listed any more")
-        if self._takeover.record_running(leased, listed) or first:
+        found = self._takeover.record_running(leased, listed)
+        if found or first or (report.ended and self._takeover.has_done):
             for active in self._table:
                 self._takeover.adopt(active, self._pool)
                 self.finish_if_complete(active)
@@ -357,8 +358,14 @@
     ) -> None:
         run = leased.runs.get(end.task)
         if run is None or run.number != end.run:
+            # A run of an earlier leader: its end is listed since before the first
+            # acknowledgement, or its start was listed.
+            earlier = (
+                not leased.acknowledged
+                or leased.orphans.get(end.task) == end.run
+            )
             self._takeover.record_end(leased, end.task)
-            if end.ending is orders.Ending.DONE and not leased.acknowledged:
+            if end.ending is orders.Ending.DONE and earlier:
                 self._takeover.record_done(end.task)
             return
         active = self._table.job_of(run)
--- a/sesameroad/jobs/takeover.py
+++ b/sesameroad/jobs/takeover.py
@@ -33,6 +33,11 @@
         # submitted, and when, in that order.
         self._done: dict[str, float] = {}
 
+    @property
+    def has_done(self) -> bool:
+        """Whether any task was found done that no job has claimed yet."""
+        return bool(self._done)
+
     def record_running(
         self, leased: leased_endpoint.LeasedEndpoint, listed: dict[str, int]
     ) -> bool:
@@ -79,6 +84,8 @@
 
     def record_done(self, task: str) -> None:
         """Records the success of a task whose job is not known yet."""
+        # Added at the end, as `_forget_done` expects the order of times.
+        self._done.pop(task, None)
         self._done[task] = self._clock.monotonic()
 
     def adopt(
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -83,6 +83,31 @@
         self.assertEqual(outcome, outcomes.Complete(()))
         self.assertEqual(len(self.site.history.starts), job.count)
 
+    async def test_task_that_ends_before_its_job_is_offered_is_not_run_again(
+        self,
+    ):
+        """Guards against a second run of a task that ends soon after the claim.
+
+        Its endpoint has told the leader of the end of another task before, and
+        the leader counted only the successes in the first report.
+        """
+        self.site = _jobs.Site(count=1, cores=32.0)
+        other = self.site.job("fedcba9876543210", count=2, run_s=_RUN_S / 2)
+        job = self.site.job(run_s=_RUN_S, deadline_s=9, stretch=4.0)
+        async with self.site.leader(token=1) as first:
+            submitted = [
+                asyncio.create_task(first.submit(j, self.site.origin))
+                for j in (other, job)
+            ]
+            await asyncio.sleep(_RUN_S / 3)
+        await asyncio.wait(submitted)
+        await asyncio.sleep(_RUN_S / 3)
+        async with self.site.leader(token=2, settle_s=0.0) as second:
+            await asyncio.sleep(_RUN_S / 2)
+            outcome = await second.submit(job, self.site.origin, moved=True)
+        self.assertEqual(outcome, outcomes.Complete(()))
+        self.assertEqual(len(self.site.history.starts), job.count + other.count)
+
     async def test_run_of_a_former_attempt_is_not_lost_track_of(self):
         """Guards against cores that count as used for as long as a leader leads.
 
