Let the successor of a leader claim when the resignation is announced

Jobs with short objectives could not be of use any more afterwards.

An instance claims nothing while a peer relays the claim of a leader that it does not see itself: only the stream to that leader may be broken. After a resignation peers relay the former claim until their next heartbeat, up to 0.25 s later. The pause of 0 s for a planned stop had no effect meanwhile.

A claim whose holder no longer makes it, in a heartbeat of the same incarnation read here, has ended, whoever still relays it. The exact token counts, so a leader that only peers can reach is protected as before.

tests.test_leaders: the new test of an announced resignation failed before; the one of relayed claims that nobody has resigned guards the protection.

--- a/sesameroad/node/claim_policy.py
+++ b/sesameroad/node/claim_policy.py
@@ -1,5 +1,6 @@
 """Decides which data centres an instance claims leadership of, and when."""
 
+import collections
 from collections.abc import Container
 import math
 
@@ -28,6 +29,9 @@
 # starts per second use it up (docs/CAPACITY.md), and an endpoint takes about 15
 # per second. Larger fleets have a leader in each data centre.
 _MAX_SINGLE_LEADER_ENDPOINTS = 64
+# Number of resigned claims that are remembered. Peers relay a claim for up to one
+# heartbeat after its resignation, in which a few leaders at most follow.
+_MAX_RESIGNED = 64
 # A leader uses one thread, so that more than one core does not help it.
 _CORE_MILLICORES = 1_000
 
@@ -61,6 +65,11 @@
         self._unled_since = math.inf
         # Monotonic times before which data centres must not be claimed.
         self._deferred_until: dict[str, float] = {}
+        # Data centres and tokens of claims whose holders have announced that they
+        # have resigned them.
+        self._resigned: collections.deque[tuple[str, int]] = collections.deque(
+            maxlen=_MAX_RESIGNED
+        )
         self._created_at = clock.monotonic()
         # Time at which all instances that respond had been heard.
         self._discovered_at = math.inf
@@ -151,6 +160,14 @@
         """Prevents claims of a data centre until a monotonic time."""
         self._deferred_until[data_centre] = until
 
+    def record_resigned(self, data_centre: str, token: int) -> None:
+        """Records that the holder of a claim has announced its resignation.
+
+        Peers relay the claim until their next heartbeat. A token is never used
+        for a second claim of the same data centre.
+        """
+        self._resigned.append((data_centre, token))
+
     def choose(self, led: Container[str], preferred: str) -> list[str]:
         """Returns the data centres to claim now.
 
@@ -250,9 +267,14 @@
                 return _REMOTE_CLAIM_DELAY_S
 
     def _is_relayed(self, data_centre: str) -> bool:
-        """Whether a peer reports a leader that is not visible here."""
+        """Whether a peer reports a leader that is not visible here.
+
+        A leader that has announced its resignation here does not count.
+        """
         return any(
-            claim.relayed and claim.data_centre == data_centre
+            claim.relayed
+            and claim.data_centre == data_centre
+            and (data_centre, claim.token) not in self._resigned
             for link in self.peers
             if link.last_heartbeat is not None
             for claim in link.last_heartbeat.claims
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -5,6 +5,7 @@
 from collections.abc import Hashable
 import dataclasses
 import math
+from typing import Self
 
 from sesameroad.jobs import active_job
 from sesameroad.jobs import attempts
@@ -54,16 +55,43 @@
     link: links.Link | None
 
 
-_LeadershipState = tuple[bool, bool, tuple[tuple[str, int, bool], ...]]
-
+@dataclasses.dataclass(slots=True, frozen=True)
+class _PeerState:
+    """What the last heartbeat of a peer means for leadership.
+
+    Attributes:
+        incarnation: Incarnation of the peer.
+        leaving: Whether it is about to stop.
+        slow: Whether it gets too little processor time to lead.
+        own_claims: Data centres that it leads, each with its token.
+        relayed_claims: The same for the other leaders that it sees.
+    """
 
-def _leadership_state(heartbeat: messages.Heartbeat) -> _LeadershipState:
-    """Returns the part of a heartbeat on which leadership depends."""
-    return (
-        heartbeat.leaving,
-        heartbeat.slow,
-        tuple((c.data_centre, c.token, c.relayed) for c in heartbeat.claims),
-    )
+    incarnation: str
+    leaving: bool
+    slow: bool
+    own_claims: frozenset[tuple[str, int]]
+    relayed_claims: frozenset[tuple[str, int]]
+
+    @classmethod
+    def from_heartbeat(
+        cls, hello: messages.Hello, heartbeat: messages.Heartbeat
+    ) -> Self:
+        """Returns the state that a heartbeat of a peer reports."""
+        return cls(
+            hello.incarnation,
+            heartbeat.leaving,
+            heartbeat.slow,
+            frozenset(
+                (claim.data_centre, claim.token)
+                for claim in heartbeat.own_claims
+            ),
+            frozenset(
+                (claim.data_centre, claim.token)
+                for claim in heartbeat.claims
+                if claim.relayed
+            ),
+        )
 
 
 class Leaders:
@@ -112,7 +140,7 @@
         # heartbeat, infinite after it refused one.
         self._in_transit_cores: dict[str, float] = {}
         # What the last heartbeat of each peer means for leadership.
-        self._peer_states: dict[str, _LeadershipState] = {}
+        self._peer_states: dict[str, _PeerState] = {}
         self._origin = routes.LocalOrigin(settings.instance_id)
         self._claim_policy = claim_policy.ClaimPolicy(
             settings=settings,
@@ -320,10 +348,15 @@
         for claim in heartbeat.own_claims:
             self._in_transit_cores.pop(claim.data_centre, None)
         name = link.hello.instance_id
-        state = _leadership_state(heartbeat)
-        if self._peer_states.get(name) != state:
-            self._peer_states[name] = state
-            self.evaluate()
+        state = _PeerState.from_heartbeat(link.hello, heartbeat)
+        former = self._peer_states.get(name)
+        if former == state:
+            return
+        self._peer_states[name] = state
+        if former is not None and former.incarnation == state.incarnation:
+            for data_centre, token in former.own_claims - state.own_claims:
+                self._claim_policy.record_resigned(data_centre, token)
+        self.evaluate()
 
     def is_idle(self, link: links.Link) -> bool:
         """Whether the peer on a link need not hear soon that this side is lost.
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -150,9 +150,12 @@
         heard=True,
         millicores=0,
         in_use=False,
+        incarnation="",
     ):
         self.mesh.peers[name] = types.SimpleNamespace(
-            hello=messages.Hello(name, data_centre, name, millicores),
+            hello=messages.Hello(
+                name, data_centre, incarnation or name, millicores
+            ),
             last_heartbeat=messages.Heartbeat(0, 0, leaving, tuple(claims)),
             leaving=leaving,
             slow=slow,
@@ -160,6 +163,12 @@
             in_use=in_use,
         )
 
+    def hear(self, name, **state):
+        """Adds a peer, or replaces it, and handles its heartbeat."""
+        self.peer(name, **state)
+        link = self.mesh.peers[name]
+        self.leaders.apply_heartbeat(link, link.last_heartbeat)
+
     def wait(self, seconds):
         for _ in range(int(seconds / 0.1)):
             self.clock.now += 0.1
@@ -356,6 +365,39 @@
         self.wait(5.0)
         self.assertNotIn("dc1", self.led())
 
+    async def test_announced_resignation_overrules_what_peers_relay(self):
+        """Guards against jobs that wait for the next heartbeats of all peers.
+
+        They relayed the claim of a leader that had stopped by plan for up to
+        0.25 s, in which its successor claimed nothing.
+        """
+        claim = messages.LeadershipClaim("dc1", 7)
+        relayed = dataclasses.replace(claim, relayed=True)
+        self.hear("i2", claims=[claim])
+        self.hear("i3", claims=[relayed])
+        self.wait(1.0)
+        self.assertNotIn("dc1", self.led())
+        self.hear("i2", leaving=True)
+        self.assertIn("dc1", self.led())
+
+    async def test_relayed_claim_that_nobody_has_resigned_is_kept(self):
+        """Guards against a claim beside a leader that only peers can reach.
+
+        Neither the resignation of another claim nor a restart of the leader
+        shows that a relayed one has ended.
+        """
+        former = messages.LeadershipClaim("dc1", 7)
+        latter = messages.LeadershipClaim("dc1", 8)
+        self.hear("i2", claims=[former])
+        self.hear("i3", claims=[dataclasses.replace(latter, relayed=True)])
+        self.hear("i2", leaving=True)
+        self.wait(5.0)
+        self.assertNotIn("dc1", self.led())
+        self.hear("i4", claims=[latter])
+        self.hear("i4", incarnation="second")
+        self.wait(5.0)
+        self.assertNotIn("dc1", self.led())
+
     async def test_data_centre_without_known_endpoints_is_not_claimed(self):
         """Guards against a claim that keeps out an instance with endpoints."""
         self.endpoint_list.apply([], period_s=1.0)
