Let a stopping instance expect the next leader as the others do

An instance that stops did not note any more when it last saw a leader, so the time without one was counted from the start of the stop. It is now noted in each evaluation.

tests.test_leaders: the new test failed before (2.2 s instead of 0.2 s).

--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -463,14 +463,14 @@
 
     def evaluate(self) -> None:
         """Claims data centres without a leader; resigns to better leaders."""
-        if self._claim_policy.leaving:
-            self._resign_for_stop()
-            return
         now = self._clock.monotonic()
         leaders = self._leaders()
         self._seen_led = frozenset(leaders)
         if leaders:
             self._reachable_at = now
+        if self._claim_policy.leaving:
+            self._resign_for_stop()
+            return
         for data_centre, leader in leaders.items():
             self._tokens[data_centre] = max(
                 self._tokens.get(data_centre, 0), leader.claim.token
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -425,6 +425,19 @@
         self.wait(5.0)
         self.assertEqual(self.led(), set())
 
+    async def test_stopping_instance_expects_the_next_leader(self):
+        """Guards against early refusals by an instance that stops.
+
+        Its jobs wait for a leader as long as one is expected by the time since
+        the last one, which was counted from the start of the stop.
+        """
+        self.peer("i2", claims=[messages.LeadershipClaim("dc1", 7)])
+        self.leaders.prepare_stop()
+        self.wait(2.0)
+        self.peer("i2")
+        self.wait(0.2)
+        self.assertLess(self.leaders.unserved_s, 0.3)
+
     async def test_instance_that_closes_resigns_without_a_successor(self):
         self.wait(1.0)
         await self.leaders.close()
