Don't refuse jobs whose tasks may be running under an earlier leader

Tasks of theirs had been sent by the former leader, and a new leader stops runs that no job claims.

A new leader has not read the lists of its endpoints when the first jobs are offered, so it takes all of their tasks as waiting. The check on arrival left out jobs known to have started, but not those that an earlier leader may have started, which the later checks of waiting jobs leave out as well.

tests.test_takeover: the new test failed before (refused) and passes now.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -310,7 +310,7 @@
                 return outcomes.NotRun(
                     outcomes.Cause.NO_ROOM, "no room at once"
                 )
-            if not is_known and not job.committed:
+            if not (is_known or moved or job.committed):
                 refusal = self._admission.refusal(active, now)
                 if refusal is not None:
                     self._tracker.log_end(active, refusal)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -18,9 +18,15 @@
         super().setUp()
         self.site = _jobs.Site(count=2)
 
-    async def begin(self, *, count=4, run_s=_RUN_S):
+    async def begin(self, *, count=4, run_s=_RUN_S, priority=0):
         """Starts a job at a leader that stops before a task has ended."""
-        job = self.site.job(count=count, run_s=run_s, deadline_s=9, stretch=4.0)
+        job = self.site.job(
+            count=count,
+            run_s=run_s,
+            deadline_s=9,
+            stretch=4.0,
+            priority=priority,
+        )
         async with self.site.leader(token=1) as first:
             submitted = asyncio.create_task(first.submit(job, self.site.origin))
             await asyncio.sleep(_RUN_S / 3)
@@ -77,3 +83,34 @@
             outcome = await second.submit(job, self.site.origin, moved=True)
         self.assertEqual(outcome, outcomes.Complete(()))
         self.assertEqual(len(self.site.history.starts), job.count)
+
+    async def test_running_job_is_not_refused_before_the_lists_are_read(self):
+        """Guards against runs that are stopped because other jobs wait.
+
+        The next leader takes all tasks of the job as waiting until it has read
+        the lists of its endpoints.
+        """
+        job = await self.begin(priority=1)
+        async with self.site.leader(token=2, settle_s=0.0) as second:
+            others = [
+                asyncio.create_task(
+                    second.submit(
+                        self.site.job(
+                            f"other-{number}", count=4, run_s=_RUN_S, stretch=4
+                        ),
+                        self.site.origin,
+                    )
+                )
+                for number in range(20)
+            ]
+            await asyncio.sleep(0)
+            outcome = await second.submit(job, self.site.origin, moved=True)
+            for other in others:
+                other.cancel()
+        self.assertEqual(outcome, outcomes.Complete(()))
+        starts = [
+            task
+            for task in self.site.history.starts
+            if task.startswith(job.key)
+        ]
+        self.assertEqual(len(starts), job.count)
