Tell the next leader which tasks of a job have not been started

A job of which any task had been sent moved as a whole: the next leader started none of its other tasks for 1.2 s, the time in which leases on endpoints that it does not know end. Few answers are of use after that.

A leader that resigns now says which tasks it has not sent, the origin keeps those that every leader so far has reported, and passes them on with its offer. The next leader starts them once it has read all lists; the others wait as before.

tests.test_takeover: without the report three of the four new tests fail, and the fourth fails if tasks start before all lists are read.

--- a/sesameroad/jobs/active_job.py
+++ b/sesameroad/jobs/active_job.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Hashable
+from collections.abc import Iterable
 import math
 from typing import Protocol
 
@@ -50,6 +51,10 @@
         moved: Whether another leader may have started some of its tasks.
         moved_runs_end_by: Time by which such tasks have ended on endpoints that
             this leader does not know, 0 if there are none.
+        maybe_started: Indices of tasks that another leader, or an earlier
+            attempt, may have started.
+        seen_started: Indices of tasks that this leader has sent, or found
+            running or done.
         avoided: Endpoints on which tasks of the job have failed.
         began_at: Time at which its origin accepted it, or at which it arrived
             if that is unknown.
@@ -80,10 +85,12 @@
         "first_sent_at",
         "held_back_by",
         "history",
+        "maybe_started",
         "moved",
         "moved_runs_end_by",
         "resumes_after",
         "runs",
+        "seen_started",
         "sends",
         "started",
         "told",
@@ -106,6 +113,8 @@
         self.started = False
         self.moved = False
         self.moved_runs_end_by = 0.0
+        self.maybe_started: set[int] = set()
+        self.seen_started: set[int] = set()
         self.avoided: set[str] = set()
         self.closing = False
         self.done = 0
@@ -145,10 +154,31 @@
             now - origin.silent_s >= self.resumes_after for origin in live
         )
 
-    def record_move(self, now: float) -> None:
-        """Records that another leader may have started tasks until now."""
+    def record_move(self, now: float, unstarted: Iterable[int] = ()) -> None:
+        """Records that another leader may have started tasks until now.
+
+        Args:
+            now: Current time.
+            unstarted: Indices of tasks that no other leader has started.
+        """
         self.moved = True
         self.moved_runs_end_by = now + _ORPHAN_S
+        self.maybe_started.update(set(self._job.indices).difference(unstarted))
+
+    def record_earlier_attempt(self) -> None:
+        """Records that an earlier attempt may have started any task."""
+        self.started = True
+        self.maybe_started.update(self._job.indices)
+
+    def may_run_elsewhere(self, index: int, now: float) -> bool:
+        """Returns whether an unknown endpoint may run a task of a moved job."""
+        return now < self.moved_runs_end_by and index in self.maybe_started
+
+    def has_startable(self, now: float) -> bool:
+        """Returns whether any waiting task runs on no unknown endpoint."""
+        return now >= self.moved_runs_end_by or any(
+            index not in self.maybe_started for index in self.waiting
+        )
 
     def hold_back(self, leader: str, until: float) -> None:
         """Starts nothing before the runs of another leader have ended."""
@@ -181,6 +211,16 @@
         known = len(self.waiting) + len(self.runs) + self.done
         return known == self._job.count
 
+    @property
+    def unstarted(self) -> tuple[int, ...]:
+        """Indices of the tasks that neither this nor another leader started."""
+        return tuple(
+            index
+            for index in self._job.indices
+            if index not in self.maybe_started
+            and index not in self.seen_started
+        )
+
     @property
     def begun(self) -> bool:
         """Whether tasks of it, or of another part of the job, may have run."""
--- a/sesameroad/jobs/coordinator.py
+++ b/sesameroad/jobs/coordinator.py
@@ -96,6 +96,21 @@
     refused_in: set[str] = dataclasses.field(default_factory=set)
     confined: bool = False
 
+    def record_move(self, now: float, unstarted: Iterable[int] = ()) -> None:
+        """Records the loss of a leader that may have started tasks.
+
+        Args:
+            now: Current time.
+            unstarted: Indices of tasks that the leader has not started.
+        """
+        known = self.job.unstarted if self.moved else self.job.indices
+        self.job = dataclasses.replace(
+            self.job,
+            unstarted=tuple(i for i in known if i in set(unstarted)),
+        )
+        self.moved = True
+        self.lost_at = now
+
 
 class JobCoordinator:
     """Partitions jobs among data centres and retries parts on leader changes.
@@ -329,8 +344,7 @@
         except errors.PeerNotSentError:
             return None
         except errors.PeerError:
-            part.moved = True
-            part.lost_at = self._clock.monotonic()
+            part.record_move(self._clock.monotonic())
             return None
         finally:
             part.route = None
@@ -368,8 +382,9 @@
             case outcomes.NotRun(cause=outcomes.Cause.NOT_STEWARD):
                 return None
             case outcomes.Unknown(cause=outcomes.Cause.STEWARD_LOST):
-                part.moved = True
-                part.lost_at = self._clock.monotonic()
+                part.record_move(
+                    self._clock.monotonic(), unstarted=outcome.unstarted
+                )
                 return None
             case outcomes.NotRun() if moved:
                 # An earlier leader may have started tasks.
--- a/sesameroad/jobs/placer.py
+++ b/sesameroad/jobs/placer.py
@@ -73,8 +73,7 @@
             if active.held_back_by or not active.may_resume(now):
                 continue
             if active.moved and not (
-                now >= active.moved_runs_end_by
-                and self._pool.is_reconciled(now)
+                active.has_startable(now) and self._pool.is_reconciled(now)
             ):
                 continue
             waiting = len(active.waiting)
@@ -84,7 +83,7 @@
             ) and self._leaves_headroom(active, candidates, now):
                 ranking = candidates.rank(active)
                 if self._may_start(active, ranking, cores_ahead, now):
-                    placed = self._place_job(active, candidates, ranking)
+                    placed = self._place_job(active, candidates, ranking, now)
             if not placed:
                 if len(active.waiting) < waiting:
                     partly_placed.append(active)
@@ -133,6 +132,7 @@
         active: active_job.ActiveJob,
         candidates: placement.Candidates,
         ranking: placement.Ranking,
+        now: float,
     ) -> bool:
         """Places tasks of a job and returns whether all have been placed."""
         blocked: list[int] = []
@@ -140,7 +140,8 @@
             index = active.waiting[0]
             task = active.job.task(index)
             if (
-                self._table.has_run(task)
+                active.may_run_elsewhere(index, now)
+                or self._table.has_run(task)
                 or task in candidates.orphans
                 or self._held_up_starts.blocks(task)
             ):
--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -110,6 +110,7 @@
             if leased.is_start_queue_short and len(self._backlog):
                 self._wake.set()
             active.started = True
+            active.seen_started.add(run.index)
             active.sends += 1
             if not active.first_sent_at:
                 active.first_sent_at = self._clock.monotonic()
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -294,7 +294,7 @@
         if active is None:
             active = active_job.ActiveJob(job, now=now)
             if moved:
-                active.record_move(now)
+                active.record_move(now, job.unstarted)
                 self._pool.expect_held_up_starts()
             self._takeover.adopt(active, self._pool)
             is_held_back = self._attempts.hold(active, origin.id)
@@ -304,7 +304,7 @@
                 )
             if is_held_back or self._held_up_starts.blocks_any(active):
                 # An earlier attempt has sent a start that may still come.
-                active.started = True
+                active.record_earlier_attempt()
             is_known = active.started
             if lent and not is_known and not self._placer.has_room(job, now):
                 return outcomes.NotRun(
@@ -323,10 +323,10 @@
         else:
             if moved:
                 # The origin has offered the job to another leader meanwhile.
-                active.record_move(now)
+                active.record_move(now, job.unstarted)
             active.began_at = max(active.began_at, job.accepted_at)
             if self._attempts.hold(active, origin.id):
-                active.started = True
+                active.record_earlier_attempt()
         future = active.join(origin)
         self._tracker.finish_if_complete(active)
         self._tracker.answer_held_up(active)
@@ -506,9 +506,27 @@
         for active in self._table:
             if active.started:
                 outcome: outcomes.Outcome = outcomes.Unknown(
-                    outcomes.Cause.STEWARD_LOST, "the leader has changed"
+                    outcomes.Cause.STEWARD_LOST,
+                    "the leader has changed",
+                    unstarted=self._unstarted(active),
                 )
             else:
                 outcome = ending.not_leader()
             active.settle(outcome)
         self._table.clear()
+
+    def _unstarted(self, active: active_job.ActiveJob) -> tuple[int, ...]:
+        """Returns the tasks of a job that no leader and no attempt started.
+
+        A run of the job itself that counts here has not been sent.
+        """
+        orphans = {task for leased in self._pool for task in leased.orphans}
+        unstarted = []
+        for index in active.unstarted:
+            task = active.job.task(index)
+            former = index not in active.runs and self._table.has_run(task)
+            if not (
+                former or task in orphans or self._held_up_starts.blocks(task)
+            ):
+                unstarted.append(index)
+        return tuple(unstarted)
--- a/sesameroad/jobs/takeover.py
+++ b/sesameroad/jobs/takeover.py
@@ -96,6 +96,7 @@
                 del self._done[task]
                 active.waiting.remove(index)
                 active.started = True
+                active.seen_started.add(index)
                 active.done += 1
                 continue
             for leased in holders:
@@ -137,6 +138,7 @@
     ) -> None:
         active.waiting.remove(index)
         active.started = True
+        active.seen_started.add(index)
         active.raise_run_number(index, number)
         run = active.new_run(index, number)
         run.state = runs.State.RUNNING
--- a/sesameroad/model/jobs.py
+++ b/sesameroad/model/jobs.py
@@ -34,6 +34,9 @@
             refusing this part would waste the work of that one.
         accepted_at: Time at which its origin accepted it, on the same clock; 0
             if unknown.
+        unstarted: Indices of the tasks that no leader has sent to an endpoint,
+            if the job has moved from an earlier leader that has told; none if
+            unknown.
     """
 
     key: str
@@ -53,6 +56,7 @@
     deadline_at: float
     committed: bool = False
     accepted_at: float = 0.0
+    unstarted: tuple[int, ...] = ()
 
     @property
     def count(self) -> int:
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -447,6 +447,7 @@
         committed=job.committed,
         expires_ms=int((job.expires_at - now) * 1_000),
         age_ms=_ceil_ms(now - job.accepted_at) if job.accepted_at else 0,
+        unstarted=job.unstarted,
     )
 
 
@@ -483,6 +484,7 @@
         deadline_at=now + offer.deadline_ms / 1_000,
         committed=offer.committed,
         accepted_at=now - offer.age_ms / _MS if offer.age_ms else 0.0,
+        unstarted=tuple(offer.unstarted),
     )
     return messages.JobOffer(
         offer.id, offer.data_centre, job, offer.moved, offer.lent
@@ -515,6 +517,7 @@
                 cause=outcome.cause.value,
                 detail=outcome.detail,
                 ask_again_at_ms=outcome.ask_again_at_ms or 0,
+                unstarted=outcome.unstarted,
             )
 
 
@@ -534,5 +537,8 @@
             )
         case _:
             return outcomes.Unknown(
-                cause, outcome.detail, outcome.ask_again_at_ms or None
+                cause,
+                outcome.detail,
+                outcome.ask_again_at_ms or None,
+                tuple(outcome.unstarted),
             )
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,5 +1,6 @@
 """Tests of the protobuf encoding of messages."""
 
+import dataclasses
 import unittest
 
 from google.protobuf import message as protobuf_message
@@ -7,6 +8,7 @@
 from hypothesis import strategies as st
 
 from sesameroad import errors
+from sesameroad.model import jobs
 from sesameroad.model import needs
 from sesameroad.model import outcomes
 from sesameroad.model import work
@@ -42,6 +44,40 @@
         decoded = codec.decode(peer_pb2.Envelope.FromString(text))
         self.assertEqual(decoded, _MESSAGES)
 
+    def test_tasks_that_have_not_been_started_survive_the_round_trip(self):
+        """Guards against a started task that the next leader starts again."""
+        job = jobs.Job(
+            key="k",
+            queue="q",
+            service="s",
+            spec="",
+            indices=(0, 1, 2, 3),
+            need=needs.Need(1.0, 64, 0),
+            estimate_s=0.1,
+            priority=0,
+            max_attempts=1,
+            required_label="",
+            preferred_label="",
+            per_endpoint=0,
+            objective_at=1.0,
+            expires_at=3.0,
+            deadline_at=3.0,
+        )
+        for unstarted in ((), (1, 3)):
+            offer = messages.JobOffer(
+                1, "dc1", dataclasses.replace(job, unstarted=unstarted), True
+            )
+            reply = messages.RelayReply(
+                1,
+                outcomes.Unknown(
+                    outcomes.Cause.STEWARD_LOST, "changed", unstarted=unstarted
+                ),
+            )
+            text = codec.encode([offer, reply]).SerializeToString()
+            decoded = codec.decode(peer_pb2.Envelope.FromString(text))
+            self.assertEqual(decoded[0].job.unstarted, unstarted)
+            self.assertEqual(decoded[1], reply)
+
     @hypothesis.given(st.binary(max_size=64))
     def test_malformed_input_raises_only_peer_errors(self, text):
         """Any other error would end the task that reads from the stream."""
--- a/tests/test_job_coordinator.py
+++ b/tests/test_job_coordinator.py
@@ -21,6 +21,7 @@
         self.answers = list(answers)
         self.took_s = took_s
         self.asked = []
+        self.unstarted = []
         self.cancelled = []
         self.ended = asyncio.Event()
         self.free_cores = free_cores
@@ -28,6 +29,7 @@
 
     async def submit(self, job, *, moved, lent):
         self.asked.append((job.indices, moved, lent))
+        self.unstarted.append(job.unstarted)
         answer = self.answers.pop(0)
         if answer is _UNTIL_CANCELLED:
             await self.ended.wait()
@@ -249,6 +251,23 @@
         self.assertEqual(outcome, _DONE)
         self.assertEqual(second.asked, [((0, 1, 2, 3), False, False)])
 
+    async def test_next_leader_learns_which_tasks_have_not_been_started(self):
+        """Guards against a task that counts as not started by one leader only.
+
+        After a lost leader that has not told, any task may have been started.
+        """
+        lost = [
+            outcomes.Unknown(
+                outcomes.Cause.STEWARD_LOST, "changed", unstarted=unstarted
+            )
+            for unstarted in ((0, 1, 3), (1, 2, 3))
+        ]
+        broken = errors.PeerError("stream closed", step="ask peer")
+        own = _Leader(*lost, broken, _DONE, free_cores=64.0)
+        outcome = await self.run_job(_Leaders(dc1=own))
+        self.assertEqual(outcome, _DONE)
+        self.assertEqual(own.unstarted, [(), (0, 1, 3), (1, 3), ()])
+
     async def test_started_job_survives_two_leaders_that_stop(self):
         """Guards against a lost answer although the next leader is expected.
 
--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -26,6 +26,7 @@
 
 from sesameroad.jobs import scheduler as scheduler_module
 from sesameroad.leasing import orders
+from sesameroad.model import outcomes
 from sesameroad.platform import order_client
 from sesameroad.telemetry import job_metrics
 from tests import _jobs
@@ -312,6 +313,8 @@
     def __init__(self, schedule):
         self.site = _jobs.Site(count=schedule.endpoints, cores=_CORES)
         self.overdue = []
+        # Number of jobs that moved with tasks that no leader has started.
+        self.told = 0
         self._schedule = schedule
         self._tokens = itertools.count(_TOKEN_STEP, _TOKEN_STEP)
         self._tasks = set()
@@ -511,6 +514,7 @@
             objective_at=now + 4.0 * job.estimate_s,
             expires_at=now + 12.0 * job.estimate_s,
             deadline_at=now + _DEADLINE_S,
+            unstarted=(),
         )
         self._offer(instance, again)
 
@@ -521,20 +525,35 @@
         if instance.leader is None:
             instance.jobs[job.key] = job, moved
             return
-        instance.jobs[job.key] = job, True
+        # Until the leader answers, it may have started any task.
+        kept = dataclasses.replace(job, unstarted=())
+        instance.jobs[job.key] = kept, True
         self.spawn(
             self._submit(
-                instance, job, instance.leader, instance.link, moved=moved
+                instance, job, kept, instance.leader, instance.link, moved=moved
             )
         )
 
-    async def _submit(self, instance, job, leader, link, *, moved):
+    async def _submit(self, instance, job, kept, leader, link, *, moved):
         late_s = job.deadline_at + _OVERDUE_S - self.site.clock.monotonic()
         try:
             async with asyncio.timeout(max(0.001, late_s)):
-                await leader.submit(job, link, moved=moved)
+                outcome = await leader.submit(job, link, moved=moved)
         except TimeoutError:
             self.overdue.append(job.key)
+            outcome = None
+        match outcome:
+            case outcomes.Unknown(
+                cause=outcomes.Cause.STEWARD_LOST, unstarted=unstarted
+            ) if instance.jobs.get(job.key, (None,))[0] is kept:
+                known = set(job.unstarted if moved else job.indices)
+                told = dataclasses.replace(
+                    kept, unstarted=tuple(i for i in unstarted if i in known)
+                )
+                instance.jobs[job.key] = told, True
+                self.told += bool(told.unstarted)
+            case _:
+                pass
         # A closing leader answers as well; the next one gets the job.
         if (
             instance.link is link
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,6 +1,7 @@
 """Jobs that a leader takes over from another one at a planned change."""
 
 import asyncio
+import dataclasses
 
 from sesameroad.model import outcomes
 from tests import _jobs
@@ -32,7 +33,7 @@
             await asyncio.sleep(_RUN_S / 3)
         answer = await submitted
         self.assertEqual(answer.cause, outcomes.Cause.STEWARD_LOST)
-        return job
+        return dataclasses.replace(job, unstarted=answer.unstarted)
 
     async def test_job_that_ended_between_leaders_is_answered_at_once(self):
         """Guards against a finished job whose caller waits until it leaves.
@@ -114,3 +115,63 @@
             if task.startswith(job.key)
         ]
         self.assertEqual(len(starts), job.count)
+
+    async def test_task_that_was_not_started_does_not_wait_for_old_leases(self):
+        """Guards against jobs that are late because one of their tasks waited.
+
+        The next leader took each task of a moved job as possibly running on an
+        endpoint that it does not know, for 1.2 s.
+        """
+        job = await self.begin(count=6)
+        self.assertEqual(job.unstarted, (4, 5))
+        began = self.site.clock.monotonic()
+        async with self.site.leader(token=2, settle_s=0.0) as second:
+            outcome = await second.submit(job, self.site.origin, moved=True)
+        self.assertEqual(outcome, outcomes.Complete(()))
+        self.assertLess(self.site.clock.monotonic() - began, 2 * _RUN_S)
+        self.assertEqual(len(self.site.history.starts), job.count)
+
+    async def test_task_on_an_unknown_endpoint_waits_for_its_lease(self):
+        """Guards against two runs of a task at the same time.
+
+        The next leader does not know an endpoint that the former one held. It
+        starts the tasks that have not been started, but no other one.
+        """
+        job = await self.begin(count=6)
+        del self.site.endpoints[1]
+        async with self.site.leader(token=2) as second:
+            submitted = asyncio.create_task(
+                second.submit(job, self.site.origin, moved=True)
+            )
+            await asyncio.sleep(2 * _RUN_S)
+            self.assertEqual(len(self.site.history.starts), job.count)
+            outcome = await submitted
+        self.assertEqual(outcome, outcomes.Complete(()))
+        self.assertEqual(self.site.history.overlapping, [])
+
+    async def test_tasks_wait_until_all_lists_are_read(self):
+        """Guards against a start beside the run of another attempt.
+
+        A task that one leader has not started may have been started by a later
+        one, for another instance that got the job from its caller as well.
+        """
+        job = await self.begin(count=6)
+        self.site.fleet.endpoints["e0"].fault.silent = True
+        async with self.site.leader(token=2) as second:
+            submitted = asyncio.create_task(
+                second.submit(job, self.site.origin, moved=True)
+            )
+            await asyncio.sleep(2 * _RUN_S)
+            self.assertEqual(len(self.site.history.starts), 4)
+            submitted.cancel()
+
+    async def test_unstarted_tasks_are_known_after_two_changes(self):
+        """Guards against a start of a task that an earlier leader has started."""
+        job = await self.begin(count=6, run_s=1.0)
+        async with self.site.leader(token=2) as second:
+            submitted = asyncio.create_task(
+                second.submit(job, self.site.origin, moved=True)
+            )
+            await asyncio.sleep(_PROMPT_S)
+        answer = await submitted
+        self.assertEqual(answer.unstarted, (4, 5))
