Let the successor of a single leader inherit all of its data centres at once

While the instances of a data centre start again, a stopping leader's successor sees none of them, and left their endpoints without a leader for 0.5 s.

The successor now claims at once what its predecessor has resigned to stop. Only a stop counts as an announced resignation: one to a higher token means that there is another leader.

tests.test_leaders: the new test failed before ({dc1} instead of both).

--- a/sesameroad/node/claim_policy.py
+++ b/sesameroad/node/claim_policy.py
@@ -168,13 +168,25 @@
         """
         self._resigned.append((data_centre, token))
 
-    def choose(self, led: Container[str], preferred: str) -> list[str]:
+    def is_resigned(self, data_centre: str, token: int) -> bool:
+        """Returns whether the resignation of a claim has been announced."""
+        return (data_centre, token) in self._resigned
+
+    def choose(
+        self,
+        led: Container[str],
+        preferred: str,
+        *,
+        resigned: Container[str] = (),
+    ) -> list[str]:
         """Returns the data centres to claim now.
 
         Args:
             led: Data centres with a visible leader.
             preferred: Instance that leads some data centres and should claim
                 further ones as well, empty if there is none.
+            resigned: Data centres whose last known leader has announced that
+                it has resigned.
         """
         now = self._clock.monotonic()
         if self._discovered_at > now and self._is_discovery_done(now):
@@ -184,7 +196,9 @@
         for data_centre in self._settings.data_centres:
             if data_centre in led:
                 self._vacant_since.pop(data_centre, None)
-            elif self._may_claim(data_centre, preferred, now):
+            elif self._may_claim(
+                data_centre, preferred, now, resigned=data_centre in resigned
+            ):
                 vacant.append(data_centre)
         return vacant
 
@@ -207,7 +221,9 @@
             return age_s > _DISCOVERY_TIMEOUT_WITH_PEERS_S
         return age_s > _DISCOVERY_TIMEOUT_S
 
-    def _may_claim(self, data_centre: str, preferred: str, now: float) -> bool:
+    def _may_claim(
+        self, data_centre: str, preferred: str, now: float, *, resigned: bool
+    ) -> bool:
         claimant = self._find_claimant(data_centre, preferred)
         discovered = self._discovered_at <= now
         # The required vacancy passes while further instances are being heard.
@@ -227,6 +243,10 @@
             return False
         since = self._vacant_since.setdefault(data_centre, now)
         delay_s = self._claim_delay_s(data_centre)
+        if resigned and self.single_leader:
+            # The successor inherits all that the leader held, also while no
+            # instance of the data centre is visible.
+            delay_s = 0.0
         if not discovered or delay_s is None or now - since < delay_s:
             return False
         if not self._mesh.all_heard and now - self._discovered_at < delay_s:
@@ -274,7 +294,7 @@
         return any(
             claim.relayed
             and claim.data_centre == data_centre
-            and (data_centre, claim.token) not in self._resigned
+            and not self.is_resigned(data_centre, claim.token)
             for link in self.peers
             if link.last_heartbeat is not None
             for claim in link.last_heartbeat.claims
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -353,7 +353,12 @@
         if former == state:
             return
         self._peer_states[name] = state
-        if former is not None and former.incarnation == state.incarnation:
+        if (
+            state.leaving
+            and former is not None
+            and former.incarnation == state.incarnation
+        ):
+            # Other resignations may mean that there is another leader.
             for data_centre, token in former.own_claims - state.own_claims:
                 self._claim_policy.record_resigned(data_centre, token)
         self.evaluate()
@@ -478,7 +483,13 @@
         if self._led:
             self._consider_resigning(leaders)
         vacant = self._claim_policy.choose(
-            leaders, self._preferred_claimant(leaders)
+            leaders,
+            self._preferred_claimant(leaders),
+            resigned=[
+                data_centre
+                for data_centre, token in self._tokens.items()
+                if self._claim_policy.is_resigned(data_centre, token)
+            ],
         )
         if vacant:
             self._claim(vacant)
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -380,11 +380,24 @@
         self.hear("i2", leaving=True)
         self.assertIn("dc1", self.led())
 
+    async def test_successor_claims_all_that_its_predecessor_held(self):
+        """Guards against a second leader after a planned stop.
+
+        The instances of a data centre were starting again. Its endpoints had no
+        leader for 0.5 s, until the successor and one of them claimed these.
+        """
+        self.announce("i9", "10.0.1.9:3", data_centre="dc2")
+        claims = [messages.LeadershipClaim(name, 7) for name in ("dc1", "dc2")]
+        self.hear("i2", claims=claims)
+        self.wait(1.0)
+        self.hear("i2", leaving=True)
+        self.assertEqual(self.led(), {"dc1", "dc2"})
+
     async def test_relayed_claim_that_nobody_has_resigned_is_kept(self):
         """Guards against a claim beside a leader that only peers can reach.
 
-        Neither the resignation of another claim nor a restart of the leader
-        shows that a relayed one has ended.
+        Neither the resignation of another claim, nor a restart of the leader,
+        nor a resignation because of another leader shows that it has ended.
         """
         former = messages.LeadershipClaim("dc1", 7)
         latter = messages.LeadershipClaim("dc1", 8)
@@ -394,7 +407,11 @@
         self.wait(5.0)
         self.assertNotIn("dc1", self.led())
         self.hear("i4", claims=[latter])
-        self.hear("i4", incarnation="second")
+        self.hear("i4", incarnation="second", leaving=True)
+        self.wait(5.0)
+        self.assertNotIn("dc1", self.led())
+        self.hear("i5", claims=[latter])
+        self.hear("i5")
         self.wait(5.0)
         self.assertNotIn("dc1", self.led())
 
