Tell the next leader which tasks of a job have succeeded

A leader acknowledges the ends of tasks, and endpoints don't list them any more then. The next leader found no trace of a task that had succeeded, waited 1.2 s for leases that it does not know, and would have run the task again.

A leader that resigns now reports these tasks as well, and the next one counts them as done.

--- a/sesameroad/jobs/active_job.py
+++ b/sesameroad/jobs/active_job.py
@@ -55,6 +55,7 @@
             attempt, may have started.
         seen_started: Indices of tasks that this leader has sent, or found
             running or done.
+        succeeded: Indices of tasks that have succeeded.
         avoided: Endpoints on which tasks of the job have failed.
         began_at: Time at which its origin accepted it, or at which it arrived
             if that is unknown.
@@ -93,6 +94,7 @@
         "seen_started",
         "sends",
         "started",
+        "succeeded",
         "told",
         "waiting",
     )
@@ -115,6 +117,7 @@
         self.moved_runs_end_by = 0.0
         self.maybe_started: set[int] = set()
         self.seen_started: set[int] = set()
+        self.succeeded: set[int] = set()
         self.avoided: set[str] = set()
         self.closing = False
         self.done = 0
@@ -165,6 +168,20 @@
         self.moved_runs_end_by = now + _ORPHAN_S
         self.maybe_started.update(set(self._job.indices).difference(unstarted))
 
+    def record_success(self, index: int) -> None:
+        """Counts a task that has succeeded and no longer waits or runs."""
+        self.started = True
+        self.seen_started.add(index)
+        self.succeeded.add(index)
+        self.done += 1
+
+    def record_told(self, succeeded: Iterable[int]) -> None:
+        """Counts the waiting tasks that have succeeded at another leader."""
+        for index in succeeded:
+            if index in self.waiting:
+                self.waiting.remove(index)
+                self.record_success(index)
+
     def record_earlier_attempt(self) -> None:
         """Records that an earlier attempt may have started any task."""
         self.started = True
--- a/sesameroad/jobs/coordinator.py
+++ b/sesameroad/jobs/coordinator.py
@@ -96,17 +96,25 @@
     refused_in: set[str] = dataclasses.field(default_factory=set)
     confined: bool = False
 
-    def record_move(self, now: float, unstarted: Iterable[int] = ()) -> None:
+    def record_move(
+        self,
+        now: float,
+        *,
+        unstarted: Iterable[int] = (),
+        succeeded: Iterable[int] = (),
+    ) -> None:
         """Records the loss of a leader that may have started tasks.
 
         Args:
             now: Current time.
             unstarted: Indices of tasks that the leader has not started.
+            succeeded: Indices of tasks that have succeeded.
         """
         known = self.job.unstarted if self.moved else self.job.indices
         self.job = dataclasses.replace(
             self.job,
             unstarted=tuple(i for i in known if i in set(unstarted)),
+            succeeded=tuple({*self.job.succeeded, *succeeded}),
         )
         self.moved = True
         self.lost_at = now
@@ -383,7 +391,9 @@
                 return None
             case outcomes.Unknown(cause=outcomes.Cause.STEWARD_LOST):
                 part.record_move(
-                    self._clock.monotonic(), unstarted=outcome.unstarted
+                    self._clock.monotonic(),
+                    unstarted=outcome.unstarted,
+                    succeeded=outcome.succeeded,
                 )
                 return None
             case outcomes.NotRun() if moved:
--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -369,7 +369,7 @@
         match end.ending:
             case orders.Ending.DONE:
                 leased.record_success(run, now)
-                active.done += 1
+                active.record_success(run.index)
                 self.finish_if_complete(active)
             case orders.Ending.FAILED:
                 self._fail(leased, active, run)
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -295,6 +295,7 @@
             active = active_job.ActiveJob(job, now=now)
             if moved:
                 active.record_move(now, job.unstarted)
+                active.record_told(job.succeeded)
                 self._pool.expect_held_up_starts()
             self._takeover.adopt(active, self._pool)
             is_held_back = self._attempts.hold(active, origin.id)
@@ -324,6 +325,7 @@
             if moved:
                 # The origin has offered the job to another leader meanwhile.
                 active.record_move(now, job.unstarted)
+                active.record_told(job.succeeded)
             active.began_at = max(active.began_at, job.accepted_at)
             if self._attempts.hold(active, origin.id):
                 active.record_earlier_attempt()
@@ -509,6 +511,7 @@
                     outcomes.Cause.STEWARD_LOST,
                     "the leader has changed",
                     unstarted=self._unstarted(active),
+                    succeeded=tuple(sorted(active.succeeded)),
                 )
             else:
                 outcome = ending.not_leader()
--- a/sesameroad/jobs/takeover.py
+++ b/sesameroad/jobs/takeover.py
@@ -95,9 +95,7 @@
             if task in self._done:
                 del self._done[task]
                 active.waiting.remove(index)
-                active.started = True
-                active.seen_started.add(index)
-                active.done += 1
+                active.record_success(index)
                 continue
             for leased in holders:
                 number = leased.orphans.pop(task, None)
--- a/sesameroad/model/jobs.py
+++ b/sesameroad/model/jobs.py
@@ -37,6 +37,7 @@
         unstarted: Indices of the tasks that no leader has sent to an endpoint,
             if the job has moved from an earlier leader that has told; none if
             unknown.
+        succeeded: Indices of the tasks whose success an earlier leader has told.
     """
 
     key: str
@@ -57,6 +58,7 @@
     committed: bool = False
     accepted_at: float = 0.0
     unstarted: tuple[int, ...] = ()
+    succeeded: tuple[int, ...] = ()
 
     @property
     def count(self) -> int:
--- a/sesameroad/model/outcomes.py
+++ b/sesameroad/model/outcomes.py
@@ -81,13 +81,16 @@
         ask_again_at_ms: Wall time at which the outcome may be known, or None if
             it will never be known.
         unstarted: Indices of the tasks that have certainly not been started, if
-            the leader of a job has resigned; the other ones may be running.
+            the leader of a job has resigned.
+        succeeded: Indices of the tasks that have succeeded, in the same case;
+            those that are in neither may be running.
     """
 
     cause: Cause
     detail: str
     ask_again_at_ms: int | None = None
     unstarted: tuple[int, ...] = ()
+    succeeded: tuple[int, ...] = ()
 
 
 Outcome = Complete | Failed | NotRun | Unknown
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -448,6 +448,7 @@
         expires_ms=int((job.expires_at - now) * 1_000),
         age_ms=_ceil_ms(now - job.accepted_at) if job.accepted_at else 0,
         unstarted=job.unstarted,
+        succeeded=job.succeeded,
     )
 
 
@@ -485,6 +486,7 @@
         committed=offer.committed,
         accepted_at=now - offer.age_ms / _MS if offer.age_ms else 0.0,
         unstarted=tuple(offer.unstarted),
+        succeeded=tuple(offer.succeeded),
     )
     return messages.JobOffer(
         offer.id, offer.data_centre, job, offer.moved, offer.lent
@@ -518,6 +520,7 @@
                 detail=outcome.detail,
                 ask_again_at_ms=outcome.ask_again_at_ms or 0,
                 unstarted=outcome.unstarted,
+                succeeded=outcome.succeeded,
             )
 
 
@@ -541,4 +544,5 @@
                 outcome.detail,
                 outcome.ask_again_at_ms or None,
                 tuple(outcome.unstarted),
+                tuple(outcome.succeeded),
             )
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -65,17 +65,24 @@
         )
         for unstarted in ((), (1, 3)):
             offer = messages.JobOffer(
-                1, "dc1", dataclasses.replace(job, unstarted=unstarted), True
+                1,
+                "dc1",
+                dataclasses.replace(job, unstarted=unstarted, succeeded=(2,)),
+                True,
             )
             reply = messages.RelayReply(
                 1,
                 outcomes.Unknown(
-                    outcomes.Cause.STEWARD_LOST, "changed", unstarted=unstarted
+                    outcomes.Cause.STEWARD_LOST,
+                    "changed",
+                    unstarted=unstarted,
+                    succeeded=(2,),
                 ),
             )
             text = codec.encode([offer, reply]).SerializeToString()
             decoded = codec.decode(peer_pb2.Envelope.FromString(text))
             self.assertEqual(decoded[0].job.unstarted, unstarted)
+            self.assertEqual(decoded[0].job.succeeded, (2,))
             self.assertEqual(decoded[1], reply)
 
     @hypothesis.given(st.binary(max_size=64))
--- a/tests/test_job_coordinator.py
+++ b/tests/test_job_coordinator.py
@@ -22,6 +22,7 @@
         self.took_s = took_s
         self.asked = []
         self.unstarted = []
+        self.succeeded = []
         self.cancelled = []
         self.ended = asyncio.Event()
         self.free_cores = free_cores
@@ -30,6 +31,7 @@
     async def submit(self, job, *, moved, lent):
         self.asked.append((job.indices, moved, lent))
         self.unstarted.append(job.unstarted)
+        self.succeeded.append(job.succeeded)
         answer = self.answers.pop(0)
         if answer is _UNTIL_CANCELLED:
             await self.ended.wait()
@@ -255,18 +257,23 @@
         """Guards against a task that counts as not started by one leader only.
 
         After a lost leader that has not told, any task may have been started.
+        Tasks that have succeeded remain so.
         """
         lost = [
             outcomes.Unknown(
-                outcomes.Cause.STEWARD_LOST, "changed", unstarted=unstarted
+                outcomes.Cause.STEWARD_LOST,
+                "changed",
+                unstarted=unstarted,
+                succeeded=succeeded,
             )
-            for unstarted in ((0, 1, 3), (1, 2, 3))
+            for unstarted, succeeded in (((0, 1, 3), (2,)), ((1, 3), (0,)))
         ]
         broken = errors.PeerError("stream closed", step="ask peer")
         own = _Leader(*lost, broken, _DONE, free_cores=64.0)
         outcome = await self.run_job(_Leaders(dc1=own))
         self.assertEqual(outcome, _DONE)
         self.assertEqual(own.unstarted, [(), (0, 1, 3), (1, 3), ()])
+        self.assertEqual(own.succeeded, [(), (2,), (0, 2), (0, 2)])
 
     async def test_started_job_survives_two_leaders_that_stop(self):
         """Guards against a lost answer although the next leader is expected.
--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -515,6 +515,7 @@
             expires_at=now + 12.0 * job.estimate_s,
             deadline_at=now + _DEADLINE_S,
             unstarted=(),
+            succeeded=(),
         )
         self._offer(instance, again)
 
@@ -544,11 +545,15 @@
             outcome = None
         match outcome:
             case outcomes.Unknown(
-                cause=outcomes.Cause.STEWARD_LOST, unstarted=unstarted
+                cause=outcomes.Cause.STEWARD_LOST,
+                unstarted=unstarted,
+                succeeded=succeeded,
             ) if instance.jobs.get(job.key, (None,))[0] is kept:
                 known = set(job.unstarted if moved else job.indices)
                 told = dataclasses.replace(
-                    kept, unstarted=tuple(i for i in unstarted if i in known)
+                    kept,
+                    unstarted=tuple(i for i in unstarted if i in known),
+                    succeeded=tuple({*kept.succeeded, *succeeded}),
                 )
                 instance.jobs[job.key] = told, True
                 self.told += bool(told.unstarted)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -33,7 +33,9 @@
             await asyncio.sleep(_RUN_S / 3)
         answer = await submitted
         self.assertEqual(answer.cause, outcomes.Cause.STEWARD_LOST)
-        return dataclasses.replace(job, unstarted=answer.unstarted)
+        return dataclasses.replace(
+            job, unstarted=answer.unstarted, succeeded=answer.succeeded
+        )
 
     async def test_job_that_ended_between_leaders_is_answered_at_once(self):
         """Guards against a finished job whose caller waits until it leaves.
@@ -175,3 +177,41 @@
             await asyncio.sleep(_PROMPT_S)
         answer = await submitted
         self.assertEqual(answer.unstarted, (4, 5))
+
+    async def test_task_that_has_succeeded_does_not_run_again(self):
+        """Guards against tasks that are done and wait at the next leader.
+
+        Its endpoint had listed the end to the former leader, which had
+        acknowledged it, so that the next one found no trace of the task.
+        """
+        self.site.fleet.endpoints["e1"].fault.slowness = 3.0
+        job = self.site.job(count=4, run_s=_RUN_S, deadline_s=9, stretch=4.0)
+        # A second job has the endpoints polled after the end of the first run.
+        other = self.site.job("other", count=4, run_s=0.1, cores=2.0)
+        async with self.site.leader(token=1) as first:
+            submitted = asyncio.create_task(first.submit(job, self.site.origin))
+            await asyncio.sleep(1.2 * _RUN_S)
+            await first.submit(other, self.site.origin)
+            self.assertFalse(submitted.done())
+        answer = await submitted
+        self.assertEqual(len(answer.succeeded), 2)
+        moved = dataclasses.replace(job, succeeded=answer.succeeded)
+        began = self.site.clock.monotonic()
+        async with self.site.leader(token=2, settle_s=0.0) as second:
+            outcome = await second.submit(moved, self.site.origin, moved=True)
+        self.assertEqual(outcome, outcomes.Complete(()))
+        self.assertLess(self.site.clock.monotonic() - began, 2 * _RUN_S)
+        self.assertEqual(len(self.site.history.starts), job.count + other.count)
+
+    async def test_job_that_another_leader_has_completed_but_for_the_answer(
+        self,
+    ):
+        """Guards against a job that stays open although all tasks are done."""
+        job = await self.begin()
+        told = dataclasses.replace(job, succeeded=job.indices)
+        async with self.site.leader(token=2) as second:
+            async with asyncio.timeout(_PROMPT_S):
+                outcome = await second.submit(
+                    told, self.site.origin, moved=True
+                )
+        self.assertEqual(outcome, outcomes.Complete(()))
