Let a stopping leader stay until its successor can claim

A new instance claims nothing until it has heard its peers, 0.4 s after its start.

The leader now looks at the instance that would be elected, and resigns once it has been connected to it for 0.5 s, or when it closes.

tests.test_leaders: the new test failed before (resigned at once).

--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -43,6 +43,9 @@
 # Time, in seconds, for which a leader of a large fleet stays before it hands over
 # to an instance with more processor time. A change delays jobs by up to 1.2 s.
 _MIN_TERM_S = 5.0
+# Time after which an instance that was connected last can claim: it waits up to
+# 0.4 s for its other peers and evaluates claims each 0.1 s.
+_SUCCESSOR_READY_S = 0.5
 # Maximum wait that a leader reports. Without endpoints its wait is unbounded.
 _MAX_REPORTED_WAIT_S = 60.0
 
@@ -614,18 +617,29 @@
         """Resigns before this instance stops if another instance would claim.
 
         Endpoints without a leader run no tasks, so the last instance leads them
-        until it closes.
+        until it closes, and one whose successor has just started until that can
+        claim.
         """
         staying = [m for m in self._claim_policy.members if not m.leaving]
         if self._claim_policy.single_leader:
-            if staying:
+            if self._can_claim(election.candidate_for_all(staying)):
                 self._resign_all("this instance stops")
             return
         for data_centre in tuple(self._led):
             own = self._claim_policy.is_own(data_centre)
-            if any(not own or m.data_centre == data_centre for m in staying):
+            able = [
+                member
+                for member in staying
+                if not own or member.data_centre == data_centre
+            ]
+            if self._can_claim(election.candidate(data_centre, able)):
                 self._resign_one(data_centre, "this instance stops")
 
+    def _can_claim(self, instance: str) -> bool:
+        """Returns whether a peer has been connected for long enough to claim."""
+        link = self._mesh.peers.get(instance)
+        return link is not None and link.age_s >= _SUCCESSOR_READY_S
+
     def _resign_one(self, data_centre: str, cause: str) -> None:
         """Resigns one data centre; its runs count until their leases end."""
         if self._led == {data_centre}:
--- a/sesameroad/peering/links.py
+++ b/sesameroad/peering/links.py
@@ -84,6 +84,7 @@
         "_closed",
         "_counters",
         "_last_received_at",
+        "_opened_at",
         "_heartbeat",
         "_heartbeat_due",
         "_heartbeat_s",
@@ -154,7 +155,8 @@
         self._wake = asyncio.Event()
         self._ids = itertools.count(1)
         self._pending: dict[int, asyncio.Future[messages.Reply]] = {}
-        self._last_received_at = clocks.elapsed_s()
+        self._opened_at = clocks.elapsed_s()
+        self._last_received_at = self._opened_at
         self._peer_clock = peer_clock.PeerClock(
             greeted_at=(
                 self._last_received_at if greeted_at is None else greeted_at
@@ -179,6 +181,11 @@
         """Whether this side opened the stream."""
         return self._outgoing
 
+    @property
+    def age_s(self) -> float:
+        """Time since the greeting on this stream, in seconds."""
+        return clocks.elapsed_s() - self._opened_at
+
     @property
     def slow(self) -> bool:
         """Whether the peer gets too little processor time to lead."""
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -151,6 +151,7 @@
         millicores=0,
         in_use=False,
         incarnation="",
+        age_s=60.0,
     ):
         self.mesh.peers[name] = types.SimpleNamespace(
             hello=messages.Hello(
@@ -161,6 +162,7 @@
             slow=slow,
             is_heard_since=lambda at: heard,
             in_use=in_use,
+            age_s=age_s,
         )
 
     def hear(self, name, **state):
@@ -437,6 +439,21 @@
         self.wait(2.0)
         self.assertEqual(self.led(), set())
 
+    async def test_stopping_leader_waits_until_its_successor_can_claim(self):
+        """Guards against endpoints without a leader while instances start.
+
+        All instances but one were stopping or starting. Its successor had been
+        connected for 0.03 s, and claimed 0.6 s later.
+        """
+        self.wait(1.0)
+        self.peer("i2", age_s=0.1)
+        self.leaders.prepare_stop()
+        self.wait(0.2)
+        self.assertEqual(self.led(), {"dc1"})
+        self.peer("i2", age_s=0.6)
+        self.wait(0.2)
+        self.assertEqual(self.led(), set())
+
     async def test_stopping_instance_claims_nothing(self):
         self.leaders.prepare_stop()
         self.wait(5.0)
