--- a/sesameroad/jobs/coordinator.py
+++ b/sesameroad/jobs/coordinator.py
@@ -96,6 +96,29 @@
     refused_in: set[str] = dataclasses.field(default_factory=set)
     confined: bool = False
 
+    def record_move(
+        self,
+        now: float,
+        *,
+        unstarted: Iterable[int] = (),
+        succeeded: Iterable[int] = (),
+    ) -> None:
+        """Records the loss of a leader that may have started tasks.
+
+        Args:
+            now: Current time.
+            unstarted: Indices of tasks that the leader has not started.
+            succeeded: Indices of tasks that have succeeded.
+        """
+        known = self.job.unstarted if self.moved else self.job.indices
+        self.job = dataclasses.replace(
+            self.job,
+            unstarted=tuple(i for i in known if i in set(unstarted)),
+            succeeded=tuple({*self.job.succeeded, *succeeded}),
+        )
+        self.moved = True
+        self.lost_at = now
+
 
 class JobCoordinator:
     """Partitions jobs among data centres and retries parts on leader changes.
@@ -276,6 +299,10 @@
                 outcome = await self._submit(route, part)
                 if outcome is not None:
                     return outcome
+                if self._clock.monotonic() - now > _RETRY_S:
+                    # The leader had the job before it resigned.
+                    search_until = self._search_until(part.job)
+                    part.lost_at = self._clock.monotonic()
             elif not part.moved:
                 self._reassign(part)
             until = part.lost_at + _ELECTION_S if part.moved else search_until
@@ -325,8 +352,7 @@
         except errors.PeerNotSentError:
             return None
         except errors.PeerError:
-            part.moved = True
-            part.lost_at = self._clock.monotonic()
+            part.record_move(self._clock.monotonic())
             return None
         finally:
             part.route = None
@@ -364,8 +390,11 @@
             case outcomes.NotRun(cause=outcomes.Cause.NOT_STEWARD):
                 return None
             case outcomes.Unknown(cause=outcomes.Cause.STEWARD_LOST):
-                part.moved = True
-                part.lost_at = self._clock.monotonic()
+                part.record_move(
+                    self._clock.monotonic(),
+                    unstarted=outcome.unstarted,
+                    succeeded=outcome.succeeded,
+                )
                 return None
             case outcomes.NotRun() if moved:
                 # An earlier leader may have started tasks.
--- a/sesameroad/jobs/takeover.py
+++ b/sesameroad/jobs/takeover.py
@@ -102,8 +102,7 @@
             if task in self._done:
                 del self._done[task]
                 active.waiting.remove(index)
-                active.started = True
-                active.done += 1
+                active.record_success(index)
                 continue
             if self._table.has_run(task):
                 # It runs for an earlier attempt that is being ended. The table
@@ -148,6 +147,7 @@
     ) -> None:
         active.waiting.remove(index)
         active.started = True
+        active.seen_started.add(index)
         active.raise_run_number(index, number)
         run = active.new_run(index, number)
         run.state = runs.State.RUNNING
--- a/sesameroad/model/jobs.py
+++ b/sesameroad/model/jobs.py
@@ -34,6 +34,10 @@
             refusing this part would waste the work of that one.
         accepted_at: Time at which its origin accepted it, on the same clock; 0
             if unknown.
+        unstarted: Indices of the tasks that no leader has sent to an endpoint,
+            if the job has moved from an earlier leader that has told; none if
+            unknown.
+        succeeded: Indices of the tasks whose success an earlier leader has told.
     """
 
     key: str
@@ -53,6 +57,8 @@
     deadline_at: float
     committed: bool = False
     accepted_at: float = 0.0
+    unstarted: tuple[int, ...] = ()
+    succeeded: tuple[int, ...] = ()
 
     @property
     def count(self) -> int:
--- a/sesameroad/node/claim_policy.py
+++ b/sesameroad/node/claim_policy.py
@@ -1,5 +1,6 @@
 """Decides which data centres an instance claims leadership of, and when."""
 
+import collections
 from collections.abc import Container
 import math
 
@@ -28,6 +29,9 @@
 # starts per second use it up (docs/CAPACITY.md), and an endpoint takes about 15
 # per second. Larger fleets have a leader in each data centre.
 _MAX_SINGLE_LEADER_ENDPOINTS = 64
+# Number of resigned claims that are remembered. Peers relay a claim for up to one
+# heartbeat after its resignation, in which a few leaders at most follow.
+_MAX_RESIGNED = 64
 # A leader uses one thread, so that more than one core does not help it.
 _CORE_MILLICORES = 1_000
 
@@ -61,6 +65,11 @@
         self._unled_since = math.inf
         # Monotonic times before which data centres must not be claimed.
         self._deferred_until: dict[str, float] = {}
+        # Data centres and tokens of claims whose holders have announced that they
+        # have resigned them.
+        self._resigned: collections.deque[tuple[str, int]] = collections.deque(
+            maxlen=_MAX_RESIGNED
+        )
         self._created_at = clock.monotonic()
         # Time at which all instances that respond had been heard.
         self._discovered_at = math.inf
@@ -151,13 +160,33 @@
         """Prevents claims of a data centre until a monotonic time."""
         self._deferred_until[data_centre] = until
 
-    def choose(self, led: Container[str], preferred: str) -> list[str]:
+    def record_resigned(self, data_centre: str, token: int) -> None:
+        """Records that the holder of a claim has announced its resignation.
+
+        Peers relay the claim until their next heartbeat. A token is never used
+        for a second claim of the same data centre.
+        """
+        self._resigned.append((data_centre, token))
+
+    def is_resigned(self, data_centre: str, token: int) -> bool:
+        """Returns whether the resignation of a claim has been announced."""
+        return (data_centre, token) in self._resigned
+
+    def choose(
+        self,
+        led: Container[str],
+        preferred: str,
+        *,
+        resigned: Container[str] = (),
+    ) -> list[str]:
         """Returns the data centres to claim now.
 
         Args:
             led: Data centres with a visible leader.
             preferred: Instance that leads some data centres and should claim
                 further ones as well, empty if there is none.
+            resigned: Data centres whose last known leader has announced that
+                it has resigned.
         """
         now = self._clock.monotonic()
         if self._discovered_at > now and self._is_discovery_done(now):
@@ -167,7 +196,9 @@
         for data_centre in self._settings.data_centres:
             if data_centre in led:
                 self._vacant_since.pop(data_centre, None)
-            elif self._may_claim(data_centre, preferred, now):
+            elif self._may_claim(
+                data_centre, preferred, now, resigned=data_centre in resigned
+            ):
                 vacant.append(data_centre)
         return vacant
 
@@ -190,7 +221,9 @@
             return age_s > _DISCOVERY_TIMEOUT_WITH_PEERS_S
         return age_s > _DISCOVERY_TIMEOUT_S
 
-    def _may_claim(self, data_centre: str, preferred: str, now: float) -> bool:
+    def _may_claim(
+        self, data_centre: str, preferred: str, now: float, *, resigned: bool
+    ) -> bool:
         claimant = self._find_claimant(data_centre, preferred)
         discovered = self._discovered_at <= now
         # The required vacancy passes while further instances are being heard.
@@ -210,6 +243,10 @@
             return False
         since = self._vacant_since.setdefault(data_centre, now)
         delay_s = self._claim_delay_s(data_centre)
+        if resigned and self.single_leader:
+            # The successor inherits all that the leader held, also while no
+            # instance of the data centre is visible.
+            delay_s = 0.0
         if not discovered or delay_s is None or now - since < delay_s:
             return False
         if not self._mesh.all_heard and now - self._discovered_at < delay_s:
@@ -250,9 +287,14 @@
                 return _REMOTE_CLAIM_DELAY_S
 
     def _is_relayed(self, data_centre: str) -> bool:
-        """Whether a peer reports a leader that is not visible here."""
+        """Whether a peer reports a leader that is not visible here.
+
+        A leader that has announced its resignation here does not count.
+        """
         return any(
-            claim.relayed and claim.data_centre == data_centre
+            claim.relayed
+            and claim.data_centre == data_centre
+            and not self.is_resigned(data_centre, claim.token)
             for link in self.peers
             if link.last_heartbeat is not None
             for claim in link.last_heartbeat.claims
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -5,6 +5,7 @@
 from collections.abc import Hashable
 import dataclasses
 import math
+from typing import Self
 
 from sesameroad.jobs import active_job
 from sesameroad.jobs import attempts
@@ -42,6 +43,9 @@
 # Time, in seconds, for which a leader of a large fleet stays before it hands over
 # to an instance with more processor time. A change delays jobs by up to 1.2 s.
 _MIN_TERM_S = 5.0
+# Time after which an instance that was connected last can claim: it waits up to
+# 0.4 s for its other peers and evaluates claims each 0.1 s.
+_SUCCESSOR_READY_S = 0.5
 # Maximum wait that a leader reports. Without endpoints its wait is unbounded.
 _MAX_REPORTED_WAIT_S = 60.0
 
@@ -54,16 +58,43 @@
     link: links.Link | None
 
 
-_LeadershipState = tuple[bool, bool, tuple[tuple[str, int, bool], ...]]
-
+@dataclasses.dataclass(slots=True, frozen=True)
+class _PeerState:
+    """What the last heartbeat of a peer means for leadership.
+
+    Attributes:
+        incarnation: Incarnation of the peer.
+        leaving: Whether it is about to stop.
+        slow: Whether it gets too little processor time to lead.
+        own_claims: Data centres that it leads, each with its token.
+        relayed_claims: The same for the other leaders that it sees.
+    """
 
-def _leadership_state(heartbeat: messages.Heartbeat) -> _LeadershipState:
-    """Returns the part of a heartbeat on which leadership depends."""
-    return (
-        heartbeat.leaving,
-        heartbeat.slow,
-        tuple((c.data_centre, c.token, c.relayed) for c in heartbeat.claims),
-    )
+    incarnation: str
+    leaving: bool
+    slow: bool
+    own_claims: frozenset[tuple[str, int]]
+    relayed_claims: frozenset[tuple[str, int]]
+
+    @classmethod
+    def from_heartbeat(
+        cls, hello: messages.Hello, heartbeat: messages.Heartbeat
+    ) -> Self:
+        """Returns the state that a heartbeat of a peer reports."""
+        return cls(
+            hello.incarnation,
+            heartbeat.leaving,
+            heartbeat.slow,
+            frozenset(
+                (claim.data_centre, claim.token)
+                for claim in heartbeat.own_claims
+            ),
+            frozenset(
+                (claim.data_centre, claim.token)
+                for claim in heartbeat.claims
+                if claim.relayed
+            ),
+        )
 
 
 class Leaders:
@@ -112,7 +143,7 @@
         # heartbeat, infinite after it refused one.
         self._in_transit_cores: dict[str, float] = {}
         # What the last heartbeat of each peer means for leadership.
-        self._peer_states: dict[str, _LeadershipState] = {}
+        self._peer_states: dict[str, _PeerState] = {}
         self._origin = routes.LocalOrigin(settings.instance_id)
         self._claim_policy = claim_policy.ClaimPolicy(
             settings=settings,
@@ -320,10 +351,20 @@
         for claim in heartbeat.own_claims:
             self._in_transit_cores.pop(claim.data_centre, None)
         name = link.hello.instance_id
-        state = _leadership_state(heartbeat)
-        if self._peer_states.get(name) != state:
-            self._peer_states[name] = state
-            self.evaluate()
+        state = _PeerState.from_heartbeat(link.hello, heartbeat)
+        former = self._peer_states.get(name)
+        if former == state:
+            return
+        self._peer_states[name] = state
+        if (
+            state.leaving
+            and former is not None
+            and former.incarnation == state.incarnation
+        ):
+            # Other resignations may mean that there is another leader.
+            for data_centre, token in former.own_claims - state.own_claims:
+                self._claim_policy.record_resigned(data_centre, token)
+        self.evaluate()
 
     def is_idle(self, link: links.Link) -> bool:
         """Whether the peer on a link need not hear soon that this side is lost.
@@ -430,14 +471,14 @@
 
     def evaluate(self) -> None:
         """Claims data centres without a leader; resigns to better leaders."""
-        if self._claim_policy.leaving:
-            self._resign_for_stop()
-            return
         now = self._clock.monotonic()
         leaders = self._leaders()
         self._seen_led = frozenset(leaders)
         if leaders:
             self._reachable_at = now
+        if self._claim_policy.leaving:
+            self._resign_for_stop()
+            return
         for data_centre, leader in leaders.items():
             self._tokens[data_centre] = max(
                 self._tokens.get(data_centre, 0), leader.claim.token
@@ -445,7 +486,13 @@
         if self._led:
             self._consider_resigning(leaders)
         vacant = self._claim_policy.choose(
-            leaders, self._preferred_claimant(leaders)
+            leaders,
+            self._preferred_claimant(leaders),
+            resigned=[
+                data_centre
+                for data_centre, token in self._tokens.items()
+                if self._claim_policy.is_resigned(data_centre, token)
+            ],
         )
         if vacant:
             self._claim(vacant)
@@ -570,18 +617,29 @@
         """Resigns before this instance stops if another instance would claim.
 
         Endpoints without a leader run no tasks, so the last instance leads them
-        until it closes.
+        until it closes, and one whose successor has just started until that can
+        claim.
         """
         staying = [m for m in self._claim_policy.members if not m.leaving]
         if self._claim_policy.single_leader:
-            if staying:
+            if self._can_claim(election.candidate_for_all(staying)):
                 self._resign_all("this instance stops")
             return
         for data_centre in tuple(self._led):
             own = self._claim_policy.is_own(data_centre)
-            if any(not own or m.data_centre == data_centre for m in staying):
+            able = [
+                member
+                for member in staying
+                if not own or member.data_centre == data_centre
+            ]
+            if self._can_claim(election.candidate(data_centre, able)):
                 self._resign_one(data_centre, "this instance stops")
 
+    def _can_claim(self, instance: str) -> bool:
+        """Returns whether a peer has been connected for long enough to claim."""
+        link = self._mesh.peers.get(instance)
+        return link is not None and link.age_s >= _SUCCESSOR_READY_S
+
     def _resign_one(self, data_centre: str, cause: str) -> None:
         """Resigns one data centre; its runs count until their leases end."""
         if self._led == {data_centre}:
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -20,8 +20,9 @@
 from tests import _virtual
 
 # Period of the checks of what must hold between any two events. A leader looks
-# for jobs that nothing would end each 0.1 s.
-_INVARIANT_PERIOD_S = 0.013
+# for jobs that nothing would end each 0.1 s. A binary fraction adds no rounding to the
+# virtual time.
+_INVARIANT_PERIOD_S = 1 / 64
 
 
 class Origin:
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -150,16 +150,27 @@
         heard=True,
         millicores=0,
         in_use=False,
+        incarnation="",
+        age_s=60.0,
     ):
         self.mesh.peers[name] = types.SimpleNamespace(
-            hello=messages.Hello(name, data_centre, name, millicores),
+            hello=messages.Hello(
+                name, data_centre, incarnation or name, millicores
+            ),
             last_heartbeat=messages.Heartbeat(0, 0, leaving, tuple(claims)),
             leaving=leaving,
             slow=slow,
             is_heard_since=lambda at: heard,
             in_use=in_use,
+            age_s=age_s,
         )
 
+    def hear(self, name, **state):
+        """Adds a peer, or replaces it, and handles its heartbeat."""
+        self.peer(name, **state)
+        link = self.mesh.peers[name]
+        self.leaders.apply_heartbeat(link, link.last_heartbeat)
+
     def wait(self, seconds):
         for _ in range(int(seconds / 0.1)):
             self.clock.now += 0.1
@@ -356,6 +367,56 @@
         self.wait(5.0)
         self.assertNotIn("dc1", self.led())
 
+    async def test_announced_resignation_overrules_what_peers_relay(self):
+        """Guards against jobs that wait for the next heartbeats of all peers.
+
+        They relayed the claim of a leader that had stopped by plan for up to
+        0.25 s, in which its successor claimed nothing.
+        """
+        claim = messages.LeadershipClaim("dc1", 7)
+        relayed = dataclasses.replace(claim, relayed=True)
+        self.hear("i2", claims=[claim])
+        self.hear("i3", claims=[relayed])
+        self.wait(1.0)
+        self.assertNotIn("dc1", self.led())
+        self.hear("i2", leaving=True)
+        self.assertIn("dc1", self.led())
+
+    async def test_successor_claims_all_that_its_predecessor_held(self):
+        """Guards against a second leader after a planned stop.
+
+        The instances of a data centre were starting again. Its endpoints had no
+        leader for 0.5 s, until the successor and one of them claimed these.
+        """
+        self.announce("i9", "10.0.1.9:3", data_centre="dc2")
+        claims = [messages.LeadershipClaim(name, 7) for name in ("dc1", "dc2")]
+        self.hear("i2", claims=claims)
+        self.wait(1.0)
+        self.hear("i2", leaving=True)
+        self.assertEqual(self.led(), {"dc1", "dc2"})
+
+    async def test_relayed_claim_that_nobody_has_resigned_is_kept(self):
+        """Guards against a claim beside a leader that only peers can reach.
+
+        Neither the resignation of another claim, nor a restart of the leader,
+        nor a resignation because of another leader shows that it has ended.
+        """
+        former = messages.LeadershipClaim("dc1", 7)
+        latter = messages.LeadershipClaim("dc1", 8)
+        self.hear("i2", claims=[former])
+        self.hear("i3", claims=[dataclasses.replace(latter, relayed=True)])
+        self.hear("i2", leaving=True)
+        self.wait(5.0)
+        self.assertNotIn("dc1", self.led())
+        self.hear("i4", claims=[latter])
+        self.hear("i4", incarnation="second", leaving=True)
+        self.wait(5.0)
+        self.assertNotIn("dc1", self.led())
+        self.hear("i5", claims=[latter])
+        self.hear("i5")
+        self.wait(5.0)
+        self.assertNotIn("dc1", self.led())
+
     async def test_data_centre_without_known_endpoints_is_not_claimed(self):
         """Guards against a claim that keeps out an instance with endpoints."""
         self.endpoint_list.apply([], period_s=1.0)
@@ -378,11 +439,39 @@
         self.wait(2.0)
         self.assertEqual(self.led(), set())
 
+    async def test_stopping_leader_waits_until_its_successor_can_claim(self):
+        """Guards against endpoints without a leader while instances start.
+
+        All instances but one were stopping or starting. Its successor had been
+        connected for 0.03 s, and claimed 0.6 s later.
+        """
+        self.wait(1.0)
+        self.peer("i2", age_s=0.1)
+        self.leaders.prepare_stop()
+        self.wait(0.2)
+        self.assertEqual(self.led(), {"dc1"})
+        self.peer("i2", age_s=0.6)
+        self.wait(0.2)
+        self.assertEqual(self.led(), set())
+
     async def test_stopping_instance_claims_nothing(self):
         self.leaders.prepare_stop()
         self.wait(5.0)
         self.assertEqual(self.led(), set())
 
+    async def test_stopping_instance_expects_the_next_leader(self):
+        """Guards against early refusals by an instance that stops.
+
+        Its jobs wait for a leader as long as one is expected by the time since
+        the last one, which was counted from the start of the stop.
+        """
+        self.peer("i2", claims=[messages.LeadershipClaim("dc1", 7)])
+        self.leaders.prepare_stop()
+        self.wait(2.0)
+        self.peer("i2")
+        self.wait(0.2)
+        self.assertLess(self.leaders.unserved_s, 0.3)
+
     async def test_instance_that_closes_resigns_without_a_successor(self):
         self.wait(1.0)
         await self.leaders.close()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,6 +1,7 @@
 """Jobs that a leader takes over from another one at a planned change."""
 
 import asyncio
+import dataclasses
 
 from sesameroad.jobs import active_job
 from sesameroad.jobs import job_table
@@ -23,15 +24,23 @@
         super().setUp()
         self.site = _jobs.Site(count=2)
 
-    async def begin(self, *, count=4, run_s=_RUN_S):
+    async def begin(self, *, count=4, run_s=_RUN_S, priority=0):
         """Starts a job at a leader that stops before a task has ended."""
-        job = self.site.job(count=count, run_s=run_s, deadline_s=9, stretch=4.0)
+        job = self.site.job(
+            count=count,
+            run_s=run_s,
+            deadline_s=9,
+            stretch=4.0,
+            priority=priority,
+        )
         async with self.site.leader(token=1) as first:
             submitted = asyncio.create_task(first.submit(job, self.site.origin))
             await asyncio.sleep(_RUN_S / 3)
         answer = await submitted
         self.assertEqual(answer.cause, outcomes.Cause.STEWARD_LOST)
-        return job
+        return dataclasses.replace(
+            job, unstarted=answer.unstarted, succeeded=answer.succeeded
+        )
 
     async def test_job_that_ended_between_leaders_is_answered_at_once(self):
         """Guards against a finished job whose caller waits until it leaves.
@@ -83,6 +92,135 @@
         self.assertEqual(outcome, outcomes.Complete(()))
         self.assertEqual(len(self.site.history.starts), job.count)
 
+    async def test_running_job_is_not_refused_before_the_lists_are_read(self):
+        """Guards against runs that are stopped because other jobs wait.
+
+        The next leader takes all tasks of the job as waiting until it has read
+        the lists of its endpoints.
+        """
+        job = await self.begin(priority=1)
+        async with self.site.leader(token=2, settle_s=0.0) as second:
+            others = [
+                asyncio.create_task(
+                    second.submit(
+                        self.site.job(
+                            f"other-{number}", count=4, run_s=_RUN_S, stretch=4
+                        ),
+                        self.site.origin,
+                    )
+                )
+                for number in range(20)
+            ]
+            await asyncio.sleep(0)
+            outcome = await second.submit(job, self.site.origin, moved=True)
+            for other in others:
+                other.cancel()
+        self.assertEqual(outcome, outcomes.Complete(()))
+        starts = [
+            task
+            for task in self.site.history.starts
+            if task.startswith(job.key)
+        ]
+        self.assertEqual(len(starts), job.count)
+
+    async def test_task_that_was_not_started_does_not_wait_for_old_leases(self):
+        """Guards against jobs that are late because one of their tasks waited.
+
+        The next leader took each task of a moved job as possibly running on an
+        endpoint that it does not know, for 1.2 s.
+        """
+        job = await self.begin(count=6)
+        self.assertEqual(job.unstarted, (4, 5))
+        began = self.site.clock.monotonic()
+        async with self.site.leader(token=2, settle_s=0.0) as second:
+            outcome = await second.submit(job, self.site.origin, moved=True)
+        self.assertEqual(outcome, outcomes.Complete(()))
+        self.assertLess(self.site.clock.monotonic() - began, 2 * _RUN_S)
+        self.assertEqual(len(self.site.history.starts), job.count)
+
+    async def test_task_on_an_unknown_endpoint_waits_for_its_lease(self):
+        """Guards against two runs of a task at the same time.
+
+        The next leader does not know an endpoint that the former one held. It
+        starts the tasks that have not been started, but no other one.
+        """
+        job = await self.begin(count=6)
+        del self.site.endpoints[1]
+        async with self.site.leader(token=2) as second:
+            submitted = asyncio.create_task(
+                second.submit(job, self.site.origin, moved=True)
+            )
+            await asyncio.sleep(2 * _RUN_S)
+            self.assertEqual(len(self.site.history.starts), job.count)
+            outcome = await submitted
+        self.assertEqual(outcome, outcomes.Complete(()))
+        self.assertEqual(self.site.history.overlapping, [])
+
+    async def test_tasks_wait_until_all_lists_are_read(self):
+        """Guards against a start beside the run of another attempt.
+
+        A task that one leader has not started may have been started by a later
+        one, for another instance that got the job from its caller as well.
+        """
+        job = await self.begin(count=6)
+        self.site.fleet.endpoints["e0"].fault.silent = True
+        async with self.site.leader(token=2) as second:
+            submitted = asyncio.create_task(
+                second.submit(job, self.site.origin, moved=True)
+            )
+            await asyncio.sleep(2 * _RUN_S)
+            self.assertEqual(len(self.site.history.starts), 4)
+            submitted.cancel()
+
+    async def test_unstarted_tasks_are_known_after_two_changes(self):
+        """Guards against a start of a task that an earlier leader has started."""
+        job = await self.begin(count=6, run_s=1.0)
+        async with self.site.leader(token=2) as second:
+            submitted = asyncio.create_task(
+                second.submit(job, self.site.origin, moved=True)
+            )
+            await asyncio.sleep(_PROMPT_S)
+        answer = await submitted
+        self.assertEqual(answer.unstarted, (4, 5))
+
+    async def test_task_that_has_succeeded_does_not_run_again(self):
+        """Guards against tasks that are done and wait at the next leader.
+
+        Its endpoint had listed the end to the former leader, which had
+        acknowledged it, so that the next one found no trace of the task.
+        """
+        self.site.fleet.endpoints["e1"].fault.slowness = 3.0
+        job = self.site.job(count=4, run_s=_RUN_S, deadline_s=9, stretch=4.0)
+        # A second job has the endpoints polled after the end of the first run.
+        other = self.site.job("other", count=4, run_s=0.1, cores=2.0)
+        async with self.site.leader(token=1) as first:
+            submitted = asyncio.create_task(first.submit(job, self.site.origin))
+            await asyncio.sleep(1.2 * _RUN_S)
+            await first.submit(other, self.site.origin)
+            self.assertFalse(submitted.done())
+        answer = await submitted
+        self.assertEqual(len(answer.succeeded), 2)
+        moved = dataclasses.replace(job, succeeded=answer.succeeded)
+        began = self.site.clock.monotonic()
+        async with self.site.leader(token=2, settle_s=0.0) as second:
+            outcome = await second.submit(moved, self.site.origin, moved=True)
+        self.assertEqual(outcome, outcomes.Complete(()))
+        self.assertLess(self.site.clock.monotonic() - began, 2 * _RUN_S)
+        self.assertEqual(len(self.site.history.starts), job.count + other.count)
+
+    async def test_job_that_another_leader_has_completed_but_for_the_answer(
+        self,
+    ):
+        """Guards against a job that stays open although all tasks are done."""
+        job = await self.begin()
+        told = dataclasses.replace(job, succeeded=job.indices)
+        async with self.site.leader(token=2) as second:
+            async with asyncio.timeout(_PROMPT_S):
+                outcome = await second.submit(
+                    told, self.site.origin, moved=True
+                )
+        self.assertEqual(outcome, outcomes.Complete(()))
+
     async def test_task_that_ends_before_its_job_is_offered_is_not_run_again(
         self,
     ):
