Show an instance that claims to lead after its leader has failed

An error in a placement ends the task of a leader. Its jobs are answered, but the instance goes on to report its claims and refuses all jobs as not the leader, so no other instance takes over.

--- a/tests/test_leader_ends.py
+++ b/tests/test_leader_ends.py
@@ -5,6 +5,7 @@
 import types
 from unittest import mock
 
+from sesameroad.jobs import placer
 from sesameroad.leasing import endpoint_pool
 from sesameroad.model import outcomes
 from sesameroad.node import endpoint_list as endpoint_list_module
@@ -109,3 +110,28 @@
                 )
                 await asyncio.wait([submitted], timeout=1.0 + _PROMPT_S)
                 self.assertTrue(submitted.done())
+
+    async def test_instance_whose_leader_has_failed_does_not_claim_to_lead(
+        self,
+    ):
+        """Guards against a leader that refuses all jobs and stays the leader.
+
+        An error in a placement ends the task of the leader, and the instance goes
+        on to report its claims.
+        """
+        leaders = self.leaders()
+        fails = mock.patch.object(
+            placer.Placer, "place", side_effect=ValueError("fault")
+        )
+        with fails:
+            leaders._claim(["dc1"])
+            await asyncio.sleep(_PROMPT_S)
+        if leaders.claims():
+            outcome = await leaders.submit(
+                "dc1",
+                self.site.job(),
+                self.site.origin,
+                moved=False,
+                lent=False,
+            )
+            self.assertEqual(outcome, outcomes.Complete(()))
