End a leader completely, and keep it going after an error

A job could stay open at a leader that had ended: one that claimed and resigned in the same turn of the event loop. Its task was cancelled before its first step, so the code that answers its jobs and ends the sessions with endpoints never ran. After an error in the checks of a leader nothing ended its jobs at their deadlines, and after one in a placement the instance refused all jobs as not the leader while it went on to claim that it led.

The end of a leader is now a step of its own that follows the end of its task. A placement or check that fails is logged and repeated, so that one job can't end leader after leader. An instance whose leader fails all the same resigns.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -212,12 +212,35 @@
                 await self._wake.wait()
                 self._wake.clear()
                 began_at = self._clock.monotonic()
-                self._placer.place(began_at)
+                self._run_step("place tasks", self._place)
                 took_s = self._clock.monotonic() - began_at
                 await asyncio.sleep(took_s * _PASS_PAUSE_RATIO)
         finally:
             checks.cancel()
-            await self._close()
+            await self.close()
+
+    async def close(self) -> None:
+        """Ends all jobs here; their origins submit them to the next leader.
+
+        `run` does so at its end, unless it was cancelled before it began.
+        """
+        if self._tracker.stopped:
+            return
+        self._tracker.stopped = True
+        self._interference_monitor.close()
+        await self._pool.close()
+        for active in self._table:
+            if active.started:
+                outcome: outcomes.Outcome = outcomes.Unknown(
+                    outcomes.Cause.STEWARD_LOST,
+                    "the leader has changed",
+                    unstarted=self._unstarted(active),
+                    succeeded=tuple(sorted(active.succeeded)),
+                )
+            else:
+                outcome = ending.not_leader()
+            active.settle(outcome)
+        self._table.clear()
 
     def raise_token(self, token: int) -> None:
         """Raises the token after endpoints have seen one of another leader.
@@ -393,26 +416,46 @@
             )
         )
 
+    def _run_step(self, name: str, step: Callable[[], None]) -> None:
+        """Runs a step that is repeated; one that fails must not end the leader.
+
+        Without placement or checks, nothing would end its jobs.
+        """
+        try:
+            step()
+        except Exception as error:  # noqa: BLE001
+            log.problem(
+                "step of a leader failed; it is repeated",
+                step=name,
+                error=repr(error),
+            )
+
+    def _place(self) -> None:
+        self._placer.place(self._clock.monotonic())
+
     async def _check_periodically(self) -> None:
         while True:
             await asyncio.sleep(_CHECK_PERIOD_S)
-            now = self._clock.monotonic()
-            self._held_up_starts.remove_expired(now)
-            for active in self._table.unaccounted:
-                self._end_unaccounted(active)
-            for active in self._table:
-                self._check(active, now)
-            for active in self._attempts.check(now):
-                self._tracker.finish(active, ending.held_back())
-            for active, refusal in list(self._admission.refusals(now)):
-                self._tracker.finish(active, refusal)
-            for leased in self._pool:
-                self._stop_hanging(leased, now)
-            self._takeover.stop_unclaimed(self._pool)
-            self._pool.release_unlisted()
-            self._pool.update_recovery()
-            self._interference_monitor.check(now)
-            self._wake.set()
+            self._run_step("sweep jobs", self._check_all)
+
+    def _check_all(self) -> None:
+        now = self._clock.monotonic()
+        self._held_up_starts.remove_expired(now)
+        for active in self._table.unaccounted:
+            self._end_unaccounted(active)
+        for active in self._table:
+            self._check(active, now)
+        for active in self._attempts.check(now):
+            self._tracker.finish(active, ending.held_back())
+        for active, refusal in list(self._admission.refusals(now)):
+            self._tracker.finish(active, refusal)
+        for leased in self._pool:
+            self._stop_hanging(leased, now)
+        self._takeover.stop_unclaimed(self._pool)
+        self._pool.release_unlisted()
+        self._pool.update_recovery()
+        self._interference_monitor.check(now)
+        self._wake.set()
 
     def _check(self, active: active_job.ActiveJob, now: float) -> None:
         """Ends a job without a live origin or past its time limits."""
@@ -502,24 +545,6 @@
             leased.record_hang(now)
             self._tracker.stop_run(leased, run)
 
-    async def _close(self) -> None:
-        """Ends all jobs here; their origins submit them to the next leader."""
-        self._tracker.stopped = True
-        self._interference_monitor.close()
-        await self._pool.close()
-        for active in self._table:
-            if active.started:
-                outcome: outcomes.Outcome = outcomes.Unknown(
-                    outcomes.Cause.STEWARD_LOST,
-                    "the leader has changed",
-                    unstarted=self._unstarted(active),
-                    succeeded=tuple(sorted(active.succeeded)),
-                )
-            else:
-                outcome = ending.not_leader()
-            active.settle(outcome)
-        self._table.clear()
-
     def _unstarted(self, active: active_job.ActiveJob) -> tuple[int, ...]:
         """Returns the tasks of a job that no leader and no attempt started.
 
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -573,8 +573,19 @@
             ),
         )
         self._task = asyncio.create_task(scheduler.run(), name="leader")
+        self._task.add_done_callback(self._handle_ended)
         return scheduler
 
+    def _handle_ended(self, task: asyncio.Task[None]) -> None:
+        """Resigns if the leader in this process has failed."""
+        if task.cancelled() or task.exception() is None:
+            return
+        log.problem(
+            "leader failed", step="steward", error=repr(task.exception())
+        )
+        if task is self._task:
+            self._resign_all("the leader in this process failed")
+
     def _consider_resigning(self, leaders: dict[str, _Leader]) -> None:
         """Resigns to a higher token, a faster instance or a local one."""
         token = self._scheduler.token if self._scheduler else 0
@@ -656,13 +667,27 @@
             return
         for data_centre in sorted(self._led):
             self._log_resigned(data_centre, cause)
+        assert self._scheduler is not None
         self._task.cancel()
-        self._closing.add(self._task)
-        self._task.add_done_callback(self._closing.discard)
+        closing = asyncio.create_task(
+            self._end_scheduler(self._scheduler, self._task)
+        )
+        self._closing.add(closing)
+        closing.add_done_callback(self._closing.discard)
         self._scheduler = self._task = None
         self._led.clear()
         self._changed()
 
+    async def _end_scheduler(
+        self, scheduler: scheduler_module.Scheduler, task: asyncio.Task[None]
+    ) -> None:
+        """Ends a leader in this process whose task has been cancelled.
+
+        A task that is cancelled before its first step runs none of its code.
+        """
+        await asyncio.wait([task])
+        await scheduler.close()
+
     def _log_resigned(self, data_centre: str, cause: str) -> None:
         log.event(
             "stewardship resigned",
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -56,6 +56,9 @@
     async def run(self):
         pass
 
+    async def close(self):
+        pass
+
 
 def _ranked(*, first, second):
     """Returns a new instance id; one of both is given, the id is the other."""
