Start a task again as soon as its run of an earlier leader has ended

A task that a new leader had found running, and that failed then, waited until 1.2 s after the change, as if it could still run on an endpoint that the leader does not know. A task has one run at a time, so its listed end shows that none is left.

--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -366,6 +366,8 @@
         self._remove_run(run, end.ending.value)
         if active is None or active.closing:
             return
+        # A task has one run at a time, so no other one is left elsewhere.
+        active.maybe_started.discard(run.index)
         match end.ending:
             case orders.Ending.DONE:
                 leased.record_success(run, now)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -215,3 +215,14 @@
                     told, self.site.origin, moved=True
                 )
         self.assertEqual(outcome, outcomes.Complete(()))
+
+    async def test_task_that_fails_after_the_change_starts_again_at_once(self):
+        """Guards against a wait for leases although the run has ended here."""
+        self.site.fleet.endpoints["e1"].fault.failing = True
+        job = await self.begin()
+        began = self.site.clock.monotonic()
+        async with self.site.leader(token=2, settle_s=0.0) as second:
+            outcome = await second.submit(job, self.site.origin, moved=True)
+        self.assertEqual(outcome, outcomes.Complete(()))
+        self.assertLess(self.site.clock.monotonic() - began, 3 * _RUN_S)
+        self.assertEqual(self.site.history.overlapping, [])
