Let no later signal cut the graceful stop of an entry short

The project's own interface handled signals by aiomisc, as instances on the platform did: a SIGINT in the same turn of the event loop as SIGTERM ended the loop while the stop waited for work, and SIGHUP ended the process.

Both kinds of service now share one base, which takes its signals from node.process_signals.

tests.test_at_most_once: the new test failed before (the caller got no answer) and passes now.

--- a/sesameroad/command_line/main.py
+++ b/sesameroad/command_line/main.py
@@ -48,7 +48,7 @@
 
 def run() -> None:
     """Entry point of the installed script."""
-    if sys.argv[1:2] == ["serve"]:
+    if sys.argv[1:2] in (["serve"], ["entry"]):
         process_signals.install()
     # Not by absl.app, whose import of the debugger takes a tenth of the time
     # until an instance listens.
--- a/sesameroad/node/service.py
+++ b/sesameroad/node/service.py
@@ -5,10 +5,9 @@
 import socket
 from typing import Any
 
-import aiomisc
-
 from sesameroad.node import node
 from sesameroad.node import process_signals
+from sesameroad.node import signalled_service
 from sesameroad.settings import node as node_module
 
 # A stop that takes longer by this than it may is ended with an error. The platform
@@ -20,7 +19,7 @@
 _COLLECTION_THRESHOLD = 20_000
 
 
-class NodeService(aiomisc.Service):
+class NodeService(signalled_service.SignalledService):
     """Starts an instance, and stops it gracefully on SIGTERM or SIGINT."""
 
     settings: node_module.NodeSettings
@@ -29,18 +28,14 @@
 
     async def start(self) -> None:
         """Starts the instance."""
-        self._stop_requested = asyncio.Event()
-        self._node = instance = node.Node.from_settings(self.settings)
-        process_signals.attach(
-            asyncio.get_running_loop(),
-            stop=self._stop_requested.set,
-            reload=instance.reload,
-        )
-        await instance.start(self.listener)
+        self._node = node.Node.from_settings(self.settings)
+        await super().start()
+        await self._node.start(self.listener)
 
-    async def wait_until_stop_requested(self) -> None:
-        """Waits for SIGTERM or SIGINT, which may have arrived before."""
-        await self._stop_requested.wait()
+    def reload(self) -> None:
+        """Reloads the instance."""
+        if self._node is not None:
+            self._node.reload()
 
     async def stop(self, exception: Exception | None = None) -> Any:
         """Stops the instance gracefully, if there is one.
@@ -69,11 +64,4 @@
     gc.freeze()
     gc.set_threshold(_COLLECTION_THRESHOLD)
     gc.enable()
-    service = NodeService(settings=settings, listener=listener)
-    # Signals are not left to aiomisc: its handler of a second SIGTERM in the same
-    # turn of the event loop ended the loop while the first one was stopping.
-    with aiomisc.entrypoint(
-        service, log_config=False, catch_signals=()
-    ) as loop:
-        # Leaving the block stops the instance gracefully.
-        loop.run_until_complete(service.wait_until_stop_requested())
+    NodeService(settings=settings, listener=listener).run()
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -173,6 +173,21 @@
         stopped = asyncio.to_thread(self.first.popen.wait, 40)
         self.assertEqual(await stopped, 0)
 
+    async def test_signals_in_series_do_not_cut_a_stop_short(self):
+        """Guards against a second signal that ends a graceful stop at once.
+
+        SIGINT in the same turn of the event loop as SIGTERM did, and SIGHUP ended
+        the process at any time.
+        """
+        post = asyncio.create_task(self._post(self.first, None, sleep_ms=800))
+        await asyncio.sleep(0.3)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT) * 10:
+            self.first.signal(number)
+        body = await post
+        self.assertEqual(body["outcome"], "complete")
+        stopped = asyncio.to_thread(self.first.popen.wait, 40)
+        self.assertEqual(await stopped, 0)
+
     async def test_graceful_stop_under_load_answers_every_request(self):
         """Guards against lost requests, and against outcomes that change.
 
