Accept the connections that wait before a closing server stops listening

Callers whose connections waited in the queue of the listener were reset when an instance closed soon after a start. The server waited 10 ms for them, which a busy event loop needs for a single turn.

It now accepts until no connection has come for 10 ms, at most 0.3 s.

--- a/sesameroad/node/http_server.py
+++ b/sesameroad/node/http_server.py
@@ -30,6 +30,8 @@
 _BACKLOG = 128
 # Period of the checks whether a closing server still owes answers, in seconds.
 _POLL_S = 0.01
+# Longest time in which a closing server accepts connections, in seconds.
+_ACCEPT_S = 0.3
 # Time after which a request that is not whole counts as abandoned, in seconds. A
 # segment that was lost is sent again within 0.2 s, or 0.6 s the second time.
 _STALL_S = 1.0
@@ -124,6 +126,8 @@
         # Tasks that handle requests.
         self._handling: set[asyncio.Task[Any]] = set()
         self._interrupting = False
+        # Number of connections since the start.
+        self._accepted = 0
 
     def __call__(self) -> _Connection:
         return _Connection(
@@ -138,6 +142,27 @@
         """Number of connections that owe an answer."""
         return sum(connection.owes_answer for connection in self.connections)
 
+    def connection_made(
+        self,
+        handler: web_protocol.RequestHandler,
+        transport: asyncio.Transport,
+    ) -> None:
+        """Adds a connection."""
+        self._accepted += 1
+        super().connection_made(handler, transport)
+
+    async def wait_accepted(self) -> None:
+        """Waits until the connections in the queue of the listener are accepted.
+
+        Those that are left when the listener closes are reset. A busy event loop
+        takes more than one turn for them.
+        """
+        until = clocks.elapsed_s() + _ACCEPT_S
+        accepted = -1
+        while self._accepted != accepted and clocks.elapsed_s() < until:
+            accepted = self._accepted
+            await asyncio.sleep(_POLL_S)
+
     async def wait_answered(self, timeout_s: float) -> int:
         """Waits until no answer is owed; returns how many are, at the end."""
         until = clocks.elapsed_s() + timeout_s
@@ -258,9 +283,7 @@
             timeout_s: Time for requests that have arrived or are arriving, in
                 seconds.
         """
-        # Connections that wait in the queue of the listener are accepted first.
-        # It takes several turns of the event loop until their requests are read.
-        await asyncio.sleep(_POLL_S)
+        await self._connections.wait_accepted()
         self._listener.close()
         await asyncio.sleep(_POLL_S)
         count = len(self._connections.connections)
