--- a/sesameroad/node/signalled_service.py
+++ b/sesameroad/node/signalled_service.py
@@ -17,7 +17,7 @@
         """Begins to receive the signals of the process."""
         self._stop_requested = asyncio.Event()
         process_signals.attach(
-            asyncio.get_running_loop(),
+            asyncio.get_running_loop().call_soon_threadsafe,
             stop=self._stop_requested.set,
             reload=self.reload,
         )
