Let an origin notice when the reply to its job can't come

An error at the leader, or a full queue on the link, left an offer without a reply: the origin waited until the deadline of the job, and its caller with it.

The error is logged and answered as unknown. It doesn't count as the loss of a leader, as the origin would offer the job there again and again. A link on which an answer can't be queued is closed, which the origin notices at once.

Found by reading; both tests failed before.

--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -539,13 +539,30 @@
     async def _serve_offer(
         self, link: links.Link, offer: messages.JobOffer
     ) -> None:
-        outcome = await self._leaders.submit(
-            offer.data_centre,
-            offer.job,
-            routes.PeerOrigin(link),
-            moved=offer.moved,
-            lent=offer.lent,
-        )
+        """Runs a job of a peer and sends it the outcome.
+
+        The peer waits for a reply until the deadline of the job, or until the
+        link is closed.
+        """
+        try:
+            outcome = await self._leaders.submit(
+                offer.data_centre,
+                offer.job,
+                routes.PeerOrigin(link),
+                moved=offer.moved,
+                lent=offer.lent,
+            )
+        except Exception as error:  # noqa: BLE001
+            log.problem(
+                "offered job failed by an error",
+                step="serve offer",
+                peer=link.hello.instance_id,
+                request=offer.job.key,
+                error=repr(error),
+            )
+            outcome = outcomes.Unknown(
+                outcomes.Cause.ENDPOINT_FAILED, "an error at the leader"
+            )
         try:
             link.send(messages.RelayReply(offer.id, outcome))
         except errors.PeerNotSentError as error:
@@ -556,6 +573,7 @@
                 request=offer.job.key,
                 error=str(error),
             )
+            link.close("an answer could not be sent")
 
     def _answer_cancel(
         self, link: links.Link, query: messages.StatusQuery
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 import types
 import unittest
 
+from sesameroad import errors
 from sesameroad.model import clocks
 from sesameroad.model import outcomes
 from sesameroad.node import node
@@ -67,3 +68,40 @@
         self.assertEqual(
             self.leaders.calls, [("submit", "job"), ("cancel", "job")]
         )
+
+    async def test_offer_that_fails_by_an_error_is_answered(self):
+        """Guards against an origin that waits for a reply until the deadline."""
+        replies = []
+        link = types.SimpleNamespace(
+            hello=messages.Hello("i2", "dc1", "1"), send=replies.append
+        )
+
+        async def submit(*args, **kwargs):
+            raise ValueError("fault")
+
+        self.leaders.submit = submit
+        job = types.SimpleNamespace(name="job", key="job")
+        self.node._receive(link, messages.JobOffer(1, "dc1", job))
+        await asyncio.sleep(0.01)
+        (reply,) = replies
+        self.assertIsInstance(reply.outcome, outcomes.Unknown)
+
+    async def test_link_on_which_an_answer_is_lost_is_closed(self):
+        """Guards against an origin that waits for a reply that was dropped.
+
+        The queue of the link was full, and its loss is what the origin notices.
+        """
+        closed = []
+
+        def send(message):
+            raise errors.PeerNotSentError("full", step="send", peer="i2")
+
+        link = types.SimpleNamespace(
+            hello=messages.Hello("i2", "dc1", "1"),
+            send=send,
+            close=closed.append,
+        )
+        job = types.SimpleNamespace(name="job", key="job")
+        self.node._receive(link, messages.JobOffer(1, "dc1", job))
+        await asyncio.sleep(0.01)
+        self.assertEqual(len(closed), 1)
