--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -126,6 +126,7 @@
         seed: int = 0,
         data_centres: Sequence[str] = ("dc1",),
         can_cut: bool = False,
+        history: simulated_endpoint.RunHistory | None = None,
     ) -> None:
         """Creates a deployment that is not started yet.
 
@@ -136,9 +137,10 @@
             data_centres: Data centres, to which instances and endpoints belong
                 in turn.
             can_cut: Whether paths lead through forwarders.
+            history: Receives the runs on all endpoints; a new one if None.
         """
         self.store = store.Store()
-        self.history = simulated_endpoint.RunHistory()
+        self.history = history or simulated_endpoint.RunHistory()
         self.endpoints: list[simulated_endpoint.SimulatedEndpoint] = []
         self.instances: list[Instance] = []
         self.late_orders = simulated_endpoint_server.LateOrders(
@@ -198,7 +200,11 @@
         self._directory.cleanup()
 
     async def configure(
-        self, *, version: int, prefix: str = PATH_PREFIX
+        self,
+        *,
+        version: int,
+        prefix: str = PATH_PREFIX,
+        target_latency_ms: int = 200,
     ) -> None:
         """Writes a configuration with one queue."""
         route = {
@@ -209,7 +215,7 @@
             "priority": 0,
             "max-attempts": 4,
             "stretch": 1.6,
-            "target-latency-ms": 200,
+            "target-latency-ms": target_latency_ms,
         }
         await self.store.put(
             "op", "config", {"version": version, "routes": [route]}
