--- a/tests/_planned_work.py
+++ b/tests/_planned_work.py
@@ -23,10 +23,16 @@
 _MAX_ATTEMPTS = 4
 _RESENT = (502, 504)
 _GATEWAY_TIMEOUT = 504
-_CORES = 0.25
+# Cores that a task takes.
+CORES = 0.25
+# Run times of tasks. Many of the longest ones are in flight at the end of a stop.
+_SHORT_RUN_S = (0.05, 0.3)
+_RUN_S = (0.05, 3.0)
+_LONG_RUN_S = (4.0, 7.0)
+_LONG_SHARE = 0.08
 _MAX_PAUSE_S = 0.2
 _SAME_INSTANCE_SHARE = 0.6
-_STOPPING_SHARE = 0.6
+_RESTARTING_SHARE = 0.6
 
 
 class End(enum.Enum):
@@ -141,12 +147,12 @@
 
         Args:
             deployment_: The deployment.
-            planned: Planned work, which knows the stopping instances and its
-                own end.
+            planned: Planned work, which knows the instances that stop or start
+                and its own end.
             random_: Source of all choices.
             number: Number of the caller, part of its keys.
             short: Whether it sends short requests only, mostly to instances
-                that stop.
+                that stop or start.
         """
         self.requests = []
         self.post_key = ""
@@ -182,18 +188,18 @@
     async def _submit(self):
         """Sends a job until it is answered."""
         random_ = self._random
-        run_s = round(random_.uniform(0.05, 0.3 if self._short else 3.0), 2)
+        range_s = _SHORT_RUN_S if self._short else _RUN_S
+        if not self._short and random_.random() < _LONG_SHARE:
+            range_s = _LONG_RUN_S
+        run_s = round(random_.uniform(*range_s), 2)
+        count = random_.randint(1, 3)
         step = {
-            "count": random_.randint(1, 3),
-            "cpu": int(_CORES * 1_000),
+            "count": count,
+            "cpu": int(CORES * 1_000),
             "est-runtime-ms": int(run_s * 1_000),
         }
-        steps = [step]
-        if not self._short and random_.random() < 0.3:
-            # Two steps of 3 s outlast a graceful stop.
-            steps.append({**step, "after": [0]})
         body = json.dumps(
-            {"spec": f"{run_s}/{_CORES}", "steps": steps, "best-effort": True}
+            {"spec": f"{run_s}/{CORES}", "steps": [step], "best-effort": True}
         ).encode()
         key = self._new_key()
         for _ in range(_MAX_ATTEMPTS):
@@ -202,8 +208,8 @@
                 "POST",
                 key,
                 body,
-                run_s * len(steps) + _EXTRA_TIMEOUT_S,
-                tasks=step["count"] * len(steps),
+                run_s + _EXTRA_TIMEOUT_S,
+                tasks=count,
             )
             self.post_key = ""
             if request.end is End.ANSWER and request.status not in _RESENT:
@@ -288,9 +294,9 @@
     def _choose_instance(self):
         """Returns the instance for a new connection."""
         random_ = self._random
-        stopping = self._planned.stopping
-        if self._short and stopping and random_.random() < _STOPPING_SHARE:
-            return random_.choice(stopping)
+        restarting = self._planned.restarting
+        if self._short and restarting and random_.random() < _RESTARTING_SHARE:
+            return random_.choice(restarting)
         same = self._instance is not None and not self._short
         if same and random_.random() < _SAME_INSTANCE_SHARE:
             return self._instance
--- a/tests/test_planned_work_processes.py
+++ b/tests/test_planned_work_processes.py
@@ -15,6 +15,7 @@
 import os
 import signal
 import time
+import traceback
 
 from tests import _planned_work
 from tests import _processes
@@ -31,14 +32,25 @@
 _INTERPRETER_S = 0.2
 _DATA_CENTRES = ("dc1", "dc2", "dc3")
 _ENDPOINT_CORES = 16.0
-_CORES = 0.25
 # Largest share of the endpoints' cores in use for which "free" is certain.
 _FREE_SHARE = 0.5
 _MAX_REPORTED = 4
 _MAX_LINES = 60
 _SHOWN_BEFORE_S = 1.0
 _SHOWN_AFTER_S = 0.5
+_ACTIONS = (
+    "one",
+    "leader",
+    "several",
+    "leaders",
+    "data centre",
+    "data centre",
+    "reload",
+    "configure",
+)
 _BAD_LINES = ("Traceback", "a task of a job was lost track of")
+# Times of callers are later than the events by this much, which is shown.
+_SHOWN_LAG_S = 0.05
 _SHOWN_LINES = (
     "instance st",
     "connections closed",
@@ -54,20 +66,19 @@
 
     Attributes:
         finished: Whether all actions have been played and have ended.
-        stopping: Instances that were told to stop and have not ended.
+        restarting: Instances that stop or start.
         faults: Processes that did not end as they should.
         journal: Actions with the wall time in seconds and the instance.
     """
 
     def __init__(self, test, random_):
         self.finished = False
-        self.stopping = []
+        self.restarting = []
         self.faults = []
         self.journal = []
         self._test = test
         self._deployment = test.deployment
         self._random = random_
-        self._busy = set()
         self._version = 1
 
     async def run(self, until):
@@ -85,9 +96,7 @@
     async def _play_action(self, group):
         random_ = self._random
         instances = self._deployment.instances
-        match random_.choice(
-            ("one", "leader", "several", "leaders", "reload", "configure")
-        ):
+        match random_.choice(_ACTIONS):
             case "one":
                 self._restart(group, random_.choice(instances))
             case "leader":
@@ -99,6 +108,11 @@
                 for _ in range(random_.randint(2, 3)):
                     self._restart(group, self._test.find_leader())
                     await asyncio.sleep(random_.uniform(0.2, 1.5))
+            case "data centre":
+                chosen = random_.choice(instances).data_centre
+                for instance in instances:
+                    if instance.data_centre == chosen:
+                        self._restart(group, instance)
             case "reload":
                 for instance in random_.sample(instances, len(instances) // 2):
                     self._signal(instance, signal.SIGHUP)
@@ -115,11 +129,11 @@
     def _restart(self, group, instance):
         """Restarts an instance, unless half of them are stopped already."""
         if (
-            instance.name in self._busy
-            or len(self._busy) >= len(self._deployment.instances) // 2
+            instance in self.restarting
+            or len(self.restarting) >= len(self._deployment.instances) // 2
         ):
             return
-        self._busy.add(instance.name)
+        self.restarting.append(instance)
         group.create_task(self._stop_and_start(instance))
 
     async def _stop_and_start(self, instance):
@@ -131,10 +145,10 @@
             self.record(instance.name, "start")
             instance.start()
             if random_.random() < 0.3:
-                await asyncio.sleep(random_.uniform(_INTERPRETER_S, 2.0))
+                await asyncio.sleep(random_.uniform(_INTERPRETER_S, 1.5))
                 continue
             await self._deployment.wait_ready(instance)
-            self._busy.discard(instance.name)
+            self.restarting.remove(instance)
             return
 
     async def _stop(self, instance, again_s):
@@ -146,7 +160,6 @@
                 for never.
         """
         self._signal(instance, signal.SIGTERM)
-        self.stopping.append(instance)
         began_at = time.monotonic()
         while instance.running:
             waited_s = time.monotonic() - began_at
@@ -157,7 +170,6 @@
                 self._signal(instance, signal.SIGKILL)
                 instance.wait()
             await asyncio.sleep(_POLL_S)
-        self.stopping.remove(instance)
         code = instance.wait()
         took_s = time.monotonic() - began_at
         text = f"exit code {code} {took_s:.2f} s after SIGTERM"
@@ -190,12 +202,14 @@
         for seed in range(first, first + count):
             try:
                 await self._play(seed)
-            except (AssertionError, TimeoutError, ExceptionGroup) as error:
-                failed[seed] = error
-                print(f"seed {seed} failed: {error}", flush=True)
+            except AssertionError as error:
+                failed[seed] = str(error)
+            except (TimeoutError, ExceptionGroup) as error:
+                failed[seed] = "".join(traceback.format_exception(error))
+            if seed in failed:
+                print(f"seed {seed} failed: {failed[seed]}", flush=True)
         if failed:
-            details = "\n".join(f"seed {s}: {e}" for s, e in failed.items())
-            self.fail(f"seeds {sorted(failed)} failed\n{details}")
+            self.fail(f"seeds {sorted(failed)} failed, see above")
 
     async def _play(self, seed):
         self.seed = seed
@@ -244,12 +258,17 @@
         while True:
             due_at = time.monotonic() + _POLL_S
             await asyncio.sleep(_POLL_S)
-            self.max_lag_s = max(self.max_lag_s, time.monotonic() - due_at)
+            lag_s = time.monotonic() - due_at
+            self.max_lag_s = max(self.max_lag_s, lag_s)
+            if lag_s > _SHOWN_LAG_S:
+                self.planned.record("callers", f"were {lag_s:.3f} s late")
 
     def _check(self, requests):
         """Asserts what holds beside planned work."""
         cores = _ENDPOINT_CORES * len(self.deployment.endpoints)
-        has_free_endpoints = self.history.peak * _CORES < _FREE_SHARE * cores
+        has_free_endpoints = (
+            self.history.peak * _planned_work.CORES < _FREE_SHARE * cores
+        )
         faults = collections.defaultdict(list)
         for request in requests:
             fault = request.fault(
@@ -284,6 +303,18 @@
         ends = collections.Counter(
             f"{r.method} {r.status or r.end.value}" for r in requests
         )
+        slowest_s = {
+            method: max(
+                (
+                    r.ended_at - r.sent_at
+                    for r in requests
+                    if r.method == method and r.status
+                ),
+                default=0.0,
+            )
+            for method in ("DELETE", "GET", "POST")
+        }
+        slowest = ", ".join(f"{m} {s:.2f} s" for m, s in slowest_s.items())
         actions = collections.Counter(
             text.split()[0] for _, _, text in self.planned.journal
         )
@@ -292,7 +323,8 @@
             f" {len(self.deployment.endpoints)} endpoints,"
             f" {len(requests)} requests, {len(self.history.starts)} starts,"
             f" at most {self.history.peak} runs at once and"
-            f" {self.max_lag_s:.3f} s late; {dict(sorted(ends.items()))};"
+            f" {self.max_lag_s:.3f} s late, slowest answers {slowest};"
+            f" {dict(sorted(ends.items()))};"
             f" {dict(sorted(actions.items()))}"
         )
 
