--- a/tests/_planned_work.py
+++ b/tests/_planned_work.py
@@ -30,7 +30,9 @@
 _RUN_S = (0.05, 3.0)
 _LONG_RUN_S = (4.0, 7.0)
 _LONG_SHARE = 0.08
+# Longest pause between the pieces of a body, and between requests.
 _MAX_PAUSE_S = 0.2
+_MAX_IDLE_S = 0.05
 _SAME_INSTANCE_SHARE = 0.6
 _RESTARTING_SHARE = 0.6
 
@@ -171,9 +173,9 @@
         random_ = self._random
         while not self._planned.finished:
             draw = random_.random()
-            if draw < (0.5 if self._short else 0.9):
+            if draw < (0.45 if self._short else 0.9):
                 await self._submit()
-            elif draw < (0.9 if self._short else 0.95):
+            elif draw < 0.95:
                 running = keys_in_flight()
                 key = self._new_key()
                 if running and random_.random() < 0.25:
@@ -182,7 +184,7 @@
             else:
                 key = random_.choice((self._new_key(), *keys_in_flight()[:1]))
                 await self._send("GET", key, b"", _SHORT_TIMEOUT_S)
-            await asyncio.sleep(random_.uniform(0.0, 0.1))
+            await asyncio.sleep(random_.uniform(0.0, _MAX_IDLE_S))
         self._close()
 
     async def _submit(self):
--- a/tests/test_planned_work_processes.py
+++ b/tests/test_planned_work_processes.py
@@ -52,11 +52,11 @@
 # Times of callers are later than the events by this much, which is shown.
 _SHOWN_LAG_S = 0.05
 _SHOWN_LINES = (
-    "instance st",
-    "connections closed",
-    "without an answer",
-    "in flight at the end",
-    "stewardship",
+    '"message":"instance st',
+    '"message":"connections closed',
+    '"message":"request ended',
+    '"message":"jobs are still',
+    '"message":"stewardship',
     *_BAD_LINES,
 )
 
@@ -86,7 +86,7 @@
         async with asyncio.TaskGroup() as group:
             while time.monotonic() < until:
                 await self._play_action(group)
-                await asyncio.sleep(self._random.uniform(0.1, 1.2))
+                await asyncio.sleep(self._random.uniform(0.1, 0.8))
         self.finished = True
 
     def record(self, instance, text):
@@ -102,6 +102,7 @@
             case "leader":
                 self._restart(group, self._test.find_leader())
             case "several":
+                self._restart(group, self._test.find_leader())
                 for instance in random_.sample(instances, len(instances) // 2):
                     self._restart(group, instance)
             case "leaders":
@@ -234,9 +235,9 @@
                 self.planned,
                 self.random(f"caller {number}"),
                 number=number,
-                short=number % 2 == 0,
+                short=number % 3 > 0,
             )
-            for number in range(20 + 3 * instance_count)
+            for number in range(30 + 4 * instance_count)
         ]
 
         def keys_in_flight():
