--- a/tests/test_caller_processes.py
+++ b/tests/test_caller_processes.py
@@ -1,7 +1,6 @@
 """Answers to callers around stops and cancels, with instances as processes."""
 
 import asyncio
-import json
 import signal
 
 import aiohttp
@@ -14,6 +13,8 @@
 # Time within which a cancel is answered, and then within which all runs have
 # ended.
 _CANCEL_S = 3.0
+# Time until the logs have the claim of the first leader.
+_LOG_S = 5.0
 
 
 class CallerProcessesTest(_processes.ProcessTest):
@@ -73,7 +74,7 @@
     async def test_graceful_stop_answers_a_job_that_waits_elsewhere(self):
         """Guards against a connection that is cut off without an answer."""
         await self.open(endpoint_count=2)
-        leader = self._leader()
+        leader = await self._leader()
         ahead, ahead_call = await self.begin(instance=leader)
         waiting, call = await self.begin(instance=1 - leader)
         self.deployment.instances[1 - leader].signal(signal.SIGTERM)
@@ -97,11 +98,18 @@
             self.assertEqual(answer.status, 400)
             self.assertIn("gzip", (await answer.json())["error"])
 
-    def _leader(self):
-        """Returns the number of the instance that claimed last."""
-        claims = []
-        for number, instance in enumerate(self.deployment.instances):
-            for text in instance.log.read_text().splitlines():
-                if "stewardship claimed" in text and text.startswith("{"):
-                    claims.append((json.loads(text)["time"], number))
-        return max(claims)[1]
+    async def _leader(self):
+        """Returns the number of the instance that claimed last.
+
+        Lines of the log are written up to 0.02 s after the events.
+        """
+        async with asyncio.timeout(_LOG_S):
+            while not self._has_claim():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        return self.deployment.instances.index(self.find_leader())
+
+    def _has_claim(self):
+        return any(
+            '"stewardship claimed"' in instance.log.read_text()
+            for instance in self.deployment.instances
+        )
