--- a/tests/test_planned_work_processes.py
+++ b/tests/test_planned_work_processes.py
@@ -260,10 +260,13 @@
         reports = [f"{len(v)} x {k}" for k, v in sorted(faults.items())]
         for instance, at, text in self.planned.faults:
             reports.append(f"{instance.name} at {_clock(at)}: {text}")
-        for instance in self.deployment.instances:
-            lines = instance.log.read_text().splitlines()
+        self.logs = {
+            instance.name: instance.log.read_text().splitlines()
+            for instance in self.deployment.instances
+        }
+        for name, lines in self.logs.items():
             bad = [li for li in lines if any(part in li for part in _BAD_LINES)]
-            reports += [f"{instance.name}: {line}" for line in bad]
+            reports += [f"{name}: {line}" for line in bad]
         overlapping = sorted(set(self.history.overlapping))
         reports += [f"two runs of {task} at once" for task in overlapping]
         ends = collections.Counter(
@@ -314,16 +317,16 @@
             for at, actor, text in self.planned.journal
             if from_ <= at <= to or (actor == name and at <= to)
         ]
-        for instance in self.deployment.instances:
-            for line in instance.log.read_text().splitlines():
+        for logged_by, lines in self.logs.items():
+            for line in lines:
                 at = line.partition('"time":"')[2][11:23]
                 if not _clock(from_) <= at <= _clock(to):
                     continue
-                near = instance.name == name and not any(
+                near = logged_by == name and not any(
                     part in line for part in _FREQUENT_LINES
                 )
                 if near or _LEADER_LINE in line or (key and key in line):
-                    shown.append(f"{at} {instance.name} {line[:_LINE_LENGTH]}")
+                    shown.append(f"{at} {logged_by} {line[:_LINE_LENGTH]}")
         return sorted(shown)[-_MAX_LINES:]
 
 
