End a peer's stream as cancelled if the library has cancelled it

A stream that the peer reset while its handler failed for another reason left a traceback of grpclib in the log, "Failed to handle cancellation": the handler logged its own error and returned, so the cancellation had no effect. It now ends cancelled after that. Nothing else depended on it.

--- a/sesameroad/peering/mesh.py
+++ b/sesameroad/peering/mesh.py
@@ -193,6 +193,9 @@
                 peer=getattr(error, "peer", ""),
                 error=str(error) or type(error).__name__,
             )
+            if task.cancelling():
+                # grpclib logs a traceback if its cancellation has no effect.
+                raise asyncio.CancelledError from error
         finally:
             self._serving.discard(task)
 
