Let no lost cancellation hold up the jobs of a leader that has ended

The HTTP library uncancels a request twice if its timeout and a cancellation come together, as two of its timers are nested, and raises a timeout: the cancellation is lost. The session with the endpoint went on for ever, a task group does not cancel its tasks again, and the leader waited for its sessions before it answered its jobs.

A leader that ends answers its jobs at once. Sessions end after any order once their endpoint is released, and are waited for 0.5 s at most. Class: a state that can't proceed, by what another part has told, and nobody notices.

Its test of a leader that resigns at once now looks for sessions 10 ms after the answer of the job, as they end after it.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -228,7 +228,9 @@
             return
         self._tracker.stopped = True
         self._interference_monitor.close()
-        await self._pool.close()
+        # Origins must not wait until the sessions with endpoints have ended, of
+        # which each may be in an order.
+        self._pool.cancel()
         for active in self._table:
             if active.started:
                 outcome: outcomes.Outcome = outcomes.Unknown(
@@ -241,6 +243,7 @@
                 outcome = ending.not_leader()
             active.settle(outcome)
         self._table.clear()
+        await self._pool.wait_ended()
 
     def raise_token(self, token: int) -> None:
         """Raises the token after endpoints have seen one of another leader.
--- a/sesameroad/leasing/endpoint_pool.py
+++ b/sesameroad/leasing/endpoint_pool.py
@@ -14,6 +14,9 @@
 from sesameroad.model import endpoints
 from sesameroad.telemetry import log
 
+# Time within which sessions end after they were cancelled, in seconds.
+_END_TIMEOUT_S = 0.5
+
 
 class Events(endpoint_session.Events, Protocol):
     """Callbacks of sessions and of the pool to the owner of the runs."""
@@ -189,12 +192,29 @@
                 continue
             self._release(name)
 
-    async def close(self) -> None:
-        """Ends all sessions; the recorded runs stay as they are."""
-        tasks = list(self._sessions.values())
-        for task in tasks:
+    def cancel(self) -> None:
+        """Has all sessions end without another order; recorded runs stay."""
+        for leased in self._leased.values():
+            leased.released = True
+        for task in self._sessions.values():
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def wait_ended(self) -> None:
+        """Waits until the sessions have ended after `cancel`, for a short time.
+
+        One whose cancellation was lost ends after the order that it has sent.
+        """
+        if not self._sessions:
+            return
+        _, pending = await asyncio.wait(
+            self._sessions.values(), timeout=_END_TIMEOUT_S
+        )
+        if pending:
+            log.problem(
+                "sessions with endpoints end later than their leader",
+                step="keep endpoint",
+                sessions=sorted(task.get_name() for task in pending),
+            )
 
     def _hold(self, endpoint: endpoints.Endpoint) -> None:
         leased = leased_endpoint.LeasedEndpoint(
@@ -239,6 +259,7 @@
 
     def _release(self, name: str) -> None:
         leased = self._leased.pop(name)
+        leased.released = True
         self._released_fences = max(self._released_fences, leased.fences + 1)
         self._unlisted.discard(name)
         task = self._sessions.pop(name, None)
--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -178,7 +178,11 @@
         self._clock = clock
 
     async def run(self) -> None:
-        """Runs the session until cancelled."""
+        """Runs the session until it is cancelled and the endpoint is released.
+
+        The HTTP library loses a cancellation that comes together with the timeout
+        of a request, so the tasks end after any order as well.
+        """
         async with asyncio.TaskGroup() as group:
             group.create_task(self._poll_when_due())
             for _ in range(_STOP_CONNECTIONS):
@@ -207,7 +211,7 @@
 
     async def _poll_when_due(self) -> None:
         leased = self._leased
-        while True:
+        while not leased.released:
             if not self._is_poll_due():
                 unacknowledged = leased.seen > leased.acknowledged
                 await leased.wait_woken(
@@ -415,12 +419,12 @@
             self._events.on_all_ended(leased, "lease expired without an answer")
 
     async def _send_starts(self) -> None:
-        while True:
+        while not self._leased.released:
             order = await self._leased.starts.get()
             await self._start(order.run)
 
     async def _send_stops(self) -> None:
-        while True:
+        while not self._leased.released:
             await self._stop(await self._leased.stops.get())
 
     async def _start(self, run: runs.Run) -> None:
--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -69,6 +69,8 @@
         seen: Number of the last end that has been processed.
         acknowledged: Number of the last end that has been acknowledged to the
             endpoint.
+        released: Whether this leader no longer holds it, so that no order may be
+            sent.
         reconciled: Whether its lists have been read since this leader holds it.
         unknown_until: Time until which unknown runs of an earlier leader may be
             active if the lists have not been read.
@@ -108,6 +110,7 @@
         "orphans_since",
         "lease",
         "polled_at",
+        "released",
         "report_due",
         "reports_required",
         "seen",
@@ -127,6 +130,7 @@
         self.lease = lease
         self.born_ms = 0
         self.fences = 0
+        self.released = False
         self.accepted_token = False
         self.held_up_until = 0.0
         self.polled_at = 0.0
--- a/tests/test_leader_ends.py
+++ b/tests/test_leader_ends.py
@@ -7,6 +7,7 @@
 
 from sesameroad.jobs import placer
 from sesameroad.leasing import endpoint_pool
+from sesameroad.leasing import orders
 from sesameroad.model import outcomes
 from sesameroad.node import endpoint_list as endpoint_list_module
 from sesameroad.node import instance_registry
@@ -19,6 +20,28 @@
 _PROMPT_S = 0.5
 
 
+class _DeafOrders:
+    """Orders whose polls lose the first cancellation, as a time-out.
+
+    Attributes:
+        polls: Number of polls that were sent.
+    """
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self.start = fleet.start
+        self.stop = fleet.stop
+        self.polls = 0
+
+    async def poll(self, endpoint, **order):
+        self.polls += 1
+        try:
+            return await self._fleet.poll(endpoint, **order)
+        except asyncio.CancelledError:
+            asyncio.current_task().uncancel()
+            return orders.NoAnswer("timeout")
+
+
 class LeaderEndsTest(_virtual.VirtualTimeTest):
 
     def setUp(self):
@@ -87,6 +110,8 @@
         """
         with contextlib.suppress(TimeoutError):
             await self.lead_for_a_moment(self.site.job())
+        # The sessions end in the next turns of the event loop.
+        await asyncio.sleep(0.01)
         sessions = [
             task.get_name()
             for task in asyncio.all_tasks()
@@ -94,6 +119,31 @@
         ]
         self.assertEqual(sessions, [])
 
+    async def test_order_that_loses_its_cancellation_does_not_hold_up_jobs(
+        self,
+    ):
+        """Guards against jobs that wait for the end of a session.
+
+        The HTTP library loses a cancellation that comes together with the timeout
+        of a request. The session went on for ever, and the jobs of its leader were
+        not answered before.
+        """
+        deaf = _DeafOrders(self.site.fleet)
+        job = self.site.job(run_s=9.0, estimate_s=0.5, deadline_s=9)
+        async with self.site.leader(orders_=deaf) as leader:
+            submitted = asyncio.create_task(
+                leader.submit(job, self.site.origin)
+            )
+            await asyncio.sleep(_PROMPT_S)
+            resigned = asyncio.create_task(leader.close())
+            await asyncio.sleep(0.01)
+            self.assertTrue(submitted.done())
+            polls = deaf.polls
+            async with asyncio.timeout(_PROMPT_S):
+                await resigned
+            await asyncio.sleep(3.0)
+        self.assertEqual(deaf.polls, polls)
+
     async def test_leader_goes_on_with_its_checks_after_an_error(self):
         """Guards against jobs that nothing ends after one error in a check."""
         fails_once = mock.patch.object(
