--- a/sesameroad/entry/supervisor.py
+++ b/sesameroad/entry/supervisor.py
@@ -7,6 +7,8 @@
 from sesameroad.telemetry import log
 
 _RESTART_DELAY_S = 1.0
+# Period at which loops are cancelled until they have ended, in seconds.
+_CANCEL_PERIOD_S = 0.2
 
 LoopFunction = Callable[[], Awaitable[None]]
 
@@ -44,9 +46,13 @@
 
     async def stop(self) -> None:
         """Cancels all loops and waits until they have ended."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        pending = set(self._tasks)
+        while pending:
+            for task in pending:
+                task.cancel()
+            # The HTTP library loses a cancellation that comes together with the
+            # timeout of a request.
+            _, pending = await asyncio.wait(pending, timeout=_CANCEL_PERIOD_S)
         self._tasks.clear()
 
     async def _run_forever(self, name: str, loop: LoopFunction) -> None:
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -30,3 +30,25 @@
         await supervisor.stop()
         self.assertEqual(len(logs.records), 1)
         self.assertEqual((runs, supervisor.failures), (2, 1))
+
+    async def test_loop_that_loses_a_cancellation_is_stopped(self):
+        """Guards against a stop that lasts until the process is killed.
+
+        The HTTP library raises a time-out in place of a cancellation that comes
+        together with it.
+        """
+        begun = asyncio.Event()
+
+        async def loop():
+            begun.set()
+            try:
+                await asyncio.sleep(60)
+            except asyncio.CancelledError:
+                asyncio.current_task().uncancel()
+                raise TimeoutError from None
+
+        supervisor = supervisor_module.Supervisor(restart_delay_s=60.0)
+        supervisor.run("loop", loop)
+        await begun.wait()
+        async with asyncio.timeout(5):
+            await supervisor.stop()
