Keep an acknowledged cancel over a loss of the leader

All parts of an instance share one table of cancelled keys. An instance that stops hands its keys over. A DELETE is answered 503 while a leader may exist that is not visible: a listed one without a visible successor, or that of a data centre with endpoints. The same holds for 200, as an attempt may be there.

On the former code the new tests of requests that arrive again after a kill, of a cut zone (410 in both directions) and of the first heartbeat of a new leader fail.

--- a/sesameroad/jobs/cancellations.py
+++ b/sesameroad/jobs/cancellations.py
@@ -30,7 +30,7 @@
     __slots__ = ("_cancelled_at",)
 
     def __init__(self) -> None:
-        # Time of the cancel by key, the oldest first.
+        # Time of the cancel by key, in the order in which they were added.
         self._cancelled_at: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
@@ -38,9 +38,16 @@
     def __len__(self) -> int:
         return len(self._cancelled_at)
 
-    def add(self, key: str, now: float) -> None:
-        """Adds a key; the oldest one is dropped if there are too many."""
-        self._cancelled_at[key] = now
+    def add(self, key: str, cancelled_at: float) -> None:
+        """Adds a key; the one added first is dropped if there are too many.
+
+        Args:
+            key: The key.
+            cancelled_at: Time of the cancel, which another instance may have
+                taken before. The latest one of a key counts.
+        """
+        known = self._cancelled_at.get(key, cancelled_at)
+        self._cancelled_at[key] = max(known, cancelled_at)
         self._cancelled_at.move_to_end(key)
         if len(self._cancelled_at) > _MAX_KEYS:
             self._cancelled_at.popitem(last=False)
@@ -48,14 +55,20 @@
     def contains(self, key: str, now: float) -> bool:
         """Returns whether a key was cancelled recently."""
         self._remove_expired(now)
-        return key in self._cancelled_at
+        cancelled_at = self._cancelled_at.get(key)
+        return cancelled_at is not None and now - cancelled_at < _KEPT_S
 
-    def recent(self, now: float) -> list[str]:
-        """Returns all keys that were cancelled recently."""
+    def recent(self, now: float) -> dict[str, float]:
+        """Returns the age in seconds of each recent cancel by its key."""
         self._remove_expired(now)
-        return list(self._cancelled_at)
+        return {
+            key: now - cancelled_at
+            for key, cancelled_at in self._cancelled_at.items()
+            if now - cancelled_at < _KEPT_S
+        }
 
     def _remove_expired(self, now: float) -> None:
+        """Removes expired keys; one that was added late waits for its turn."""
         while self._cancelled_at:
             key, cancelled_at = next(iter(self._cancelled_at.items()))
             if now - cancelled_at < _KEPT_S:
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -8,7 +8,8 @@
 from sesameroad.jobs import admission
 from sesameroad.jobs import attempts
 from sesameroad.jobs import backlog
-from sesameroad.jobs import cancellations
+from sesameroad.jobs import cancel_reports as cancel_reports_module
+from sesameroad.jobs import cancellations as cancellations_module
 from sesameroad.jobs import eligibility
 from sesameroad.jobs import ending
 from sesameroad.jobs import forecast
@@ -64,6 +65,8 @@
         attempt_notice_s: float = 0.0,
         scheduling: scheduling_module.Scheduling = _DEFAULT_SCHEDULING,
         interference: interference_module.Interference | None = None,
+        cancellations: cancellations_module.Cancellations | None = None,
+        cancel_reports: cancel_reports_module.CancelReports | None = None,
     ) -> None:
         """Creates a scheduler without endpoints.
 
@@ -82,6 +85,10 @@
                 0 for never.
             scheduling: Options for a shortage of capacity.
             interference: Learns which queues to keep apart, None if disabled.
+            cancellations: Cancelled keys that this instance knows, none by
+                default.
+            cancel_reports: Peers that tell of further ones, before which no
+                task starts; None if there are none.
         """
         self._clock = clock
         self._metrics = metrics
@@ -113,7 +120,12 @@
             poll_times=answer_times.AnswerTimes.of_polls(scheduling),
         )
         self._tracker.attach(self._pool)
-        self._cancellations = cancellations.Cancellations()
+        self._cancellations = (
+            cancellations_module.Cancellations()
+            if cancellations is None
+            else cancellations
+        )
+        self._cancel_reports = cancel_reports
         self._attempts = attempts.Attempts(
             table=self._table,
             clock=clock,
@@ -208,6 +220,8 @@
         try:
             if self._evacuations is not None:
                 await self._evacuations.wait_known(_EVACUATIONS_WAIT_S)
+            if self._cancel_reports is not None:
+                await self._cancel_reports.wait()
             while True:
                 await self._wake.wait()
                 self._wake.clear()
@@ -371,16 +385,17 @@
                 ending.abandoned(active, outcomes.Cause.CANCELLED, "cancelled"),
             )
 
-    def cancel_key(self, key: str) -> bool:
+    def cancel_key(self, key: str, *, age_s: float = 0.0) -> bool:
         """Cancels a job, with all parts of it here, and its later attempts.
 
         Args:
             key: Name of the job that its caller has chosen.
+            age_s: Time since the caller cancelled it, in seconds.
 
         Returns:
             Whether any part of it was here.
         """
-        self._cancellations.add(key, self._clock.monotonic())
+        self._cancellations.add(key, self._clock.monotonic() - age_s)
         parts = list(self._table.of_key(key))
         for active in parts:
             self._tracker.finish(active, ending.cancelled())
--- a/sesameroad/node/caller_jobs.py
+++ b/sesameroad/node/caller_jobs.py
@@ -60,7 +60,12 @@
     )
 
     def __init__(
-        self, *, coordinator: Coordinator, ended: Ended, clock: clocks.Clock
+        self,
+        *,
+        coordinator: Coordinator,
+        ended: Ended,
+        clock: clocks.Clock,
+        cancellations: cancellations_module.Cancellations | None = None,
     ) -> None:
         """Creates the table without jobs.
 
@@ -68,12 +73,18 @@
             coordinator: Runs the jobs.
             ended: Called at the end of each job.
             clock: Time source.
+            cancellations: Cancelled keys that this instance knows, none by
+                default.
         """
         self._coordinator = coordinator
         self._ended = ended
         self._clock = clock
         self._jobs: dict[str, _RunningJob] = {}
-        self._cancellations = cancellations_module.Cancellations()
+        self._cancellations = (
+            cancellations_module.Cancellations()
+            if cancellations is None
+            else cancellations
+        )
         # Whether no job may begin any more.
         self._withdrawn = False
 
--- a/sesameroad/node/instance_registry.py
+++ b/sesameroad/node/instance_registry.py
@@ -50,7 +50,7 @@
 class InstanceRegistry:
     """Known instances by id, with the times of their announcements."""
 
-    __slots__ = ("_clock", "_entries", "_fresh_s", "_unreadable")
+    __slots__ = ("_clock", "_entries", "_fresh_s", "_read_at", "_unreadable")
 
     def __init__(self, *, clock: clocks.Clock, fresh_s: float) -> None:
         """Creates an empty registry.
@@ -62,6 +62,8 @@
         self._clock = clock
         self._fresh_s = fresh_s
         self._entries: dict[str, _Entry] = {}
+        # Time of the last read of the table.
+        self._read_at = -math.inf
         # Last version of each row that was reported as unreadable.
         self._unreadable: dict[str, int] = {}
 
@@ -112,7 +114,8 @@
         self._entries[name] = entry
 
     def retain(self, names: set[str]) -> None:
-        """Removes all instances except those named."""
+        """Removes all instances except those named, at the end of a read."""
+        self._read_at = self._clock.monotonic()
         for name in self._entries.keys() - names:
             del self._entries[name]
 
@@ -144,3 +147,18 @@
             for name, entry in self._entries.items()
             if entry.changed_at >= limit
         }
+
+    def announced_leaders(self) -> dict[str, Announcement]:
+        """Returns the announcements of leaders that lived at the last read.
+
+        While the store cannot be read, they stay as they were. The first read of a
+        row counts as well, as its writer may be alive.
+        """
+        limit = self._read_at - self._fresh_s
+        return {
+            name: entry.announcement
+            for name, entry in self._entries.items()
+            if entry.announcement.tokens
+            and max(entry.first_seen_at, entry.changed_at) >= limit
+            and not self._is_stale(entry)
+        }
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -9,6 +9,8 @@
 
 from sesameroad.jobs import active_job
 from sesameroad.jobs import attempts
+from sesameroad.jobs import cancel_reports
+from sesameroad.jobs import cancellations as cancellations_module
 from sesameroad.jobs import coordinator
 from sesameroad.jobs import election
 from sesameroad.jobs import interference
@@ -23,6 +25,7 @@
 from sesameroad.node import claim_policy
 from sesameroad.node import endpoint_list as endpoint_list_module
 from sesameroad.node import instance_registry
+from sesameroad.node import leader_coverage
 from sesameroad.node import routes
 from sesameroad.peering import links
 from sesameroad.peering import mesh as mesh_module
@@ -118,6 +121,7 @@
         metrics: job_metrics.JobMetrics,
         changed: Callable[[], None],
         evacuations: evacuations_module.Evacuations | None = None,
+        cancellations: cancellations_module.Cancellations | None = None,
     ) -> None:
         self._settings = settings
         self._mesh = mesh
@@ -130,6 +134,13 @@
         self._evacuations = evacuations
         self._scheduler: scheduler_module.Scheduler | None = None
         self._task: asyncio.Task[None] | None = None
+        # Cancelled keys that this instance knows, whether it leads or not.
+        self._cancellations = (
+            cancellations_module.Cancellations()
+            if cancellations is None
+            else cancellations
+        )
+        self._cancel_reports: cancel_reports.CancelReports | None = None
         # Data centres that this instance leads.
         self._led: set[str] = set()
         # Time of the last claim.
@@ -411,21 +422,78 @@
 
     @property
     def leader_links(self) -> dict[str, links.Link | None]:
-        """Link to each leader by its incarnation, None for this instance."""
-        return {
-            leader.link.hello.incarnation if leader.link else "": leader.link
-            for leader in self._leaders().values()
+        """Link to each leader by its incarnation, None for this instance.
+
+        A former leader that has not seen its successor is one as well.
+        """
+        leaders: dict[str, links.Link | None] = {
+            link.hello.incarnation: link
+            for link in self._mesh.peers.values()
+            if link.last_heartbeat is not None
+            and link.last_heartbeat.own_claims
         }
+        if self._scheduler is not None:
+            leaders[""] = None
+        return leaders
+
+    @property
+    def peer_links(self) -> dict[str, links.Link]:
+        """Live link to each peer by its instance id."""
+        return self._mesh.peers
+
+    def unseen_led(self) -> list[str]:
+        """Returns the data centres that a leader may have which is not visible."""
+        return leader_coverage.unseen(
+            visible={
+                data_centre: leader.claim.token
+                for data_centre, leader in self._leaders().items()
+            },
+            served=[
+                data_centre
+                for data_centre in self._settings.data_centres
+                if self._endpoint_list.in_data_centre(data_centre)
+            ],
+            announced=self._registry.announced_leaders(),
+            reached={self._settings.instance_id, *self._mesh.peers},
+        )
 
-    def cancel_key(self, key: str) -> bool | None:
-        """Cancels a job and its later attempts at the leader in this process.
+    def cancel_key(self, key: str, *, age_s: float = 0.0) -> bool | None:
+        """Cancels a job here, and its later attempts also under a later leader.
+
+        Args:
+            key: Name of the job that its caller has chosen.
+            age_s: Time since the caller cancelled it, in seconds.
 
         Returns:
-            Whether it had the job, None if this instance leads nothing.
+            Whether the leader here had it, None if this instance leads nothing.
         """
         if self._scheduler is None:
+            self._cancellations.add(key, self._clock.monotonic() - age_s)
             return None
-        return self._scheduler.cancel_key(key)
+        return self._scheduler.cancel_key(key, age_s=age_s)
+
+    def receive_cancels(
+        self, link: links.Link, report: messages.RecentCancels
+    ) -> None:
+        """Applies the recent cancels of a peer."""
+        reports = self._cancel_reports if self._scheduler else None
+        name = link.hello.instance_id
+        if report.token and (reports is None or report.token < reports.token):
+            log.problem(
+                "recent cancels for a claim that is over were ignored",
+                step="cancel",
+                peer=name,
+                token=report.token,
+                cancels=len(report.ages_s),
+            )
+            return
+        now = self._clock.monotonic()
+        for key, age_s in report.ages_s.items():
+            # What is known here has ended the job before.
+            if not self._cancellations.contains(key, now):
+                self.cancel_key(key, age_s=age_s)
+        if report.token and report.complete and reports is not None:
+            reports.record(name)
 
     def sessions(self) -> dict[Hashable, str]:
         """Returns the other leaders, by their stream and their token."""
@@ -557,6 +625,13 @@
         )
 
     def _start_scheduler(self, token: int) -> scheduler_module.Scheduler:
+        self._cancel_reports = cancel_reports.CancelReports(
+            token=token,
+            peers=self._mesh.peers,
+            timeout_s=self._settings.timing.peer_timeout_s,
+            clock=self._clock,
+            metrics=self._metrics,
+        )
         scheduler = self._scheduler = scheduler_module.Scheduler(
             token=token,
             orders_=self._orders,
@@ -571,6 +646,8 @@
             interference=interference.Interference.from_settings(
                 self._settings.interference
             ),
+            cancellations=self._cancellations,
+            cancel_reports=self._cancel_reports,
         )
         self._task = asyncio.create_task(scheduler.run(), name="leader")
         self._task.add_done_callback(self._handle_ended)
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -112,6 +112,8 @@
         )
         store = row_store.RowStore(self._client)
         self._evacuations = evacuations.Evacuations(self._evacuations_changed)
+        # Cancelled keys that this instance knows, in whatever part it plays.
+        self._cancellations = cancellations.Cancellations()
         self._orders = order_client.OrderClient.open(metrics=self._metrics)
         self._configuration_watcher = (
             configuration_watcher.ConfigurationWatcher(
@@ -150,6 +152,7 @@
             metrics=self._metrics,
             changed=self._leaders_changed,
             evacuations=self._evacuations,
+            cancellations=self._cancellations,
         )
         self._endpoint_watcher = endpoint_watcher.EndpointWatcher(
             store=store,
@@ -177,9 +180,14 @@
             coordinator=self._coordinator,
             ended=self._log_answer,
             clock=clock,
+            cancellations=self._cancellations,
         )
         self._canceller = canceller.Canceller(
-            leaders=self._leaders, clock=clock
+            leaders=self._leaders,
+            clock=clock,
+            cancellations=self._cancellations,
+            metrics=self._metrics,
+            own_id=settings.instance_id,
         )
         self._job_api = job_api.JobApi(self, clock=clock)
 
@@ -313,6 +321,7 @@
         self._heartbeat_cache = None
         self._leaders.prepare_stop()
         self._mesh.send_heartbeats()
+        self._canceller.hand_over()
         remaining_s = self._settings.timing.stop_notice_s - self._stopping_s
         await asyncio.sleep(max(0.0, remaining_s))
 
@@ -402,7 +411,9 @@
         """Cancels a job that any instance has taken, and its later attempts."""
         known = self._caller_jobs.cancel(key)
         result = await self._canceller.cancel(key)
-        return cancellations.Result.CANCELLED if known else result
+        if known and result is cancellations.Result.NO_SUCH_JOB:
+            return cancellations.Result.CANCELLED
+        return result
 
     def pending(self, queue: str) -> int:
         """Returns the number of jobs that have not started a task."""
@@ -501,6 +512,7 @@
                 self._forward_configuration(link, message)
                 self._forward_endpoints(link, message)
                 self._leaders.apply_heartbeat(link, message)
+                self._canceller.tell_leader(link, message)
                 link.set_idle(self._leaders.is_idle(link))
             case messages.JobOffer():
                 task = asyncio.create_task(self._serve_offer(link, message))
@@ -514,6 +526,8 @@
                 )
             case messages.StatusQuery(cancel=True):
                 self._answer_cancel(link, message)
+            case messages.RecentCancels():
+                self._leaders.receive_cancels(link, message)
             case (
                 messages.AttemptRunning()
                 | messages.AttemptReplaced()
@@ -656,7 +670,6 @@
     async def _elect_leaders(self) -> None:
         while True:
             self._leaders.evaluate()
-            self._canceller.inform_new_leaders()
             self._update_idle_links()
             self._report_free_cores()
             self._forward_new_configuration()
@@ -731,6 +744,7 @@
             loop_delay_s=self._loop_lag.delay_s,
             evacuated_data_centres=len(self._evacuations.data_centres),
             evacuated_runs=self._leaders.evacuated_runs,
+            recent_cancels=len(self._cancellations),
         )
 
     async def _close(self) -> None:
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -177,6 +177,15 @@
             return peer_pb2.Item(
                 job_cancel=peer_pb2.JobCancel(name=message.name)
             )
+        case messages.RecentCancels():
+            return peer_pb2.Item(
+                recent_cancels=peer_pb2.RecentCancels(
+                    token=message.token,
+                    keys=message.ages_s.keys(),
+                    ages_ms=map(_ceil_ms, message.ages_s.values()),
+                    continues=not message.complete,
+                )
+            )
         case messages.FleetReply():
             return peer_pb2.Item(
                 fleet_reply=peer_pb2.FleetReply(
@@ -313,6 +322,8 @@
             )
         case "job_cancel":
             return messages.JobCancel(item.job_cancel.name)
+        case "recent_cancels":
+            return _decode_recent_cancels(item.recent_cancels)
         case other:
             raise errors.PeerError(f"unknown message {other}", step="decode")
 
@@ -493,6 +504,33 @@
     )
 
 
+def _decode_recent_cancels(
+    recent: peer_pb2.RecentCancels,
+) -> messages.RecentCancels:
+    """Returns recent cancels.
+
+    Raises:
+        PeerError: If there are more than a sender puts into one message, or if
+            any has no key or no age.
+    """
+    if len(recent.keys) > messages.MAX_RECENT_CANCELS:
+        raise errors.PeerError(
+            f"{len(recent.keys)} recent cancels", step="decode"
+        )
+    if len(recent.keys) != len(recent.ages_ms) or not all(recent.keys):
+        raise errors.PeerError(
+            f"recent cancels with {len(recent.keys)} keys and"
+            f" {len(recent.ages_ms)} ages, or an empty key",
+            step="decode",
+        )
+    ages_s = (age_ms / _MS for age_ms in recent.ages_ms)
+    return messages.RecentCancels(
+        recent.token,
+        dict(zip(recent.keys, ages_s, strict=True)),
+        not recent.continues,
+    )
+
+
 def _encode_outcome(outcome: outcomes.Outcome) -> peer_pb2.Outcome:
     match outcome:
         case outcomes.Complete():
--- a/sesameroad/peering/links.py
+++ b/sesameroad/peering/links.py
@@ -77,6 +77,8 @@
         offered_configuration: Highest configuration version sent on this link.
         offered_listing: Highest listing version sent on this link.
         offered_marks: Whether the current leaving marks were sent.
+        told_token: Highest token of a claim of the peer for which recent cancels
+            were sent on this link.
     """
 
     __slots__ = (
@@ -107,6 +109,7 @@
         "offered_configuration",
         "offered_listing",
         "offered_marks",
+        "told_token",
     )
 
     def __init__(
@@ -170,6 +173,7 @@
         self.offered_configuration = 0
         self.offered_listing = 0
         self.offered_marks = False
+        self.told_token = 0
 
     @property
     def hello(self) -> messages.Hello:
--- a/sesameroad/peering/messages.py
+++ b/sesameroad/peering/messages.py
@@ -1,5 +1,6 @@
 """Messages between peers, independent of their encoding."""
 
+from collections.abc import Mapping
 import dataclasses
 import enum
 
@@ -9,6 +10,10 @@
 from sesameroad.model import outcomes
 from sesameroad.model import work as work_module
 
+# Cancels in one message; with keys of 16 characters that is about 0.1 MB, so that an
+# envelope of it does not hold up heartbeats.
+MAX_RECENT_CANCELS = 5_000
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Hello:
@@ -175,7 +180,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class StatusQuery:
-    """Asks the home of a key for its outcome so far, or to cancel it."""
+    """Asks the home of a key for its outcome so far, or to cancel it.
+
+    On the platform it cancels a job at a leader, and an instance that leads
+    nothing keeps the key.
+    """
 
     id: int
     key: str
@@ -228,6 +237,25 @@
     name: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RecentCancels:
+    """Cancels of the last seconds that the sender knows.
+
+    An instance sends them, also if there are none, to each leader whose claim it
+    sees for the first time, and to others before it stops.
+
+    Attributes:
+        token: Token of the claim that it has seen, 0 for an instance that need
+            not lead.
+        ages_s: Age of each cancel in seconds, by the key of its job.
+        complete: Whether no further ones follow for this token.
+    """
+
+    token: int
+    ages_s: Mapping[str, float]
+    complete: bool = True
+
+
 Question = RelayRequest | StatusQuery | FleetQuery | JobOffer
 Reply = RelayReply | FleetReply
 Message = (
@@ -238,6 +266,7 @@
     | ConfigurationUpdate
     | EndpointUpdate
     | JobCancel
+    | RecentCancels
     | attempts.Notice
     | Question
     | Reply
--- a/sesameroad/telemetry/job_metrics.py
+++ b/sesameroad/telemetry/job_metrics.py
@@ -40,6 +40,7 @@
             processor time.
         evacuated_data_centres: Number of data centres that are evacuated.
         evacuated_runs: Runs that this leader has left on their endpoints.
+        recent_cancels: Cancelled keys that this instance keeps.
     """
 
     configuration_version: int
@@ -53,6 +54,7 @@
     loop_delay_s: float
     evacuated_data_centres: int = 0
     evacuated_runs: int = 0
+    recent_cancels: int = 0
 
 
 class JobMetrics:
@@ -91,6 +93,23 @@
             "Jobs that a leader ended because it lost track of a task.",
             registry=registry,
         )
+        self._cancels = prometheus_client.Counter(
+            "sesameroad_cancels",
+            "Cancels that callers sent to this instance, by result.",
+            ["result"],
+            registry=registry,
+        )
+        self._cancel_reports_seconds = prometheus_client.Histogram(
+            "sesameroad_cancel_reports_seconds",
+            "Wait of a new leader for the recent cancels of its peers.",
+            buckets=_ORDER_BUCKETS_S,
+            registry=registry,
+        )
+        self._cancel_reports_missing = prometheus_client.Counter(
+            "sesameroad_cancel_reports_missing",
+            "Peers that have not told a new leader of their recent cancels.",
+            registry=registry,
+        )
         self._orders = prometheus_client.Counter(
             "sesameroad_orders",
             "Orders to endpoints, by kind and answer.",
@@ -164,6 +183,15 @@
         """Counts a job that was ended because a task was lost track of."""
         self._jobs_unaccounted.inc()
 
+    def cancelled(self, result: str) -> None:
+        """Counts a cancel of a caller by its result."""
+        self._cancels.labels(result).inc()
+
+    def cancel_reports_awaited(self, seconds: float, *, missing: int) -> None:
+        """Records a new leader's wait for the recent cancels of its peers."""
+        self._cancel_reports_seconds.observe(seconds)
+        self._cancel_reports_missing.inc(missing)
+
     def ordered(
         self, order: str, answer: orders.PollAnswer | orders.Answer
     ) -> None:
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -277,6 +277,7 @@
         evacuations=None,
         scheduling=scheduling_module.Scheduling(),  # noqa: B008  # Frozen.
         interference=None,
+        cancel_reports=None,
         settle_s=0.05,
     ):
         """Runs a leader; yields it after the first reports have arrived.
@@ -295,6 +296,7 @@
             attempt_notice_s=self._attempt_notice_s,
             scheduling=scheduling,
             interference=interference,
+            cancel_reports=cancel_reports,
         )
         self.links.add(f"leader{token}", scheduler)
         scheduler.update(self.endpoints)
--- a/tests/test_caller_processes.py
+++ b/tests/test_caller_processes.py
@@ -14,6 +14,10 @@
 # Time within which a cancel is answered, and then within which all runs have
 # ended.
 _CANCEL_S = 3.0
+# Time until all instances are linked to each other, and until both sides of a cut
+# have a leader and its row has been read.
+_LINK_S = 1.0
+_CUT_S = 6.0
 
 
 class CallerProcessesTest(_processes.ProcessTest):
@@ -70,6 +74,72 @@
         unknown = _processes.Job("f" * 16, 1)
         self.assertEqual(await self.delete(unknown, instance=1), 410)
 
+    async def test_cancel_at_the_leader_outlives_it(self):
+        """Guards against a cancelled job that runs at the next leader (review/6).
+
+        The request arrives again after the leader, which took the cancel, is lost.
+        """
+        await self.open(instance_count=3, endpoint_count=2)
+        leader = self._leader()
+        job, call = await self.begin(instance=leader)
+        self.assertEqual(await self.delete(job, instance=leader), 200)
+        await self.assert_ended(job, call)
+        await self._repeat_after_a_loss(job, leader, pause_s=1.5)
+
+    async def test_next_leader_starts_no_cancelled_job(self):
+        """Guards against a start before the cancel is known (review/10).
+
+        The request arrives again while there is no leader.
+        """
+        await self.open(instance_count=3, endpoint_count=2)
+        leader = self._leader()
+        job, call = await self.begin(instance=(leader + 1) % 3)
+        self.assertEqual(await self.delete(job, instance=(leader + 1) % 3), 200)
+        await self.assert_ended(job, call)
+        await self._repeat_after_a_loss(job, leader, pause_s=0.1)
+
+    async def test_cancel_in_a_zone_that_is_cut_off_is_not_acknowledged(self):
+        """Guards against "no such job" beside a leader out of reach (review/8).
+
+        The zone that is cut off has a leader of its own, which does not know the
+        job. The same holds for an instance outside.
+        """
+        await self.open(
+            instance_count=4,
+            endpoint_count=4,
+            data_centres=("dc1", "dc2"),
+            can_cut=True,
+        )
+        await asyncio.sleep(_LINK_S)
+        await self.deployment.paths.cut(
+            self.deployment.paths_between("dc1", "dc2"), reset=False
+        )
+        await asyncio.sleep(_CUT_S)
+        for origin, cancelled_at in ((0, 1), (1, 0)):
+            with self.subTest(origin=origin):
+                job, call = await self.begin(instance=origin)
+                self.assertEqual(
+                    await self.delete(job, instance=cancelled_at), 503
+                )
+                self.assertFalse(call.done())
+                call.cancel()
+        await self.deployment.paths.restore()
+
+    async def _repeat_after_a_loss(self, job, leader, *, pause_s):
+        """Kills the leader and sends a cancelled job to an instance once more."""
+        started = len(self.history.starts)
+        self.deployment.instances[leader].signal(signal.SIGKILL)
+        await asyncio.sleep(pause_s)
+        again = await self.post(
+            job,
+            instance=(leader + 2) % 3,
+            run_s=0.5,
+            cores=_CORES,
+            timeout_s=9.0,
+        )
+        self.assertEqual((again, job.state), (200, "cancelled"))
+        self.assertEqual(len(self.history.starts), started)
+
     async def test_graceful_stop_answers_a_job_that_waits_elsewhere(self):
         """Guards against a connection that is cut off without an answer."""
         await self.open(endpoint_count=2)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -31,6 +31,8 @@
     messages.RelayRequest(1, messages.Purpose.SPILL, _WORK, "d", 9),
     messages.RelayReply(1, outcomes.Complete((b"1", b"2"))),
     messages.StatusQuery(2, "k", True),
+    messages.RecentCancels(7, {"k": 0.5, "j": 29.25}, complete=False),
+    messages.RecentCancels(0, {}),
     messages.FleetQuery(3, "show"),
     messages.FleetReply(3, b"{}"),
 ]
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -132,8 +132,11 @@
         )
         self.announce("i1", "10.0.0.1:3")
 
-    def announce(self, name, address, version=1, *, data_centre="dc1"):
+    def announce(
+        self, name, address, version=1, *, data_centre="dc1", tokens=()
+    ):
         row = {
+            "tokens": dict(tokens),
             "data_centre": data_centre,
             "address": address,
             "written_ms": self.clock.wall,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -24,6 +24,12 @@
     def cancel(self, name, origin_id):
         self.calls.append(("cancel", name))
 
+    def apply_heartbeat(self, link, heartbeat):
+        self.calls.append(("heartbeat", link.hello.instance_id))
+
+    def is_idle(self, link):
+        return True
+
     async def close(self):
         pass
 
@@ -67,3 +73,22 @@
         self.assertEqual(
             self.leaders.calls, [("submit", "job"), ("cancel", "job")]
         )
+
+    async def test_new_leader_is_told_of_cancels_with_its_first_heartbeat(self):
+        """Guards against a job that a new leader starts meanwhile (review/10).
+
+        Jobs that wait for a leader are offered within 20 ms.
+        """
+        self.node._canceller._cancellations.add("k", clocks.elapsed_s())
+        sent = []
+        link = types.SimpleNamespace(
+            hello=messages.Hello("i2", "dc1", "1"),
+            send=sent.append,
+            set_idle=lambda idle: None,
+            offered_configuration=0,
+            offered_listing=0,
+            told_token=0,
+        )
+        claim = messages.LeadershipClaim("dc1", 7)
+        self.node._receive(link, messages.Heartbeat(0, 1, False, (claim,)))
+        self.assertEqual([(m.token, set(m.ages_s)) for m in sent], [(7, {"k"})])
