Do not wait for cancels of peers that were silent before a claim

A peer on an idle link counts as live for up to 6 s. After a cut that takes the leader and others, the next leader would have waited 0.75 s for these. Peers that do not count in the election are not waited for.

--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -627,7 +627,12 @@
     def _start_scheduler(self, token: int) -> scheduler_module.Scheduler:
         self._cancel_reports = cancel_reports.CancelReports(
             token=token,
-            peers=self._mesh.peers,
+            # The loss of a peer on an idle link is noticed late. Those that were
+            # not heard while there was no leader need not be waited for.
+            peers={
+                link.hello.instance_id: link
+                for link in self._claim_policy.peers
+            },
             timeout_s=self._settings.timing.peer_timeout_s,
             clock=self._clock,
             metrics=self._metrics,
--- a/tests/test_cancel_reports.py
+++ b/tests/test_cancel_reports.py
@@ -158,6 +158,15 @@
         scheduler.cancel_key = cancel_key
         return claim.token
 
+    async def test_peer_that_was_silent_before_the_claim_is_not_waited_for(
+        self,
+    ):
+        """Guards against a slow takeover after a cut, with peers on idle links."""
+        self.peer(test_leaders._LATER, heard=False)
+        self.wait(1.0)
+        self.assertTrue(self.leaders.is_leader)
+        self.assertEqual(set(self.leaders._cancel_reports._awaited), set())
+
     async def test_report_ends_jobs_and_counts(self):
         token = await self.lead()
         self.receive(token, {"k": 2.0}, complete=False)
