Ignore cancels in a report that are no longer kept

A report that is held up for 30 s, or a wrong age in it, would have ended a job whose key is used again.

--- a/sesameroad/jobs/cancellations.py
+++ b/sesameroad/jobs/cancellations.py
@@ -5,7 +5,7 @@
 
 # Time for which a cancelled key is kept. A request that was sent before the cancel
 # may arrive seconds after it, and a caller without an answer sends it again.
-_KEPT_S = 30.0
+KEPT_S = 30.0
 # Bounds the memory of a flood of cancels to a few megabytes.
 _MAX_KEYS = 20_000
 
@@ -56,7 +56,7 @@
         """Returns whether a key was cancelled recently."""
         self._remove_expired(now)
         cancelled_at = self._cancelled_at.get(key)
-        return cancelled_at is not None and now - cancelled_at < _KEPT_S
+        return cancelled_at is not None and now - cancelled_at < KEPT_S
 
     def recent(self, now: float) -> dict[str, float]:
         """Returns the age in seconds of each recent cancel by its key."""
@@ -64,13 +64,13 @@
         return {
             key: now - cancelled_at
             for key, cancelled_at in self._cancelled_at.items()
-            if now - cancelled_at < _KEPT_S
+            if now - cancelled_at < KEPT_S
         }
 
     def _remove_expired(self, now: float) -> None:
         """Removes expired keys; one that was added late waits for its turn."""
         while self._cancelled_at:
             key, cancelled_at = next(iter(self._cancelled_at.items()))
-            if now - cancelled_at < _KEPT_S:
+            if now - cancelled_at < KEPT_S:
                 return
             del self._cancelled_at[key]
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -489,8 +489,16 @@
             return
         now = self._clock.monotonic()
         for key, age_s in report.ages_s.items():
-            # What is known here has ended the job before.
-            if not self._cancellations.contains(key, now):
+            if age_s >= cancellations_module.KEPT_S:
+                log.problem(
+                    "cancel that came too late was ignored",
+                    step="cancel",
+                    peer=name,
+                    request=key,
+                    age_ms=int(age_s * 1_000),
+                )
+            elif not self._cancellations.contains(key, now):
+                # What is known here has ended the job before.
                 self.cancel_key(key, age_s=age_s)
         if report.token and report.complete and reports is not None:
             reports.record(name)
--- a/tests/test_cancel_reports.py
+++ b/tests/test_cancel_reports.py
@@ -189,6 +189,14 @@
             self.receive(5, {"k": 2.0})
         self.assertEqual(self.kept(), {})
 
+    async def test_cancel_that_is_too_old_ends_no_job(self):
+        """Guards against the end of a job whose key is used again."""
+        token = await self.lead()
+        with self.assertLogs(level="WARNING") as logs:
+            self.receive(token, {"k": 30.0})
+        self.assertIn("came too late", logs.output[0])
+        self.assertEqual(self.cancelled, [])
+
     async def test_cancels_of_a_stopping_instance_are_kept_without_leading(
         self,
     ):
