Bar late starts also after a restart that follows an answered stop

A start without an answer was forgotten once its endpoint had answered the stop. After a restart under its id the endpoint knows neither stop nor token, and carried the start out beside the next run of the task.

Such starts are kept until they can no longer come. The log line "starts that are held up block their tasks" and a counter show it. A job that waits for a silent endpoint is answered after a lease of silence.

--- a/sesameroad/jobs/held_up_starts.py
+++ b/sesameroad/jobs/held_up_starts.py
@@ -1,5 +1,6 @@
-"""Starts without an answer that outlast the lease of their endpoint."""
+"""Starts without an answer that may be carried out by a restarted endpoint."""
 
+from collections.abc import Iterable
 import dataclasses
 
 from sesameroad.jobs import active_job
@@ -7,19 +8,23 @@
 from sesameroad.leasing import runs
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
+@dataclasses.dataclass(slots=True)
 class _HeldUpStart:
     """A start that may still be carried out.
 
     Attributes:
         leased: Endpoint to which it was sent.
+        task: Task that it would run.
         token: Fencing token of the start.
         until: Time at which its run has ended, if there was any.
+        patient_until: Time until which a job waits for the endpoint to answer.
     """
 
     leased: leased_endpoint.LeasedEndpoint
+    task: str
     token: int
     until: float
+    patient_until: float = 0.0
 
 
 class HeldUpStarts:
@@ -27,69 +32,132 @@
 
     Neither a stop nor the end of the lease prevents a start that arrives after
     its endpoint has started again. Only the raised token does, once the new
-    incarnation has seen it.
+    incarnation has seen it. So a start is kept until it can no longer come. It
+    blocks its task from the time at which the endpoint is silent or has started
+    again until it has reported with the raised token. While the endpoint
+    answers, the stop or the token that it has seen bars the start.
     """
 
-    __slots__ = ("_starts",)
+    __slots__ = ("_blocking", "_starts")
 
     def __init__(self) -> None:
-        # By task.
-        self._starts: dict[str, _HeldUpStart] = {}
+        # By endpoint, then by task.
+        self._starts: dict[str, dict[str, _HeldUpStart]] = {}
+        # Those that block their task, by task, then by endpoint.
+        self._blocking: dict[str, dict[str, _HeldUpStart]] = {}
 
-    def add(
+    def add_barred(
         self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run
     ) -> None:
-        """Blocks the task of a run whose lease has expired without a report.
+        """Adds the start of a run that the present incarnation will not begin.
 
-        The last moment at which the start may be carried out begins a lease.
+        It has answered the stop or has seen a higher token.
         """
-        until = run.held_up_until + leased.lease.longest_s
-        self._starts[run.task] = _HeldUpStart(leased, run.token, until)
+        self._add(leased, run)
+
+    def add(
+        self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run
+    ) -> None:
+        """Blocks the task of a run whose lease has expired without a report."""
+        self._block(self._add(leased, run))
 
-    def remove_fenced(
+    def _add(
+        self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run
+    ) -> _HeldUpStart:
+        # The last moment at which the start may be carried out begins a lease.
+        until = run.held_up_until + leased.lease.longest_s
+        start = _HeldUpStart(leased, run.task, run.token, until)
+        name = leased.endpoint.id
+        former = self._starts.setdefault(name, {}).get(run.task)
+        if former is not None:
+            start.until = max(until, former.until)
+            start.token = max(run.token, former.token)
+        self._starts[name][run.task] = start
+        if name in self._blocking.get(run.task, ()):
+            self._block(start)
+        return start
+
+    def block(
+        self, leased: leased_endpoint.LeasedEndpoint, now: float
+    ) -> list[str]:
+        """Blocks the tasks of an endpoint that is silent or has started again.
+
+        Returns:
+            The tasks, some of which may have another run.
+        """
+        starts = self._starts.get(leased.endpoint.id, {})
+        for start in starts.values():
+            start.patient_until = now + leased.lease.longest_s
+            self._block(start)
+        return list(starts)
+
+    def _block(self, start: _HeldUpStart) -> None:
+        name = start.leased.endpoint.id
+        self._blocking.setdefault(start.task, {})[name] = start
+
+    def _unblock(self, start: _HeldUpStart) -> None:
+        name = start.leased.endpoint.id
+        blocking = self._blocking.get(start.task, {})
+        if blocking.get(name) is start:
+            del blocking[name]
+            if not blocking:
+                del self._blocking[start.task]
+
+    def record_fenced(
         self, leased: leased_endpoint.LeasedEndpoint, token: int
     ) -> None:
-        """Removes the starts that an endpoint refuses since it saw a token."""
-        for task, start in list(self._starts.items()):
-            if (
-                start.leased.endpoint.id == leased.endpoint.id
-                and start.token < token
-            ):
-                del self._starts[task]
+        """Frees the tasks whose starts an endpoint refuses by a token.
+
+        The starts are kept, as its next incarnation does not know the token.
+        """
+        if not self._blocking:
+            return
+        for start in self._starts.get(leased.endpoint.id, {}).values():
+            if start.token < token:
+                self._unblock(start)
 
     def remove_expired(self, now: float) -> None:
         """Removes the starts whose runs have ended, if there were any."""
-        for task, start in list(self._starts.items()):
-            if now >= start.until:
-                del self._starts[task]
+        for name, starts in list(self._starts.items()):
+            for task, start in list(starts.items()):
+                if now >= start.until:
+                    del starts[task]
+                    self._unblock(start)
+            if not starts:
+                del self._starts[name]
+
+    def tasks_at(self, leased: leased_endpoint.LeasedEndpoint) -> Iterable[str]:
+        """Returns the tasks that a start to an endpoint may begin later."""
+        return self._starts.get(leased.endpoint.id, {}).keys()
 
     def blocks(self, task: str) -> bool:
         """Returns whether a start of a task may still be carried out."""
-        return task in self._starts
+        return task in self._blocking
 
     def blocks_key(self, key: str) -> bool:
         """Returns whether any task of a caller's job is blocked."""
-        return any(task.startswith(f"{key}.") for task in self._starts)
+        return any(task.startswith(f"{key}.") for task in self._blocking)
 
     def blocks_any(self, active: active_job.ActiveJob) -> bool:
         """Returns whether any waiting task of a job is blocked."""
-        return bool(self._starts) and any(
-            active.job.task(index) in self._starts for index in active.waiting
+        return bool(self._blocking) and any(
+            active.job.task(index) in self._blocking for index in active.waiting
         )
 
-    def outlast(self, active: active_job.ActiveJob) -> bool:
+    def outlast(self, active: active_job.ActiveJob, now: float) -> bool:
         """Returns whether a job can't end in time because of blocked tasks.
 
-        An endpoint that answers is about to see the raised token.
+        An endpoint that answers is about to see the raised token. One that has
+        just become silent may answer again within a lease.
         """
-        if not self._starts:
+        if not self._blocking:
             return False
         job = active.job
         latest_start = min(job.expires_at, job.deadline_at) - job.estimate_s
-        starts = (self._starts.get(job.task(i)) for i in active.waiting)
         return any(
-            start is not None
-            and start.leased.silent_since is not None
+            start.leased.silent_since is not None
+            and now >= start.patient_until
             and start.until > latest_start
-            for start in starts
+            for index in active.waiting
+            for start in self._blocking.get(job.task(index), {}).values()
         )
--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -185,6 +185,7 @@
             run=run.number,
             reason=refusal.value,
         )
+        run.held_up_until = 0.0
         match refusal:
             case (
                 orders.Refusal.NO_ROOM
@@ -239,7 +240,7 @@
         now = self._clock.monotonic()
         first = not leased.reconciled
         leased.reconciled = True
-        self._held_up_starts.remove_fenced(leased, token)
+        self._held_up_starts.record_fenced(leased, token)
         for end in report.ended:
             if end.number <= leased.seen:
                 continue
@@ -258,6 +259,9 @@
                     run.state = runs.State.RUNNING
                     run.confirmed_at = now
             elif run.is_gone(asked_at=asked_at, token=token):
+                if now < run.held_up_until:
+                    # Neither the stop nor the token holds after a restart.
+                    self._held_up_starts.add_barred(leased, run)
                 self._mark_lost(leased, run, "not listed any more")
         found = self._takeover.record_running(leased, listed)
         if found or first or (report.ended and self._takeover.has_done):
@@ -278,6 +282,7 @@
     ) -> None:
         """Logs a restart; the next report shows which runs it has ended."""
         leased.orphans.clear()
+        self._block_held_up(leased, "it has started again")
         log.event(
             "endpoint started again",
             step="run",
@@ -287,6 +292,45 @@
             listed=[f"{r.task}#{r.run}" for r in report.running],
         )
 
+    def on_silent(self, leased: leased_endpoint.LeasedEndpoint) -> None:
+        """Raises the token of an endpoint that may start again.
+
+        The first order that reaches its next incarnation then bars the starts
+        that are held up.
+        """
+        if self._block_held_up(leased, "it is silent"):
+            leased.fence()
+
+    def _block_held_up(
+        self, leased: leased_endpoint.LeasedEndpoint, cause: str
+    ) -> bool:
+        """Blocks the tasks of held-up starts that a restart may let through.
+
+        Runs of these tasks elsewhere go on: their loss would be certain, and
+        the start is most likely refused.
+        """
+        now = self._clock.monotonic()
+        tasks = self._held_up_starts.block(leased, now)
+        if not tasks:
+            return False
+        log.event(
+            "starts that are held up block their tasks",
+            step="start",
+            peer=leased.endpoint.id,
+            cause=cause,
+            count=len(tasks),
+            running=sum(self._table.has_run(task) for task in tasks),
+        )
+        self._metrics.starts_blocked(len(tasks))
+        return True
+
+    def is_restart_urgent(self, leased: leased_endpoint.LeasedEndpoint) -> bool:
+        """Returns whether a held-up start may come beside a run elsewhere."""
+        return any(
+            self._table.has_run(task) and task not in leased.runs
+            for task in self._held_up_starts.tasks_at(leased)
+        )
+
     def on_fenced(
         self, leased: leased_endpoint.LeasedEndpoint, token: int
     ) -> None:
@@ -506,7 +550,7 @@
 
     def answer_held_up(self, active: active_job.ActiveJob) -> None:
         """Ends a job that a held-up start blocks for longer than is of use."""
-        if self._held_up_starts.outlast(active):
+        if self._held_up_starts.outlast(active, self._clock.monotonic()):
             self.finish(active, ending.held_up())
 
     def log_end(
--- a/sesameroad/telemetry/job_metrics.py
+++ b/sesameroad/telemetry/job_metrics.py
@@ -91,6 +91,11 @@
             "Jobs that a leader ended because it lost track of a task.",
             registry=registry,
         )
+        self._starts_blocked = prometheus_client.Counter(
+            "sesameroad_held_up_starts_blocked",
+            "Starts without an answer that block their tasks for a restart.",
+            registry=registry,
+        )
         self._orders = prometheus_client.Counter(
             "sesameroad_orders",
             "Orders to endpoints, by kind and answer.",
@@ -160,6 +165,10 @@
         """Counts a run that has ended."""
         self._runs_ended_by(result).inc()
 
+    def starts_blocked(self, count: int) -> None:
+        """Counts starts without an answer that block their tasks."""
+        self._starts_blocked.inc(count)
+
     def job_unaccounted(self) -> None:
         """Counts a job that was ended because a task was lost track of."""
         self._jobs_unaccounted.inc()
--- a/tests/test_held_up_starts.py
+++ b/tests/test_held_up_starts.py
@@ -213,6 +213,130 @@
             self.assertLess(self._passed_s(site), 2.68 if loses else 2.18)
 
 
+class AnsweredStopTest(_virtual.VirtualTimeTest):
+    """The endpoint has answered the stop of a held-up start, and restarts."""
+
+    def _begin(self, *, run_s):
+        self.site = _jobs.Site(count=3)
+        self.late = self.site.fleet.endpoints["e0"]
+        self.job = self.site.job(
+            count=1, run_s=run_s, cores=16.0, stretch=6.0, deadline_s=9.0
+        )
+
+    async def _hold_up(self, leader, *, late_s):
+        """Submits the job, whose start at e0 is held up.
+
+        Its next run is on another endpoint.
+        """
+        self.began_at = self.site.clock.monotonic()
+        self.late.fault.late_s = late_s
+        submitted = asyncio.create_task(
+            leader.submit(self.job, self.site.origin)
+        )
+        await asyncio.sleep(0.05)
+        self.late.fault.late_s = 0.0
+        self.late.fault.unhealthy = True
+        while not self.site.history.starts:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        self.late.fault.unhealthy = False
+        self.assertLess(self.site.clock.monotonic() - self.began_at, 0.7)
+        return submitted
+
+    async def _wait_until(self, seconds):
+        passed_s = self.site.clock.monotonic() - self.began_at
+        await asyncio.sleep(seconds - passed_s)
+
+    async def test_start_has_no_effect_in_the_next_incarnation(self):
+        """Guards against a late start beside the next run of its task.
+
+        The start arrives a short time after its endpoint is back, at which the
+        leader had not reached it yet.
+        """
+        for step in range(10):
+            ahead_s = 0.03 + 0.01 * step
+            self._begin(run_s=3.6)
+            async with self.site.leader() as leader:
+                submitted = await self._hold_up(leader, late_s=2.5)
+                await self._wait_until(2.0 - ahead_s)
+                self.assertEqual(len(self.site.history.starts), 1)
+                self.late.crash(down_s=0.5)
+                outcome = await submitted
+            self.assertEqual(self.site.history.overlapping, [], ahead_s)
+            self.assertEqual(outcome, outcomes.Complete(()), ahead_s)
+            self.assertEqual(len(self.site.history.starts), 1, ahead_s)
+
+    async def test_start_has_no_effect_after_two_restarts(self):
+        """Guards against forgetting a held-up start with the first restart."""
+        for step in range(10):
+            ahead_s = 0.03 + 0.01 * step
+            self._begin(run_s=4.0)
+            async with self.site.leader() as leader:
+                submitted = await self._hold_up(leader, late_s=3.0)
+                await self._wait_until(0.6)
+                self.late.crash(down_s=0.3)
+                await self._wait_until(2.5 - ahead_s)
+                self.late.crash(down_s=0.5)
+                self.assertEqual(await submitted, outcomes.Complete(()))
+            self.assertEqual(self.site.history.overlapping, [], ahead_s)
+            self.assertEqual(len(self.site.history.starts), 1, ahead_s)
+
+    async def test_later_attempt_waits_for_a_silent_endpoint_only(self):
+        """Guards against a run beside a start whose stop is forgotten.
+
+        While the endpoint answers, the task is free: the stop holds.
+        """
+        for crashes in (False, True):
+            self._begin(run_s=0.3)
+            async with self.site.leader() as leader:
+                await (await self._hold_up(leader, late_s=2.5))
+                self.assertEqual(self.site.history.starts, [self.job.task(0)])
+                await self._wait_until(1.9)
+                if crashes:
+                    self.late.crash(down_s=0.55)
+                    await asyncio.sleep(0.05)
+                attempt = self.site.job(
+                    count=1, run_s=1.0, cores=16.0, stretch=6.0, deadline_s=9
+                )
+                submitted = asyncio.create_task(
+                    leader.submit(attempt, self.site.origin)
+                )
+                await self._wait_until(2.4)
+                self.assertEqual(
+                    len(self.site.history.starts), 1 if crashes else 2
+                )
+                self.assertEqual(await submitted, outcomes.Complete(()))
+                self.assertLess(
+                    self.site.clock.monotonic() - self.began_at, 3.8
+                )
+            self.assertEqual(self.site.history.overlapping, [])
+
+    async def test_attempt_is_answered_if_the_endpoint_stays_silent(self):
+        """Guards against callers that wait in vain for a lost endpoint."""
+        self._begin(run_s=0.3)
+        async with self.site.leader() as leader:
+            await (await self._hold_up(leader, late_s=50.0))
+            await self._wait_until(1.0)
+            self.late.crash(down_s=99.0)
+            await asyncio.sleep(0.1)
+            attempt = self.site.job(
+                count=1, run_s=0.3, cores=16.0, stretch=6.0, deadline_s=9
+            )
+            outcome = await leader.submit(attempt, self.site.origin)
+            self.assertIsInstance(outcome, outcomes.Unknown)
+            self.assertLess(self.site.clock.monotonic() - self.began_at, 2.4)
+        self.assertEqual(len(self.site.history.starts), 1)
+
+    async def test_run_elsewhere_goes_on_if_the_endpoint_stays_silent(self):
+        """Guards against the loss of a sound run for a start that may come."""
+        self._begin(run_s=2.0)
+        async with self.site.leader() as leader:
+            submitted = await self._hold_up(leader, late_s=50.0)
+            await self._wait_until(1.0)
+            self.late.crash(down_s=99.0)
+            self.assertEqual(await submitted, outcomes.Complete(()))
+        self.assertEqual(len(self.site.history.starts), 1)
+
+
 class BlockedTaskTest(unittest.IsolatedAsyncioTestCase):
 
     def _leased(self, site, number):
@@ -232,11 +356,34 @@
         run.token, run.held_up_until = 7, now + 12
         starts = held_up_starts.HeldUpStarts()
         starts.add(first, run)
-        starts.remove_fenced(first, 7)
-        starts.remove_fenced(second, 8)
+        starts.record_fenced(first, 7)
+        starts.record_fenced(second, 8)
+        self.assertTrue(starts.blocks(run.task))
+        starts.record_fenced(first, 8)
+        self.assertFalse(starts.blocks(run.task))
+
+    async def test_start_blocks_again_until_it_can_no_longer_come(self):
+        """Guards against a token that counts for the next incarnation."""
+        site = _jobs.Site()
+        now = site.clock.monotonic()
+        leased = self._leased(site, 0)
+        active = active_job.ActiveJob(site.job(), now=now)
+        run = active.new_run(0, 1)
+        run.token, run.held_up_until = 7, now + 12
+        starts = held_up_starts.HeldUpStarts()
+        starts.add_barred(leased, run)
+        self.assertFalse(starts.blocks(run.task))
+        for _ in range(2):
+            self.assertEqual(starts.block(leased, now), [run.task])
+            self.assertTrue(starts.blocks(run.task))
+            starts.record_fenced(leased, 8)
+            self.assertFalse(starts.blocks(run.task))
+        starts.block(leased, now)
+        starts.remove_expired(now + 13)
         self.assertTrue(starts.blocks(run.task))
-        starts.remove_fenced(first, 8)
+        starts.remove_expired(now + 13.1)
         self.assertFalse(starts.blocks(run.task))
+        self.assertEqual(starts.block(leased, now), [])
 
     async def test_job_waits_for_an_endpoint_that_answers_again(self):
         """Guards against answering a job early whose task is free soon."""
@@ -248,6 +395,6 @@
         run.held_up_until = now + 12
         starts = held_up_starts.HeldUpStarts()
         starts.add(leased, run)
-        self.assertTrue(starts.outlast(active))
+        self.assertTrue(starts.outlast(active, now))
         leased.silent_since = None
-        self.assertFalse(starts.outlast(active))
+        self.assertFalse(starts.outlast(active, now))
