Start nothing at a new leader by a list from before its claim

An instance that does not lead reads the list of endpoints each 4 s. As it claimed, it started waiting jobs by that list, also on endpoints that had been draining for longer than they serve.

The first placement of an instance that led nothing waits for a list that was asked for after the claim, at most 0.25 s, and goes on with the known list, and a log line, if the store fails or does not answer. A histogram has the times.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -19,6 +19,7 @@
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placer
 from sesameroad.jobs import run_tracker
+from sesameroad.jobs import start_gate as start_gate_module
 from sesameroad.jobs import takeover
 from sesameroad.jobs import whole_starts
 from sesameroad.leasing import answer_times
@@ -64,6 +65,7 @@
         attempt_notice_s: float = 0.0,
         scheduling: scheduling_module.Scheduling = _DEFAULT_SCHEDULING,
         interference: interference_module.Interference | None = None,
+        start_gate: start_gate_module.StartGate | None = None,
     ) -> None:
         """Creates a scheduler without endpoints.
 
@@ -82,10 +84,12 @@
                 0 for never.
             scheduling: Options for a shortage of capacity.
             interference: Learns which queues to keep apart, None if disabled.
+            start_gate: Holds back the first starts, None if nothing does.
         """
         self._clock = clock
         self._metrics = metrics
         self._evacuations = evacuations
+        self._start_gate = start_gate
         self._scheduling = scheduling
         self._table = job_table.JobTable()
         self._takeover = takeover.Takeover(table=self._table, clock=clock)
@@ -208,6 +212,8 @@
         try:
             if self._evacuations is not None:
                 await self._evacuations.wait_known(_EVACUATIONS_WAIT_S)
+            if self._start_gate is not None:
+                await self._start_gate.wait()
             while True:
                 await self._wake.wait()
                 self._wake.clear()
--- a/sesameroad/node/endpoint_list.py
+++ b/sesameroad/node/endpoint_list.py
@@ -20,11 +20,20 @@
     for a short time, since their rows may only have expired.
     """
 
-    __slots__ = ("_clock", "_endpoints", "_read_at", "_recovered_at")
+    __slots__ = (
+        "_applied_asked_at",
+        "_asked_at",
+        "_clock",
+        "_endpoints",
+        "_read_at",
+        "_recovered_at",
+    )
 
     def __init__(self, *, clock: clocks.Clock) -> None:
         self._clock = clock
         self._endpoints: dict[str, endpoints.Endpoint] = {}
+        self._asked_at = 0.0
+        self._applied_asked_at = 0.0
         self._read_at = 0.0
         self._recovered_at = 0.0
 
@@ -43,6 +52,20 @@
         """Time since the last read of the store, in seconds."""
         return self._clock.monotonic() - self._read_at
 
+    @property
+    def asked_at(self) -> float:
+        """Time at which the last read of the store began, 0 before."""
+        return self._asked_at
+
+    @property
+    def applied_asked_at(self) -> float:
+        """Time at which the read began whose list is in use, 0 before."""
+        return self._applied_asked_at
+
+    def begin_read(self) -> None:
+        """Records that the store is asked for the list now."""
+        self._asked_at = self._clock.monotonic()
+
     def in_data_centre(self, data_centre: str) -> list[endpoints.Endpoint]:
         """Returns the endpoints of a data centre."""
         return [
@@ -71,6 +94,8 @@
     ) -> None:
         """Applies a complete list that was just read from the store.
 
+        `begin_read` is called before it is asked for.
+
         Args:
             listed: All endpoints that the store lists.
             period_s: Time after the last read at which this one was due, in
@@ -81,6 +106,7 @@
         if self._read_at and now - self._read_at > period_s + _OUTAGE_S:
             self._recovered_at = now + _RECOVERY_S
         self._read_at = now
+        self._applied_asked_at = self._asked_at
         updated = {endpoint.id: endpoint for endpoint in listed}
         if now < self._recovered_at:
             kept = {
--- a/sesameroad/node/endpoint_watcher.py
+++ b/sesameroad/node/endpoint_watcher.py
@@ -26,6 +26,7 @@
     __slots__ = (
         "_changed",
         "_endpoint_list",
+        "_failed",
         "_read_requested",
         "_period_s",
         "_store",
@@ -39,6 +40,7 @@
         endpoint_list: endpoint_list_module.EndpointList,
         period_s: Callable[[], float],
         changed: Callable[[], None],
+        failed: Callable[[], None] = lambda: None,
     ) -> None:
         """Creates a watcher that has not read anything yet.
 
@@ -47,11 +49,13 @@
             endpoint_list: Receives each list that is read.
             period_s: Returns the time between reads, in seconds.
             changed: Called after each read.
+            failed: Called after each read that has failed.
         """
         self._store = store
         self._endpoint_list = endpoint_list
         self._period_s = period_s
         self._changed = changed
+        self._failed = failed
         self._read_requested = asyncio.Event()
         # Last version of each row that was reported as unusable.
         self._unusable: dict[str, int] = {}
@@ -74,6 +78,7 @@
             # A request during the read is for a later list than the one that
             # is being read.
             self._read_requested.clear()
+            self._endpoint_list.begin_read()
             try:
                 snapshot = await self._store.read(
                     endpoint_rows.TABLE, step=_STEP
@@ -85,6 +90,7 @@
                 failed = True
                 table.record_failure(error)
                 period_s = _RETRY_S
+                self._failed()
             try:
                 async with asyncio.timeout(period_s):
                     await self._read_requested.wait()
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -14,6 +14,7 @@
 from sesameroad.jobs import interference
 from sesameroad.jobs import partitioning
 from sesameroad.jobs import scheduler as scheduler_module
+from sesameroad.jobs import start_gate
 from sesameroad.leasing import orders
 from sesameroad.membership import evacuations as evacuations_module
 from sesameroad.model import attempts as notices
@@ -129,6 +130,7 @@
         self._changed = changed
         self._evacuations = evacuations
         self._scheduler: scheduler_module.Scheduler | None = None
+        self._start_gate: start_gate.StartGate | None = None
         self._task: asyncio.Task[None] | None = None
         # Data centres that this instance leads.
         self._led: set[str] = set()
@@ -463,6 +465,13 @@
         self._scheduler.update(
             [e for e in self._endpoint_list.live if e.data_centre in self._led]
         )
+        if self._start_gate is not None:
+            self._start_gate.record_list(self._endpoint_list.applied_asked_at)
+
+    def record_list_failure(self) -> None:
+        """Records that the last read of the list of endpoints has failed."""
+        if self._start_gate is not None:
+            self._start_gate.record_failure(self._endpoint_list.asked_at)
 
     def apply_evacuations(self) -> None:
         """Applies a change of the evacuated data centres."""
@@ -557,6 +566,9 @@
         )
 
     def _start_scheduler(self, token: int) -> scheduler_module.Scheduler:
+        self._start_gate = start_gate.StartGate(
+            clock=self._clock, metrics=self._metrics
+        )
         scheduler = self._scheduler = scheduler_module.Scheduler(
             token=token,
             orders_=self._orders,
@@ -571,6 +583,7 @@
             interference=interference.Interference.from_settings(
                 self._settings.interference
             ),
+            start_gate=self._start_gate,
         )
         self._task = asyncio.create_task(scheduler.run(), name="leader")
         self._task.add_done_callback(self._handle_ended)
@@ -674,7 +687,7 @@
         )
         self._closing.add(closing)
         closing.add_done_callback(self._closing.discard)
-        self._scheduler = self._task = None
+        self._scheduler = self._task = self._start_gate = None
         self._led.clear()
         self._changed()
 
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -156,6 +156,7 @@
             endpoint_list=self._endpoint_list,
             period_s=self._list_period_s,
             changed=self._leaders.update_endpoints,
+            failed=self._leaders.record_list_failure,
         )
         self._announcer = announcer.Announcer(
             settings=settings,
--- a/sesameroad/telemetry/job_metrics.py
+++ b/sesameroad/telemetry/job_metrics.py
@@ -115,6 +115,13 @@
             ["step", "result"],
             registry=registry,
         )
+        self._leader_list_seconds = prometheus_client.Histogram(
+            "sesameroad_leader_list_seconds",
+            "Time from a claim until the list of endpoints was read, or given up.",
+            ["result"],
+            buckets=_ORDER_BUCKETS_S,
+            registry=registry,
+        )
         self._interference_changes = prometheus_client.Counter(
             "sesameroad_interference_changes",
             "Pairs of queues that were detected to interfere, and ends of that.",
@@ -195,6 +202,10 @@
         result = "answered" if answered else "failed"
         self._store_calls.labels(step, result).inc()
 
+    def leader_list_took(self, result: str, seconds: float) -> None:
+        """Records the time for which a new leader has held back its starts."""
+        self._leader_list_seconds.labels(result).observe(seconds)
+
     def interference_changed(self, change: str) -> None:
         """Counts a pair of queues that was detected to interfere, or its end."""
         self._interference_changes.labels(change).inc()
