--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -35,7 +35,7 @@
 _HELD_UP_RETRY_S = 0.2
 # The same if the task of such a start runs elsewhere: until the next incarnation
 # has been reached, the start may be carried out beside that run.
-_URGENT_RETRY_S = 0.02
+_URGENT_RETRY_S = 0.01
 # Delay before ends are acknowledged by a separate poll, as another run may come
 # whose polls acknowledge them. A poll per second and endpoint is cheap compared
 # to one per task.
