--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -20,6 +20,7 @@
 from sesameroad.jobs import job_table
 from sesameroad.jobs import placer
 from sesameroad.jobs import run_tracker
+from sesameroad.jobs import start_gate as start_gate_module
 from sesameroad.jobs import takeover
 from sesameroad.jobs import whole_starts
 from sesameroad.leasing import answer_times
@@ -67,6 +68,7 @@
         interference: interference_module.Interference | None = None,
         cancellations: cancellations_module.Cancellations | None = None,
         cancel_reports: cancel_reports_module.CancelReports | None = None,
+        start_gate: start_gate_module.StartGate | None = None,
     ) -> None:
         """Creates a scheduler without endpoints.
 
@@ -89,10 +91,12 @@
                 default.
             cancel_reports: Peers that tell of further ones, before which no
                 task starts; None if there are none.
+            start_gate: Holds back the first starts, None if nothing does.
         """
         self._clock = clock
         self._metrics = metrics
         self._evacuations = evacuations
+        self._start_gate = start_gate
         self._scheduling = scheduling
         self._table = job_table.JobTable()
         self._takeover = takeover.Takeover(table=self._table, clock=clock)
@@ -222,6 +226,8 @@
                 await self._evacuations.wait_known(_EVACUATIONS_WAIT_S)
             if self._cancel_reports is not None:
                 await self._cancel_reports.wait()
+            if self._start_gate is not None:
+                await self._start_gate.wait()
             while True:
                 await self._wake.wait()
                 self._wake.clear()
@@ -502,6 +508,8 @@
                     active, outcomes.Cause.OVERLOAD, "no room while of use"
                 ),
             )
+        elif self._held_up_starts.outlast(active, now):
+            self._tracker.finish(active, ending.held_up())
         else:
             self._end_if_evacuated(active)
 
--- a/sesameroad/telemetry/job_metrics.py
+++ b/sesameroad/telemetry/job_metrics.py
@@ -110,6 +110,11 @@
             "Peers that have not told a new leader of their recent cancels.",
             registry=registry,
         )
+        self._starts_blocked = prometheus_client.Counter(
+            "sesameroad_held_up_starts_blocked",
+            "Starts without an answer that block their tasks for a restart.",
+            registry=registry,
+        )
         self._orders = prometheus_client.Counter(
             "sesameroad_orders",
             "Orders to endpoints, by kind and answer.",
@@ -129,6 +134,13 @@
             ["step", "result"],
             registry=registry,
         )
+        self._leader_list_seconds = prometheus_client.Histogram(
+            "sesameroad_leader_list_seconds",
+            "Time from a claim until the list of endpoints was read, or given up.",
+            ["result"],
+            buckets=_ORDER_BUCKETS_S,
+            registry=registry,
+        )
         self._interference_changes = prometheus_client.Counter(
             "sesameroad_interference_changes",
             "Pairs of queues that were detected to interfere, and ends of that.",
@@ -179,6 +191,10 @@
         """Counts a run that has ended."""
         self._runs_ended_by(result).inc()
 
+    def starts_blocked(self, count: int) -> None:
+        """Counts starts without an answer that block their tasks."""
+        self._starts_blocked.inc(count)
+
     def job_unaccounted(self) -> None:
         """Counts a job that was ended because a task was lost track of."""
         self._jobs_unaccounted.inc()
@@ -214,6 +230,10 @@
         result = "answered" if answered else "failed"
         self._store_calls.labels(step, result).inc()
 
+    def leader_list_took(self, result: str, seconds: float) -> None:
+        """Records the time for which a new leader has held back its starts."""
+        self._leader_list_seconds.labels(result).observe(seconds)
+
     def interference_changed(self, change: str) -> None:
         """Counts a pair of queues that was detected to interfere, or its end."""
         self._interference_changes.labels(change).inc()
