Move the graceful stop of an instance to a module of its own

The steps are the same; the wait for the load balancer is a step of its own now, so that an error while the stop is announced does not skip it. tests.test_graceful_stop shows the order of the steps, their limits and a step that fails, in virtual time.

--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -1,8 +1,6 @@
 """An instance on the platform: its services and how they are connected."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import math
 import socket
 from typing import Self
@@ -29,6 +27,7 @@
 from sesameroad.node import configuration_watcher
 from sesameroad.node import endpoint_list
 from sesameroad.node import endpoint_watcher
+from sesameroad.node import graceful_stop
 from sesameroad.node import http_server
 from sesameroad.node import instance_registry
 from sesameroad.node import leaders
@@ -68,17 +67,9 @@
 _DEPARTURE_S = 0.005
 _METRICS_PATH = "/metrics"
 _INTERFERENCE_PATH = "/interference"
-_STOP_POLL_S = 0.05
 # Retry delay for a caller that a stopping instance refuses. The next connection
 # of the caller goes to another instance.
 _STOP_RETRY_AFTER_S = 1.0
-# Time for an instance of another data centre to see a resignation and to claim.
-_HANDOVER_S = 0.8
-# Time, in seconds, for which requests that are not jobs are answered after the end
-# of the graceful stop, and the least time for them if that is over. With
-# the time to withdraw jobs, 0.1 s is left before the platform kills the process.
-_LAST_REQUESTS_S = 0.4
-_MIN_CLOSE_S = 0.1
 
 
 class Node:
@@ -97,7 +88,6 @@
         self._reported_claims: tuple[messages.LeadershipClaim, ...] = ()
         # Whether peers may still lack the current configuration.
         self._forward_due = False
-        self._stop_began_at = math.inf
         # Time from which on no request has waited during the start.
         self._settled_at = math.inf
         self._loop_lag = loop_lag.LoopLag()
@@ -191,6 +181,16 @@
             own_id=settings.instance_id,
         )
         self._job_api = job_api.JobApi(self, clock=clock)
+        self._graceful_stop = graceful_stop.GracefulStop(
+            timing=timing,
+            clock=clock,
+            announce=self._announce_stop,
+            tell_peers=self._mesh.send_heartbeats,
+            caller_jobs=self._caller_jobs,
+            leaders=self._leaders,
+            servers=self._servers,
+            close=self._close,
+        )
 
     @classmethod
     def from_settings(cls, settings: node.NodeSettings) -> Self:
@@ -263,104 +263,22 @@
     async def stop(self, *, requested_at: float | None = None) -> None:
         """Stops gracefully, after the requests in flight have been answered.
 
-        A step that fails does not keep the next ones from their work.
-
         Args:
             requested_at: Monotonic time at which the stop was requested, now by
-                default. The platform kills the process some time after that.
+                default.
 
         Raises:
             ExceptionGroup: If any step failed.
         """
-        log.event(
-            "instance stops", step="stop", in_flight=len(self._caller_jobs)
-        )
-        now = self._clock.monotonic()
-        self._stop_began_at = now if requested_at is None else requested_at
-        failures = await self._run_steps(
-            self._announce_stop,
-            self._finish_jobs,
-            self._caller_jobs.withdraw_all,
-            self._resign,
-            self._close_servers,
-            self._close,
-        )
-        log.event(
-            "instance stopped",
-            step="stop",
-            took_ms=int(self._stopping_s * 1_000),
-        )
-        if failures:
-            raise ExceptionGroup("graceful stop", failures)
-
-    @property
-    def _stopping_s(self) -> float:
-        """Time since the stop was requested, in seconds; negative before."""
-        return self._clock.monotonic() - self._stop_began_at
-
-    async def _run_steps(
-        self, *steps: Callable[[], Awaitable[None]]
-    ) -> list[Exception]:
-        """Runs all steps in order; returns the errors of those that failed."""
-        failures: list[Exception] = []
-        for step in steps:
-            try:
-                await step()
-            except Exception as error:  # noqa: BLE001
-                log.problem(
-                    "step of the stop failed", step="stop", error=repr(error)
-                )
-                failures.append(error)
-        return failures
-
-    async def _announce_stop(self) -> None:
-        """Tells peers and the load balancer, and waits until that notices.
+        await self._graceful_stop.run(requested_at)
 
-        It sends callers here until two of its checks have failed.
-        """
+    def _announce_stop(self) -> None:
+        """Tells peers and the load balancer that this instance stops."""
         self._leaving = True
         self._heartbeat_cache = None
         self._leaders.prepare_stop()
         self._mesh.send_heartbeats()
         self._canceller.hand_over()
-        remaining_s = self._settings.timing.stop_notice_s - self._stopping_s
-        await asyncio.sleep(max(0.0, remaining_s))
-
-    async def _finish_jobs(self) -> None:
-        """Waits until the jobs of callers have ended, for a limited time."""
-        while len(self._caller_jobs):
-            if self._stopping_s > self._settings.timing.graceful_stop_s:
-                log.problem(
-                    "jobs are still in flight at the end of the graceful stop",
-                    step="stop",
-                    in_flight=len(self._caller_jobs),
-                )
-                return
-            await asyncio.sleep(_STOP_POLL_S)
-
-    async def _resign(self) -> None:
-        """Resigns the data centres that no other instance has taken over.
-
-        It keeps its streams for a short time, so that other instances notice
-        the resignation and claim the data centres.
-        """
-        if not self._leaders.is_leader:
-            return
-        await self._leaders.close()
-        self._mesh.send_heartbeats()
-        remaining_s = self._settings.timing.graceful_stop_s - self._stopping_s
-        await asyncio.sleep(max(0.0, min(_HANDOVER_S, remaining_s)))
-
-    async def _close_servers(self) -> None:
-        """Closes the server for callers, then the others.
-
-        Requests that are not jobs, such as cancels, are answered until the end of
-        the graceful stop, and for a short time after it.
-        """
-        limit_s = self._settings.timing.graceful_stop_s + _LAST_REQUESTS_S
-        remaining_s = limit_s - self._stopping_s
-        for server in reversed(self._servers):
-            await server.close(timeout_s=max(_MIN_CLOSE_S, remaining_s))
 
     async def submit(
         self, request: job_requests.JobRequest, queue: catalogue_module.Queue
@@ -386,7 +304,7 @@
 
     def _stop_refusal(self) -> outcomes.NotRun | None:
         """Refuses jobs late in a graceful stop, which the stop could abort."""
-        if self._stopping_s < self._settings.timing.stop_notice_s:
+        if not self._graceful_stop.refuses_jobs:
             return None
         return outcomes.NotRun(
             outcomes.Cause.STOPPING, "this instance stops", _STOP_RETRY_AFTER_S
@@ -772,7 +690,7 @@
         Raises:
             ExceptionGroup: If any part failed to close.
         """
-        failures = await self._run_steps(
+        failures = await graceful_stop.run_steps(
             self._supervisor.stop,
             self._leaders.close,
             self._mesh.stop,
