--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -13,6 +13,7 @@
 from sesameroad.jobs import eligibility
 from sesameroad.jobs import ending
 from sesameroad.jobs import forecast
+from sesameroad.jobs import handover
 from sesameroad.jobs import headroom
 from sesameroad.jobs import held_up_starts
 from sesameroad.jobs import interference as interference_module
@@ -252,16 +253,14 @@
         # which each may be in an order.
         self._pool.cancel()
         for active in self._table:
-            if active.started:
-                outcome: outcomes.Outcome = outcomes.Unknown(
-                    outcomes.Cause.STEWARD_LOST,
-                    "the leader has changed",
-                    unstarted=self._unstarted(active),
-                    succeeded=tuple(sorted(active.succeeded)),
+            active.settle(
+                handover.outcome(
+                    active,
+                    table=self._table,
+                    pool=self._pool,
+                    held_up_starts=self._held_up_starts,
                 )
-            else:
-                outcome = ending.not_leader()
-            active.settle(outcome)
+            )
         self._table.clear()
         await self._pool.wait_ended()
 
@@ -570,19 +569,3 @@
             )
             leased.record_hang(now)
             self._tracker.stop_run(leased, run)
-
-    def _unstarted(self, active: active_job.ActiveJob) -> tuple[int, ...]:
-        """Returns the tasks of a job that no leader and no attempt started.
-
-        A run of the job itself that counts here has not been sent.
-        """
-        orphans = {task for leased in self._pool for task in leased.orphans}
-        unstarted = []
-        for index in active.unstarted:
-            task = active.job.task(index)
-            former = index not in active.runs and self._table.has_run(task)
-            if not (
-                former or task in orphans or self._held_up_starts.blocks(task)
-            ):
-                unstarted.append(index)
-        return tuple(unstarted)
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -5,7 +5,6 @@
 from collections.abc import Hashable
 import dataclasses
 import math
-from typing import Self
 
 from sesameroad.jobs import active_job
 from sesameroad.jobs import attempts
@@ -27,6 +26,7 @@
 from sesameroad.node import endpoint_list as endpoint_list_module
 from sesameroad.node import instance_registry
 from sesameroad.node import leader_coverage
+from sesameroad.node import peer_state
 from sesameroad.node import routes
 from sesameroad.peering import links
 from sesameroad.peering import mesh as mesh_module
@@ -62,45 +62,6 @@
     link: links.Link | None
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _PeerState:
-    """What the last heartbeat of a peer means for leadership.
-
-    Attributes:
-        incarnation: Incarnation of the peer.
-        leaving: Whether it is about to stop.
-        slow: Whether it gets too little processor time to lead.
-        own_claims: Data centres that it leads, each with its token.
-        relayed_claims: The same for the other leaders that it sees.
-    """
-
-    incarnation: str
-    leaving: bool
-    slow: bool
-    own_claims: frozenset[tuple[str, int]]
-    relayed_claims: frozenset[tuple[str, int]]
-
-    @classmethod
-    def from_heartbeat(
-        cls, hello: messages.Hello, heartbeat: messages.Heartbeat
-    ) -> Self:
-        """Returns the state that a heartbeat of a peer reports."""
-        return cls(
-            hello.incarnation,
-            heartbeat.leaving,
-            heartbeat.slow,
-            frozenset(
-                (claim.data_centre, claim.token)
-                for claim in heartbeat.own_claims
-            ),
-            frozenset(
-                (claim.data_centre, claim.token)
-                for claim in heartbeat.claims
-                if claim.relayed
-            ),
-        )
-
-
 class Leaders:
     """Claims and resigns leadership, and finds the route to each leader.
 
@@ -156,7 +117,7 @@
         # heartbeat, infinite after it refused one.
         self._in_transit_cores: dict[str, float] = {}
         # What the last heartbeat of each peer means for leadership.
-        self._peer_states: dict[str, _PeerState] = {}
+        self._peer_states: dict[str, peer_state.PeerState] = {}
         self._origin = routes.LocalOrigin(settings.instance_id)
         self._claim_policy = claim_policy.ClaimPolicy(
             settings=settings,
@@ -364,7 +325,7 @@
         for claim in heartbeat.own_claims:
             self._in_transit_cores.pop(claim.data_centre, None)
         name = link.hello.instance_id
-        state = _PeerState.from_heartbeat(link.hello, heartbeat)
+        state = peer_state.PeerState.from_heartbeat(link.hello, heartbeat)
         former = self._peer_states.get(name)
         if former == state:
             return
