--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -25,6 +25,15 @@
                 return number
         raise AssertionError("no instance leads")
 
+    def _leadership_log(self):
+        """Returns what the instances logged on leaders and streams."""
+        return "\n".join(
+            line
+            for instance in self.deployment.instances
+            for line in instance.log.read_text().splitlines()
+            if "steward" in line or "stream" in line
+        )
+
     async def test_paused_leader_starts_nothing_that_another_one_runs(self):
         """A process that resumes must not act on a lease that has run out.
 
@@ -47,7 +56,11 @@
         answers = await asyncio.gather(*jobs)
         await asyncio.sleep(2.0)
         after = await self.submit("f" * 16, instance=leader, run_s=0.1)
-        self.assertEqual((during[0], after[0]), (200, 200))
+        self.assertEqual(
+            (during[0], after[0]),
+            (200, 200),
+            f"{during} {after}\n{self._leadership_log()}",
+        )
         history = self.deployment.history
         self.assertEqual(history.overlapping, [])
         self.assertEqual(history.running, {})
