Log what tells wrongly ended runs apart, and count late starts

A task that runs twice can be traced only if the logs show for both runs which incarnation of the endpoint the start was sent to, whether it was ever confirmed, and which attempts waited for it. The line "run lost" had the reason only.

"run lost" now has the token, both incarnations and whether the run was confirmed; blocked tasks are named; a listed run whose start had been given up is logged as carried out late and counted by sesameroad_starts_carried_out_late_total; an attempt that joins another one is logged, and "job ended" names the instances that wait.

No logic has changed.

--- a/sesameroad/jobs/ending.py
+++ b/sesameroad/jobs/ending.py
@@ -112,6 +112,7 @@
         sends=active.sends,
         part=active.job.indices[0],
         moved=active.moved,
+        homes=active.origins,
         runs=active.history,
         waiting_jobs=waiting_jobs,
         token=token,
--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -20,6 +20,9 @@
 from sesameroad.telemetry import job_metrics
 from sesameroad.telemetry import log
 
+# Bounds the tasks named in a log line of an endpoint.
+_MAX_LOGGED_TASKS = 16
+
 
 class RunTracker:
     """Starts, ends and losses of runs, and the ends of jobs that follow.
@@ -264,6 +267,8 @@
                     self._held_up_starts.add_barred(leased, run)
                 self._mark_lost(leased, run, "not listed any more")
         found = self._takeover.record_running(leased, listed)
+        if found:
+            self._log_late_starts(leased)
         if found or first or (report.ended and self._takeover.has_done):
             for active in self._table:
                 self._takeover.adopt(active, self._pool)
@@ -273,6 +278,22 @@
         if first or report.ended:
             self._wake.set()
 
+    def _log_late_starts(self, leased: leased_endpoint.LeasedEndpoint) -> None:
+        """Logs listed runs whose starts this leader had given up."""
+        given_up = set(self._held_up_starts.tasks_at(leased))
+        late = sorted(given_up & leased.orphans.keys())
+        if not late:
+            return
+        log.problem(
+            "endpoint has carried out starts late",
+            step="start",
+            peer=leased.endpoint.id,
+            tasks=late[:_MAX_LOGGED_TASKS],
+            running_elsewhere=sum(self._table.has_run(task) for task in late),
+            born_ms=leased.born_ms,
+        )
+        self._metrics.starts_late(len(late))
+
     def on_restarted(
         self,
         leased: leased_endpoint.LeasedEndpoint,
@@ -319,6 +340,7 @@
             peer=leased.endpoint.id,
             cause=cause,
             count=len(tasks),
+            tasks=tasks[:_MAX_LOGGED_TASKS],
             running=sum(self._table.has_run(task) for task in tasks),
         )
         self._metrics.starts_blocked(len(tasks))
@@ -470,6 +492,10 @@
             reason=cause,
             state=run.state.value,
             sent_ms_ago=int((self._clock.monotonic() - run.sent_at) * 1_000),
+            confirmed=run.confirmed_at > 0,
+            token=run.token,
+            born_ms=run.born_ms,
+            reported_born_ms=leased.born_ms,
         )
         self.retry(run, cause)
 
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -372,6 +372,16 @@
                 # The origin has offered the job to another leader meanwhile.
                 active.record_move(now, job.unstarted)
                 active.record_told(job.succeeded)
+            log.event(
+                "attempt joins one that runs here",
+                step="schedule",
+                request=job.key,
+                part=job.indices[0],
+                home=origin.id,
+                homes=active.origins,
+                moved=moved,
+                runs=len(active.runs),
+            )
             active.began_at = max(active.began_at, job.accepted_at)
             if self._attempts.hold(active, origin.id):
                 active.record_earlier_attempt()
--- a/sesameroad/jobs/takeover.py
+++ b/sesameroad/jobs/takeover.py
@@ -71,6 +71,7 @@
             step="run",
             peer=leased.endpoint.id,
             listed=[f"{task}#{number}" for task, number in found.items()],
+            born_ms=leased.born_ms,
         )
         return True
 
--- a/sesameroad/telemetry/job_metrics.py
+++ b/sesameroad/telemetry/job_metrics.py
@@ -115,6 +115,11 @@
             "Starts without an answer that block their tasks for a restart.",
             registry=registry,
         )
+        self._starts_late = prometheus_client.Counter(
+            "sesameroad_starts_carried_out_late",
+            "Listed runs whose starts this leader had given up.",
+            registry=registry,
+        )
         self._orders = prometheus_client.Counter(
             "sesameroad_orders",
             "Orders to endpoints, by kind and answer.",
@@ -195,6 +200,10 @@
         """Counts starts without an answer that block their tasks."""
         self._starts_blocked.inc(count)
 
+    def starts_late(self, count: int) -> None:
+        """Counts listed runs whose starts were given up."""
+        self._starts_late.inc(count)
+
     def job_unaccounted(self) -> None:
         """Counts a job that was ended because a task was lost track of."""
         self._jobs_unaccounted.inc()
