Add failing tests of two causes of a doubled run

Both fail in each run, in virtual time: a later attempt that has joined the earlier one and moves to the next leader, and a late start that is the first order of a restarted endpoint.

--- a/tests/test_held_up_starts.py
+++ b/tests/test_held_up_starts.py
@@ -63,6 +63,32 @@
             self.assertEqual(outcome, outcomes.Complete(()), step)
             self.assertEqual(len(site.history.starts), 1)
 
+    async def test_late_start_is_the_first_order_of_the_next_incarnation(self):
+        """Guards against a second run beside that of a start that came late.
+
+        Its stop was answered, and the endpoint refuses another start, so that
+        the task could start elsewhere before the endpoint starts again.
+        """
+        for down_s in (0.0, 0.05, 0.2):
+            site = self._site(count=2)
+            late = site.fleet.endpoints["e0"]
+            job = site.job(
+                count=1, run_s=2.0, cores=16.0, stretch=6.0, deadline_s=20
+            )
+            async with site.leader() as leader:
+                late.fault.late_s = 0.952 + down_s
+                submitted = self._submit(site, leader, job)
+                await asyncio.sleep(0.05)
+                late.fault.late_s = 0.0
+                late.fault.unhealthy = True
+                while self._passed_s(site) < 1.0:
+                    await asyncio.sleep(0.001)
+                late.crash(down_s=down_s)
+                late.fault.unhealthy = False
+                await submitted
+            self.assertIn(job.task(0), site.history.starts)
+            self.assertEqual(site.history.overlapping, [], down_s)
+
     async def test_later_attempt_does_not_run_beside_a_held_up_start(self):
         """Guards against forgetting a held-up start with its job.
 
--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -816,9 +816,29 @@
     ],
 )
 
+# The later attempt joins the earlier one, and its origin then moves to the next
+# leader, while that of the earlier attempt stays.
+_JOINED_ATTEMPT_MOVES = _Schedule(
+    endpoints=2,
+    phases=[0.09, 0.05, 0.18],
+    events=[
+        _Arrival(0.06, origin=3, tasks=2, run_s=3.4, cores=8.0),
+        _Arrival(0.11, origin=1, tasks=2, run_s=2.53, cores=2.0),
+        _Cut(1.24, leader=0, endpoints=frozenset({1}), reset=False, for_s=20.0),
+        _Repeat(1.59, origin=1, next_origin=2),
+        _Claim(2.05, endpoints=frozenset({1})),
+        _Move(2.16, origin=2, leader=2, pause_s=0.13),
+    ],
+)
+
 
 class LeaderSchedulesTest(unittest.TestCase):
 
+    def test_joined_attempt_that_moves_runs_once_at_a_time(self):
+        """Guards against two leaders that run one attempt for two origins."""
+        play = _Play(_JOINED_ATTEMPT_MOVES)
+        self.assertEqual(_virtual.run(play.run()), [])
+
     @_properties.examples(100)
     @hypothesis.given(_schedules())
     @hypothesis.example(_MOVED_RUN)
