--- a/tests/test_held_up_starts.py
+++ b/tests/test_held_up_starts.py
@@ -81,8 +81,7 @@
                 await asyncio.sleep(0.05)
                 late.fault.late_s = 0.0
                 late.fault.unhealthy = True
-                while self._passed_s(site) < 1.0:
-                    await asyncio.sleep(0.001)
+                await asyncio.sleep(1.0 - self._passed_s(site))
                 late.crash(down_s=down_s)
                 late.fault.unhealthy = False
                 await submitted
