Add failing tests of four further causes of a doubled run

Each has a caller that comes again at another origin while the leader of its job changes:

- A leader that resigns answers "not the leader" to a job without a start of its own, also while it still stops the runs of the attempt that this one has replaced, or after the job has moved there for another origin.
The job then starts elsewhere at once.
Proposed: answer so only if no task can have a run, else tell the tasks that have not started.
- Two origins of one job are told the same tasks that have not started.
If the leader led two data centres, each origin turns to another next leader, and both start them.
Proposed: only the latest attempt gets the list, the others end as replaced by it.
- A former leader answers that the earlier attempt ends within 1.2 s, the time of the leases.
Its origin looks for the next leader for 1.2 s as well, which starts the unstarted tasks at once and tells other leaders up to 0.1 s later.
Proposed: answer with 1.2 s and the time in which the next leader tells.

--- /dev/null
+++ b/tests/test_doubled_runs.py
@@ -0,0 +1,177 @@
+"""Further ways to two runs of one task at a time, in virtual time.
+
+A caller comes again while the origin of its first attempt lives and waits, and the
+leader of its job changes at the same moment.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+
+from tests import _jobs
+from tests import _virtual
+
+# Time after which a caller comes again.
+_RETURN_S = 1.4
+
+
+class _Fleet:
+    """Leaders that each hold some of the endpoints, and the jobs that wait."""
+
+    def __init__(self, count):
+        self.site = _jobs.Site(count=count)
+        self._stacks = {}
+        self._waiting = []
+
+    async def open(self, token, *names, orders_=None, settle_s=0.05):
+        listed = self.site.endpoints
+        self.site.endpoints = [e for e in listed if e.id in names]
+        stack = contextlib.AsyncExitStack()
+        leader = await stack.enter_async_context(
+            self.site.leader(token, orders_=orders_, settle_s=0.0)
+        )
+        self.site.endpoints = listed
+        self._stacks[leader] = stack
+        await asyncio.sleep(settle_s)
+        return leader
+
+    async def close(self, leader):
+        await self._stacks.pop(leader).aclose()
+
+    def submit(self, leader, job, origin, **options):
+        """Submits a job and returns the task that waits for its outcome."""
+        submitted = asyncio.create_task(
+            leader.submit(job, _jobs.Origin(origin), **options)
+        )
+        self._waiting.append(submitted)
+        return submitted
+
+    def job(self, key="a", *, count=1, run_s=3.0):
+        job = self.site.job(
+            key * 16, count=count, run_s=run_s, deadline_s=9, stretch=4.0
+        )
+        return self.again(job)
+
+    def again(self, job, **changes):
+        """Returns a job as its caller sends it now."""
+        now = self.site.clock.monotonic()
+        return dataclasses.replace(job, accepted_at=now, **changes)
+
+    def cut_off(self, name):
+        """Returns the orders of a leader without a path to one endpoint."""
+        path = _jobs.CutOrders(self.site.fleet)
+        path.cut.add(name)
+        return path
+
+    async def end(self):
+        """Returns the tasks that ran twice at a time, after all jobs."""
+        await asyncio.gather(*self._waiting)
+        for leader in tuple(self._stacks):
+            await self.close(leader)
+        return self.site.history.overlapping
+
+
+def _moved(job, outcome):
+    """Returns a job as it is offered after the answer of a former leader."""
+    return dataclasses.replace(
+        job, unstarted=outcome.unstarted, succeeded=outcome.succeeded
+    )
+
+
+class DoubledRunsTest(_virtual.VirtualTimeTest):
+
+    async def test_stopping_runs_of_a_replaced_attempt_outlast_their_leader(
+        self,
+    ):
+        """Guards against "not the leader" while replaced runs are stopped.
+
+        The later attempt, with fewer tasks here, would start these at the next
+        leader before that has read all endpoints.
+        """
+        fleet = _Fleet(count=2)
+        first = await fleet.open(1, "e0", "e1")
+        job = fleet.job(count=3)
+        fleet.submit(first, job, "x")
+        await asyncio.sleep(_RETURN_S)
+        simulated = fleet.site.fleet.endpoints["e0"]
+        simulated.fault.lost_stops = 30
+        again = fleet.again(job, indices=(0, 1))
+        later = fleet.submit(first, again, "y")
+        await asyncio.sleep(0.05)
+        await fleet.close(first)
+        moved = hasattr(await later, "unstarted")
+        second = await fleet.open(2, "e0", "e1", orders_=fleet.cut_off("e0"))
+        fleet.submit(second, again, "y", moved=moved)
+        self.assertEqual(await fleet.end(), [])
+
+    async def test_later_attempt_joins_one_that_has_moved(self):
+        """Guards against "not the leader" while the runs of a former one go on.
+
+        The leader ends before it has read them, and only the earlier attempt
+        was known as moved.
+        """
+        fleet = _Fleet(count=2)
+        first = await fleet.open(1, "e0", "e1")
+        job = fleet.job()
+        fleet.submit(first, job, "x")
+        await asyncio.sleep(_RETURN_S)
+        (name,) = next(iter(fleet.site.history.running.values()))
+        await fleet.close(first)
+        path = fleet.cut_off(name)
+        second = await fleet.open(2, "e0", "e1", orders_=path)
+        fleet.submit(second, job, "x", moved=True)
+        again = fleet.again(job)
+        later = fleet.submit(second, again, "y")
+        await asyncio.sleep(0.02)
+        await fleet.close(second)
+        moved = hasattr(await later, "unstarted")
+        third = await fleet.open(3, "e0", "e1", orders_=path)
+        fleet.submit(third, again, "y", moved=moved)
+        self.assertEqual(await fleet.end(), [])
+
+    async def test_two_origins_are_told_of_the_same_unstarted_tasks(self):
+        """Guards against two next leaders that start a task for one origin each.
+
+        The leader of two data centres resigns, and each origin turns to the next
+        leader of its own.
+        """
+        fleet = _Fleet(count=4)
+        first = await fleet.open(1, "e0", "e1", "e2", "e3")
+        # It leaves room for two of three tasks, and ends without a leader.
+        fleet.submit(first, fleet.job("f", count=6, run_s=1.8), "z")
+        await asyncio.sleep(0.01)
+        job = fleet.job(count=3)
+        former = fleet.submit(first, job, "x")
+        await asyncio.sleep(_RETURN_S)
+        again = fleet.again(job)
+        later = fleet.submit(first, again, "y")
+        await asyncio.sleep(0.2)
+        await fleet.close(first)
+        await asyncio.sleep(0.3)
+        second = await fleet.open(2, "e0", "e1", settle_s=0.0)
+        third = await fleet.open(3, "e2", "e3", settle_s=0.0)
+        fleet.submit(second, _moved(job, await former), "x", moved=True)
+        fleet.submit(third, _moved(again, await later), "y", moved=True)
+        self.assertEqual(await fleet.end(), [])
+
+    async def test_next_leader_gets_a_moved_job_late(self):
+        """Guards against a resigned leader's answer that ends too early.
+
+        The origin of the earlier attempt looks for the next leader for 1.2 s. Its
+        unstarted tasks start there at once, and the leader of the later attempt
+        is told 0.1 s later.
+        """
+        fleet = _Fleet(count=3)
+        first = await fleet.open(1, "e0")
+        other = await fleet.open(2, "e1")
+        fleet.submit(first, fleet.job("f"), "z")
+        await asyncio.sleep(0.01)
+        job = fleet.job(count=2)
+        former = fleet.submit(first, job, "x")
+        await asyncio.sleep(_RETURN_S)
+        fleet.submit(other, fleet.again(job), "y")
+        await fleet.close(first)
+        await asyncio.sleep(1.2)
+        third = await fleet.open(3, "e2", settle_s=0.0)
+        fleet.submit(third, _moved(job, await former), "x", moved=True)
+        self.assertEqual(await fleet.end(), [])
