Answer "not the leader" only if no task can have a run

Callers: a job could run twice at a time if its caller had come again and the leader resigned at that moment. A leader that ends answered "not the leader" to each job without a start of its own. The coordinator then offers the job to any leader as one that has never run, which starts it at once. But runs of its tasks can be left: of the attempt that this one has replaced and whose runs are being stopped, or of a former leader, if the job had moved there for another origin.

Such jobs are now answered as moved, with the tasks that have not started, as jobs with a start are.

--- a/sesameroad/jobs/handover.py
+++ b/sesameroad/jobs/handover.py
@@ -17,15 +17,20 @@
     pool: Iterable[leased_endpoint.LeasedEndpoint],
     held_up_starts: held_up_starts_module.HeldUpStarts,
 ) -> outcomes.Outcome:
-    """Returns the outcome of an unfinished job at the end of its leader."""
-    if not active.started:
+    """Returns the outcome of an unfinished job at the end of its leader.
+
+    A job without a start of its own may still have runs: of an attempt that it has
+    replaced, or of a former leader, which the origin that joined it may not know.
+    """
+    unstarted = _unstarted(
+        active, table=table, pool=pool, held_up_starts=held_up_starts
+    )
+    if not active.started and unstarted == active.job.indices:
         return ending.not_leader()
     return outcomes.Unknown(
         outcomes.Cause.STEWARD_LOST,
         "the leader has changed",
-        unstarted=_unstarted(
-            active, table=table, pool=pool, held_up_starts=held_up_starts
-        ),
+        unstarted=unstarted,
         succeeded=tuple(sorted(active.succeeded)),
     )
 
