Let the answer of a resigned leader cover the search for the next one

Callers: a task could run twice at a time if a caller came again as the leader of the earlier attempt resigned and the next one claimed 1.1 to 1.2 s later. The former leader answers the leader of the later attempt that the earlier one ends within 1.2 s, the time of the leases. Its origin looks for the next leader for 1.2 s as well. Tasks that have not started start there at once, and the notice of it follows at the next check, up to 0.1 s later, when the later attempt may have been released.

The answer is 1.5 s now, which covers the search, the check and delays.

--- a/sesameroad/jobs/attempts.py
+++ b/sesameroad/jobs/attempts.py
@@ -25,6 +25,11 @@
 # Time within which all runs of a job have ended after it was given up: the
 # longest lease on a slow clock, as for the runs of a lost origin.
 RUNS_END_S = 1.2
+# Time within which the next leader has told of an earlier attempt whose leader has
+# resigned: its origin looks for the next leader for 1.2 s, and tasks that have not
+# started start there at once; the notice follows with the next check, 0.1 s later.
+# The rest is for delays on the way and differences between clocks.
+_RESIGNED_S = 1.5
 # Ratio by which the clocks of two instances may differ in rate, as in
 # `peering.peer_clock`.
 _MAX_RATE_DIFFERENCE = 0.02
@@ -222,12 +227,13 @@
     def answer(self, leader: str, notice: attempts.Replaced) -> None:
         """Answers that no run of an earlier attempt is left here.
 
-        Runs of a former term of this leader may be left until their lease ends.
+        Runs of a former term of this leader may be left until their lease ends,
+        and the origin of the attempt may still offer it to the next leader.
         """
         if self._peers is None:
             return
         started_s = self._clock.monotonic() - self._started_at
-        within_s = max(0.0, RUNS_END_S - started_s)
+        within_s = max(0.0, _RESIGNED_S - started_s)
         self._peers.send(
             leader, attempts.Ended(notice.key, notice.origin, within_s)
         )
@@ -295,6 +301,6 @@
     """
     match notice:
         case attempts.Replaced():
-            return attempts.Ended(notice.key, notice.origin, RUNS_END_S)
+            return attempts.Ended(notice.key, notice.origin, _RESIGNED_S)
         case _:
             return None
