Add failing tests of later attempts at a leader that has just claimed

A new leader starts a job that has not moved at once. If it is a later attempt, the leader of the earlier one tells of that at its next check only, up to 0.1 s after it has seen the claim. If that leader was lost as well, its next one tells after the origin has offered the job to it. docs/design/attempts.md names both as not prevented.

Proposed: in its first 0.5 s a leader of a fleet with several holds jobs that have not moved back, until each other leader has told or answered. A data centre with endpoints and without a visible leader counts as one that has not. The price is a wait at a claim in large fleets only.

--- a/tests/test_doubled_runs.py
+++ b/tests/test_doubled_runs.py
@@ -175,3 +175,37 @@
         third = await fleet.open(3, "e2", settle_s=0.0)
         fleet.submit(third, _moved(job, await former), "x", moved=True)
         self.assertEqual(await fleet.end(), [])
+
+    async def test_later_attempt_reaches_a_leader_that_has_just_claimed(self):
+        """Guards against a start before the other leaders have told of theirs.
+
+        They tell a new leader of their jobs at their next check.
+        """
+        fleet = _Fleet(count=2)
+        first = await fleet.open(1, "e0")
+        job = fleet.job()
+        fleet.submit(first, job, "x")
+        await asyncio.sleep(_RETURN_S)
+        second = await fleet.open(2, "e1", settle_s=0.01)
+        fleet.submit(second, fleet.again(job), "y")
+        self.assertEqual(await fleet.end(), [])
+
+    async def test_later_attempt_as_two_leaders_are_lost_together(self):
+        """Guards against a start before the job has reached the other new leader.
+
+        The next leaders claim within 0.3 s, and the origin of the earlier attempt
+        offers its job to one of them as soon as it sees it.
+        """
+        fleet = _Fleet(count=3)
+        await fleet.open(1, "e2")
+        first = await fleet.open(2, "e0")
+        job = fleet.job()
+        fleet.submit(first, job, "x")
+        await asyncio.sleep(_RETURN_S)
+        await fleet.close(first)
+        second = await fleet.open(3, "e1", settle_s=0.01)
+        fleet.submit(second, fleet.again(job), "y")
+        await asyncio.sleep(0.3)
+        third = await fleet.open(4, "e0", settle_s=0.02)
+        fleet.submit(third, job, "x", moved=True)
+        self.assertEqual(await fleet.end(), [])
