Close a stream on which a cancel can't be queued

Callers: a job could run twice at a time after its caller had come again at the same origin. If the queue to a leader was full, the cancel of the former attempt was dropped silently while the stream lived. The leader went on with a job that its origin had forgotten, and it does not hold back a later attempt of that origin at another leader. A stream that can't take an answer is closed for the same reason. The leader then ends the jobs of the origin itself. The test failed before and passes.

--- a/sesameroad/node/routes.py
+++ b/sesameroad/node/routes.py
@@ -127,8 +127,11 @@
                 )
 
     def cancel(self, name: str) -> None:
-        """Cancels a job; if the stream is broken, the leader ends it itself."""
+        """Cancels a job; if the stream is broken, the leader ends it itself.
+
+        So a stream on which the cancel can't be queued is closed.
+        """
         try:
             self._link.send(messages.JobCancel(name))
         except errors.PeerNotSentError:
-            return
+            self._link.close("a cancel could not be sent")
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -7,6 +7,7 @@
 import unittest
 from unittest import mock
 
+from sesameroad import errors
 from sesameroad.jobs import election
 from sesameroad.model import endpoints
 from sesameroad.node import claim_policy
@@ -218,6 +219,20 @@
             self.mesh.peers["p2"], messages.AttemptEnded("k", "o", 1.5)
         )
 
+    async def test_stream_that_loses_a_cancel_is_closed(self):
+        """Guards against a job that its leader runs on for a live origin.
+
+        The origin has forgotten it, and the next attempt there may go to another
+        leader, which starts the same tasks.
+        """
+        self.peer("p2", claims=[messages.LeadershipClaim("dc2", 7)])
+        link = self.mesh.peers["p2"]
+        full = errors.PeerNotSentError("full", step="send", peer="p2")
+        link.send = mock.Mock(side_effect=full)
+        link.close = mock.Mock()
+        self.leaders.route("dc2").cancel("0123456789abcdef/0")
+        link.close.assert_called_once()
+
     async def test_row_of_an_instance_that_is_gone_does_not_delay_a_claim(self):
         """Guards against waiting for a connection to an instance that is gone.
 
