Count a lease from the answer if the endpoint has started again

Callers: a task could run twice at a time for up to 0.2 s. An endpoint had started again unnoticed, accepted a start 0.25 s after it was sent, and fell silent. The start carried the end of its lease on the former clock. On the next one, which starts at 0, that is far ahead, so that the endpoint shortened the lease to the longest one, from the time at which it carried the start out. The leader counted from the sending and started the task elsewhere 1.07 s after it.

A lease now counts from the answer of a start or a report that shows a restart, and of a start that was sent before the endpoint was fenced.

--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -370,6 +370,7 @@
         restarted = leased.record_incarnation(report.born_ms)
         leased.lease.update_clock(report.clock_ms, now)
         if restarted:
+            leased.lease.assume_extended(now)
             self._events.on_restarted(
                 leased, report, former_born_ms=former_born_ms
             )
@@ -453,6 +454,9 @@
         leased.wake()
         answer = await self._order_start(endpoint, run, sent_at)
         now = self._clock.monotonic()
+        if fences != leased.fences:
+            # The endpoint may have started again before it got the order.
+            leased.lease.assume_extended(now)
         match answer:
             case orders.Accepted():
                 run.confirmed_at = now
@@ -511,16 +515,20 @@
 
         The answer may come from a former incarnation if the endpoint has been
         fenced since the order was sent. A clock that has gone back shows a
-        restart before any report does.
+        restart before any report does. The end of a lease on the former clock is
+        far ahead on that of the next incarnation, which then grants the longest
+        lease from the time at which it carries the order out.
         """
         leased = self._leased
+        now = self._clock.monotonic()
         if not clock_ms or fences != leased.fences:
             return
         if leased.lease.shows_restart(clock_ms, sent_at):
+            leased.lease.assume_extended(now)
             leased.lease.reset_clock()
             leased.fence()
         else:
-            leased.lease.update_clock(clock_ms, self._clock.monotonic())
+            leased.lease.update_clock(clock_ms, now)
 
     async def _stop(self, stop: runs.StopOrder) -> None:
         """Sends a stop; repeats it until answered or the run is removed."""
--- a/tests/test_doubled_runs.py
+++ b/tests/test_doubled_runs.py
@@ -71,6 +71,18 @@
         return self.site.history.overlapping
 
 
+class _SlowStarts(_jobs.CutOrders):
+    """Carries starts out after 0.25 s; their answers are the last ones."""
+
+    async def start(self, endpoint, **order):
+        if endpoint.id != "e0":
+            return await super().start(endpoint, **order)
+        await asyncio.sleep(0.25)
+        answer = await super().start(endpoint, **order)
+        self.cut.add(endpoint.id)
+        return answer
+
+
 def _moved(job, outcome):
     """Returns a job as it is offered after the answer of a former leader."""
     return dataclasses.replace(
@@ -209,3 +221,19 @@
         third = await fleet.open(4, "e0", settle_s=0.02)
         fleet.submit(third, job, "x", moved=True)
         self.assertEqual(await fleet.end(), [])
+
+    async def test_lease_of_a_slow_start_after_a_restart(self):
+        """Guards against a lease that counts from the sending of a start.
+
+        The endpoint has started again, so that the end of the lease is far ahead
+        on its clock, and falls silent as it has accepted the start.
+        """
+        fleet = _Fleet(count=1)
+        path = _SlowStarts(fleet.site.fleet)
+        leader = await fleet.open(1, "e0", orders_=path, settle_s=0.3)
+        fleet.site.fleet.endpoints["e0"].crash()
+        fleet.submit(leader, fleet.job(), "x")
+        await asyncio.sleep(0.02)
+        fleet.site.add("e1", 16.0)
+        leader.update(fleet.site.endpoints)
+        self.assertEqual(await fleet.end(), [])
