--- a/tests/test_doubled_runs.py
+++ b/tests/test_doubled_runs.py
@@ -71,6 +71,18 @@
         return self.site.history.overlapping
 
 
+class _SlowStarts(_jobs.CutOrders):
+    """Carries starts out after 0.25 s; their answers are the last ones."""
+
+    async def start(self, endpoint, **order):
+        if endpoint.id != "e0":
+            return await super().start(endpoint, **order)
+        await asyncio.sleep(0.25)
+        answer = await super().start(endpoint, **order)
+        self.cut.add(endpoint.id)
+        return answer
+
+
 def _moved(job, outcome):
     """Returns a job as it is offered after the answer of a former leader."""
     return dataclasses.replace(
@@ -175,3 +187,53 @@
         third = await fleet.open(3, "e2", settle_s=0.0)
         fleet.submit(third, _moved(job, await former), "x", moved=True)
         self.assertEqual(await fleet.end(), [])
+
+    async def test_later_attempt_reaches_a_leader_that_has_just_claimed(self):
+        """Guards against a start before the other leaders have told of theirs.
+
+        They tell a new leader of their jobs at their next check.
+        """
+        fleet = _Fleet(count=2)
+        first = await fleet.open(1, "e0")
+        job = fleet.job()
+        fleet.submit(first, job, "x")
+        await asyncio.sleep(_RETURN_S)
+        second = await fleet.open(2, "e1", settle_s=0.01)
+        fleet.submit(second, fleet.again(job), "y")
+        self.assertEqual(await fleet.end(), [])
+
+    async def test_later_attempt_as_two_leaders_are_lost_together(self):
+        """Guards against a start before the job has reached the other new leader.
+
+        The next leaders claim within 0.3 s, and the origin of the earlier attempt
+        offers its job to one of them as soon as it sees it.
+        """
+        fleet = _Fleet(count=3)
+        await fleet.open(1, "e2")
+        first = await fleet.open(2, "e0")
+        job = fleet.job()
+        fleet.submit(first, job, "x")
+        await asyncio.sleep(_RETURN_S)
+        await fleet.close(first)
+        second = await fleet.open(3, "e1", settle_s=0.01)
+        fleet.submit(second, fleet.again(job), "y")
+        await asyncio.sleep(0.3)
+        third = await fleet.open(4, "e0", settle_s=0.02)
+        fleet.submit(third, job, "x", moved=True)
+        self.assertEqual(await fleet.end(), [])
+
+    async def test_lease_of_a_slow_start_after_a_restart(self):
+        """Guards against a lease that counts from the sending of a start.
+
+        The endpoint has started again, so that the end of the lease is far ahead
+        on its clock, and falls silent as it has accepted the start.
+        """
+        fleet = _Fleet(count=1)
+        path = _SlowStarts(fleet.site.fleet)
+        leader = await fleet.open(1, "e0", orders_=path, settle_s=0.3)
+        fleet.site.fleet.endpoints["e0"].crash()
+        fleet.submit(leader, fleet.job(), "x")
+        await asyncio.sleep(0.02)
+        fleet.site.add("e1", 16.0)
+        leader.update(fleet.site.endpoints)
+        self.assertEqual(await fleet.end(), [])
