Order the attempts at several leaders by numbered offers

What callers would see: a task runs twice at a time. A caller comes again at a second origin, which joins the job at its leader; then one of the two origins moves the job to the next leader, or the caller comes a third time. Both leaders run the tasks.

Causes: - A join raised the age of the job to that of the later attempt, so that other leaders were told of a job of 2 s only 1 s after the join. - Two leaders that both knew the later attempt compared it with itself, by two estimates of its time of acceptance. Neither held its job back. - An origin that has moved its job counted as gone from its former leader, which goes on for as long as it hears the origin.

Change: an origin numbers its offers upwards, also across a restart. Notices carry the offer of each origin that waits, and the tasks. A notice is due by the age of the first attempt; a later offer, and a job that is found at another leader, is told at once. Leaders that have a task for different offers both hold it back and ask each other. The asked one decides by what it has then: of one origin the higher offer owns, of different origins the later attempt. Its answer names the tasks of the question, as it counted for all parts before. A job none of whose tasks waits is no longer ended if the other leader becomes unreachable.

A peer of an earlier release sends no numbers and no tasks: its notices count for all tasks, and questions among such peers are decided as before.

The generator has origins that a leader hears although they have moved.

test_next_leader_that_takes_the_earlier_attempt_over offered a moved job without its age, which made the earlier attempt the later one. It now gives the age, as origins do; what it asserts is the same.

Two cases between leaders that do not reach each other are not prevented.

--- a/sesameroad/jobs/active_job.py
+++ b/sesameroad/jobs/active_job.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Hashable
 from collections.abc import Iterable
+import dataclasses
 import math
 from typing import Protocol
 
@@ -41,6 +42,24 @@
         """Time since the instance was last heard, in seconds."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Waiter:
+    """An attempt of the caller that waits for a job.
+
+    Attributes:
+        origin: Instance that waits.
+        answer: Gets the outcome.
+        accepted_at: Time at which the origin accepted the attempt, or at which it
+            arrived if that is unknown.
+        offer: Number of its offer here, 0 if unknown.
+    """
+
+    origin: Origin
+    answer: asyncio.Future[outcomes.Outcome]
+    accepted_at: float
+    offer: int
+
+
 class ActiveJob:
     """One job: its waiting tasks, its runs and the origins that wait for it.
 
@@ -57,10 +76,10 @@
             running or done.
         succeeded: Indices of tasks that have succeeded.
         avoided: Endpoints on which tasks of the job have failed.
-        began_at: Time at which its origin accepted it, or at which it arrived
-            if that is unknown.
-        held_back_by: Leaders with runs of an earlier attempt, and the time by
-            which these have ended at the latest. Nothing starts before.
+        began_at: Time at which the earliest known attempt was accepted, or an
+            earlier one from which it is old enough for other leaders to know.
+        held_back_by: Leaders with runs for another offer, and the time by which
+            these have ended at the latest. Nothing starts before.
         told: Sessions of other leaders that were told of it, with their ids.
         closing: Whether the outcome is decided and remaining runs are being
             stopped.
@@ -103,10 +122,7 @@
         self._job = job
         self._failures: collections.Counter[int] = collections.Counter()
         self._numbers: dict[int, int] = {}
-        self._waiters: dict[
-            str, tuple[Origin, asyncio.Future[outcomes.Outcome]]
-        ]
-        self._waiters = {}
+        self._waiters: dict[str, Waiter] = {}
         self.arrived_at = now
         self.began_at = job.accepted_at or now
         self.held_back_by: dict[str, float] = {}
@@ -140,19 +156,29 @@
     @property
     def live_origins(self) -> list[str]:
         """Ids of the instances that wait and are alive."""
-        return [name for name, (o, _) in self._waiters.items() if o.live]
+        return [n for n, w in self._waiters.items() if w.origin.live]
+
+    @property
+    def offers(self) -> dict[str, int]:
+        """Number of the offer of each instance that waits, 0 if unknown."""
+        return {name: w.offer for name, w in self._waiters.items()}
+
+    @property
+    def latest(self) -> Waiter:
+        """The latest attempt that waits for the outcome."""
+        return max(self._waiters.values(), key=lambda w: w.accepted_at)
 
     @property
     def has_live_origin(self) -> bool:
         """Whether any instance that waits for the outcome is alive."""
-        return any(origin.live for origin, _ in self._waiters.values())
+        return any(w.origin.live for w in self._waiters.values())
 
     def may_resume(self, now: float) -> bool:
         """Returns whether an origin lives and runs that were given up are gone.
 
         All origins that live must have been heard since then.
         """
-        live = [o for o, _ in self._waiters.values() if o.live]
+        live = [w.origin for w in self._waiters.values() if w.origin.live]
         return bool(live) and all(
             now - origin.silent_s >= self.resumes_after for origin in live
         )
@@ -256,11 +282,19 @@
         job = self._job
         return len(self.waiting) * job.need.cores * job.estimate_s
 
-    def join(self, origin: Origin) -> asyncio.Future[outcomes.Outcome]:
-        """Adds an instance that waits, replacing an earlier attempt of it."""
+    def join(
+        self, origin: Origin, job: jobs.Job, *, now: float
+    ) -> asyncio.Future[outcomes.Outcome]:
+        """Adds an instance that waits, replacing an earlier attempt of it.
+
+        Args:
+            origin: The instance.
+            job: The job as it offers it.
+            now: Current time.
+        """
         previous = self._waiters.get(origin.id)
-        if previous is not None and not previous[1].done():
-            previous[1].set_result(
+        if previous is not None and not previous.answer.done():
+            previous.answer.set_result(
                 outcomes.Unknown(
                     outcomes.Cause.CANCELLED, "replaced by a later attempt"
                 )
@@ -268,14 +302,20 @@
         future: asyncio.Future[outcomes.Outcome] = (
             asyncio.get_running_loop().create_future()
         )
-        self._waiters[origin.id] = (origin, future)
+        accepted_at = job.accepted_at or now
+        self.began_at = min(self.began_at, accepted_at)
+        self._waiters[origin.id] = Waiter(
+            origin, future, accepted_at, job.offer
+        )
+        # Other leaders are told again, with this origin.
+        self.told = {}
         return future
 
     def leave(self, origin_id: str) -> None:
         """Removes an instance that no longer waits."""
         waiter = self._waiters.pop(origin_id, None)
-        if waiter is not None and not waiter[1].done():
-            waiter[1].set_result(
+        if waiter is not None and not waiter.answer.done():
+            waiter.answer.set_result(
                 outcomes.Unknown(outcomes.Cause.CANCELLED, "cancelled")
             )
 
@@ -285,7 +325,7 @@
         The caller may have lost its instance when that was last heard.
         """
         silent_s = min(
-            (origin.silent_s for origin, _ in self._waiters.values()),
+            (w.origin.silent_s for w in self._waiters.values()),
             default=0.0,
         )
         return now - silent_s + _RETURN_S
@@ -294,9 +334,9 @@
         """Sends the outcome to all instances that wait."""
         self.closing = True
         self.waiting.clear()
-        for _, future in self._waiters.values():
-            if not future.done():
-                future.set_result(outcome)
+        for waiter in self._waiters.values():
+            if not waiter.answer.done():
+                waiter.answer.set_result(outcome)
         self._waiters.clear()
 
     def add_history(self, text: str) -> None:
--- a/sesameroad/jobs/attempts.py
+++ b/sesameroad/jobs/attempts.py
@@ -1,17 +1,21 @@
-"""Keeps a later attempt of a caller from starting beside an earlier one.
+"""Keeps attempts of a caller at several leaders from running side by side.
 
 A caller without an answer submits its job again after 1.3 s, to any instance.
 If the origin of the earlier attempt lives and has not noticed that the caller is
-gone, the later one may reach a leader that does not know the earlier one. So a
-leader tells the other leaders of each job that is older than a notice age, and
-a leader that gets such a job from another origin holds it back until the earlier
-attempt has ended. A job that ends sooner causes no message.
+gone, the later one may reach a leader that does not know the earlier one. An origin
+may also move its job while the former leader still hears it. So a leader tells the
+other leaders of each job whose first attempt is older than a notice age, and again of
+each offer after that. Leaders that have a task for different offers hold it back
+and ask each other, and the one whose offer is replaced ends its job. A job that ends
+sooner causes no message.
 
 The load is one message to each other leader for each job that gets older than the
-notice age, and one question each 0.1 s for each job that is held back.
+notice age, and for each later offer of it, and one question each 0.1 s for each job
+that is held back.
 """
 
 from collections.abc import Hashable
+from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 from typing import Protocol
@@ -25,6 +29,8 @@
 # Time within which all runs of a job have ended after it was given up: the
 # longest lease on a slow clock, as for the runs of a lost origin.
 RUNS_END_S = 1.2
+# Leader, and the tasks of a job there or the instances that wait for it.
+_Part = tuple[str, frozenset[int] | frozenset[str]]
 # Ratio by which the clocks of two instances may differ in rate, as in
 # `peering.peer_clock`.
 _MAX_RATE_DIFFERENCE = 0.02
@@ -43,22 +49,48 @@
     def reaches(self, instance: str) -> bool:
         """Returns whether an instance is reachable, leader or not."""
 
-    def send(self, leader: str, notice: attempts.Notice) -> None:
-        """Sends a notice, which may be lost."""
+    def send(self, leader: str, notice: attempts.Notice) -> bool:
+        """Sends a notice, which may be lost; returns whether it was queued."""
 
 
 @dataclasses.dataclass(slots=True)
-class _Earlier:
-    """Attempts that another leader has told of.
+class _Elsewhere:
+    """A job at another leader, as that has told of it.
 
     Attributes:
-        began_at: Time at which the latest of them was accepted.
-        ends_by: Time at which all their runs have ended.
+        offers: Number of the offer of each instance that waits, 0 if unknown.
+        indices: Its tasks, none if unknown.
+        ends_by: Time at which all its runs have ended.
     """
 
-    began_at: float
+    offers: Mapping[str, int]
+    indices: frozenset[int]
     ends_by: float
 
+    def overlaps(self, indices: Iterable[int]) -> bool:
+        """Returns whether it may have any of some tasks."""
+        return not self.indices or not self.indices.isdisjoint(indices)
+
+    def conflicts(self, active: active_job.ActiveJob) -> bool:
+        """Returns whether it has a task of a job for another offer.
+
+        If an earlier release does not number its offers, tasks for which the
+        same instance waits may have been moved here.
+        """
+        latest = active.latest
+        return self.overlaps(active.job.indices) and any(
+            origin != latest.origin.id
+            or (offer and latest.offer and offer != latest.offer)
+            for origin, offer in self.offers.items()
+        )
+
+    def is_left_by_all(self, active: active_job.ActiveJob) -> bool:
+        """Returns whether all that wait there have offered the job here since."""
+        return all(
+            0 < offer < active.offers.get(origin, 0)
+            for origin, offer in self.offers.items()
+        )
+
 
 class Attempts:
     """Attempts of other leaders, and the jobs held back for them.
@@ -68,7 +100,7 @@
 
     __slots__ = (
         "_clock",
-        "_earlier",
+        "_elsewhere",
         "_notice_s",
         "_peers",
         "_started_at",
@@ -97,130 +129,157 @@
         self._peers = peers if notice_s > 0 else None
         self._notice_s = notice_s
         self._started_at = clock.monotonic()
-        # By key, leader and the instances that wait.
-        self._earlier: dict[str, dict[tuple[str, frozenset[str]], _Earlier]] = (
-            {}
-        )
+        # By key, leader and the tasks, or the instances that wait if the leader
+        # does not tell the tasks.
+        self._elsewhere: dict[str, dict[_Part, _Elsewhere]] = {}
 
-    def hold(self, active: active_job.ActiveJob, origin: str) -> bool:
-        """Holds a new job back if an earlier attempt runs elsewhere.
+    def hold(self, active: active_job.ActiveJob) -> bool:
+        """Holds a new attempt back if another one runs elsewhere.
 
         Args:
-            active: The job.
-            origin: Instance that waits for it.
+            active: The job, for which the attempt waits.
 
         Returns:
             Whether it is held back.
         """
-        known = self._earlier.get(active.job.key)
-        if not known or self._peers is None:
+        if self._peers is None:
             return False
-        for (leader, origins), earlier in known.items():
-            # If both origins wait there, its tasks may have been moved here.
-            if origins - {origin}:
-                active.hold_back(leader, earlier.ends_by)
+        for (leader, _), elsewhere in self._known(active.job.key):
+            if elsewhere.conflicts(active):
+                self._hold_back(active, leader, elsewhere)
         if active.held_back_by:
-            self._log_held(active, origin)
-            self._ask(active, origin)
+            self._log_held(active)
+            self._ask(active)
         return bool(active.held_back_by)
 
+    def tell(self, active: active_job.ActiveJob) -> None:
+        """Tells the other leaders of a job at once if they should know it."""
+        now = self._clock.monotonic()
+        if self._peers is not None and self._is_due(active, now):
+            self._announce(active, self._peers.sessions(), now)
+
+    def tell_all(self) -> None:
+        """Tells the other leaders of all jobs that they should know."""
+        if self._peers is None:
+            return
+        now = self._clock.monotonic()
+        sessions: Mapping[Hashable, str] | None = None
+        for active in self._table:
+            if not self._is_due(active, now):
+                continue
+            if sessions is None:
+                sessions = self._peers.sessions()
+            self._announce(active, sessions, now)
+
     def check(self, now: float) -> list[active_job.ActiveJob]:
         """Sends the notices that are due.
 
         Returns:
-            Held jobs that can't end in time, as the leader of the earlier
-            attempt can't be asked.
+            Held jobs that can't end in time, as the leader of another attempt
+            can't be asked.
         """
         if self._peers is None:
             return []
         self._remove_expired(now)
+        self.tell_all()
         hopeless: list[active_job.ActiveJob] = []
-        sessions: Mapping[Hashable, str] | None = None
-        for active in self._table:
-            if active.began_at + self._notice_s > now:
-                continue
-            if sessions is None:
-                sessions = self._peers.sessions()
-            self._announce(active, sessions, now)
         for active in self._table:
+            self._release_moved(active, now)
             active.release_expired(now)
             if not active.held_back_by:
                 continue
             job = active.job
             latest = min(job.expires_at, job.deadline_at) - job.estimate_s
-            if any(
+            if active.waiting and any(
                 until > latest and not self._peers.reaches(leader)
                 for leader, until in active.held_back_by.items()
             ):
                 hopeless.append(active)
                 continue
-            for origin in active.live_origins:
-                self._ask(active, origin)
+            self._ask(active)
         return hopeless
 
     def record_running(self, leader: str, notice: attempts.Running) -> None:
         """Records an attempt of another leader.
 
-        A later attempt that is here already, because the notice was late, starts
-        no further task for now.
+        A job that is here already starts no further task until one of the two
+        has been ended.
         """
         if self._peers is None:
             return
         now = self._clock.monotonic()
-        earlier = _Earlier(
-            now - notice.age_s, _latest(now, notice.ends_within_s)
+        elsewhere = _Elsewhere(
+            notice.offers,
+            frozenset(notice.indices),
+            _latest(now, notice.ends_within_s),
         )
-        known = self._earlier.setdefault(notice.key, {})
-        known[leader, notice.origins] = earlier
+        part = leader, frozenset(notice.indices or notice.offers)
+        self._elsewhere.setdefault(notice.key, {})[part] = elsewhere
         for active in self._table.of_key(notice.key):
-            if (
-                any(notice.origins - {origin} for origin in active.origins)
-                and earlier.began_at < active.began_at
-            ):
-                active.hold_back(leader, earlier.ends_by)
+            if elsewhere.conflicts(active):
+                self._hold_back(active, leader, elsewhere)
                 active.started = True
-                for origin in active.origins:
-                    self._log_held(active, origin)
-                    self._ask(active, origin)
+                self._log_held(active)
+                self.tell(active)
+                self._ask(active)
 
     def record_ended(self, leader: str, notice: attempts.Ended) -> None:
-        """Records that the attempts of other origins have ended at a leader."""
+        """Records that other attempts of tasks have ended at a leader."""
         until = _latest(self._clock.monotonic(), notice.within_s)
-        known = self._earlier.get(notice.key, {})
-        for (name, origins), earlier in list(known.items()):
-            if name != leader or notice.origin in origins:
+        known = self._elsewhere.get(notice.key, {})
+        for (name, tasks), elsewhere in list(known.items()):
+            if name != leader or (
+                notice.origin in elsewhere.offers
+                # The leader may go on with tasks for which the same instance
+                # waits.
+                and not (
+                    elsewhere.indices and elsewhere.overlaps(notice.indices)
+                )
+            ):
                 continue
             if notice.within_s > 0:
-                earlier.ends_by = min(earlier.ends_by, until)
+                elsewhere.ends_by = min(elsewhere.ends_by, until)
             else:
-                del known[name, origins]
+                del known[name, tasks]
         if not known:
-            self._earlier.pop(notice.key, None)
+            self._elsewhere.pop(notice.key, None)
+        asked = set(notice.indices)
         for active in self._table.of_key(notice.key):
-            if notice.origin in active.origins:
+            if notice.origin in active.origins and not (
+                asked and asked.isdisjoint(active.job.indices)
+            ):
                 active.release(leader, until)
 
     def replaced_by(
         self, notice: attempts.Replaced
     ) -> list[active_job.ActiveJob]:
-        """Returns the jobs that a later attempt of another origin replaces.
+        """Returns the jobs that another attempt replaces.
 
-        A part for which that origin waits as well goes on unless its tasks run
-        at the other leader.
+        Of one origin, the later offer of a task owns it, of different ones the
+        later attempt. A part for which the origin waits as well goes on unless
+        its tasks run at the other leader. The age arrives late and so makes the
+        other attempt seem later: both leaders may end theirs if they are as old
+        as each other, but not go on.
         """
-        began_at = self._clock.monotonic() - notice.age_s
-        return [
-            active
-            for active in self._table.of_key(notice.key)
-            if active.began_at < began_at
-            and (
-                notice.origin not in active.origins
-                or not set(notice.indices).isdisjoint(active.job.indices)
-            )
-        ]
+        accepted_at = self._clock.monotonic() - notice.age_s
+        replaced = []
+        for active in self._table.of_key(notice.key):
+            latest = active.latest
+            shared = not set(notice.indices).isdisjoint(active.job.indices)
+            if latest.origin.id == notice.origin and (
+                latest.offer and notice.offer
+            ):
+                is_replaced = shared and latest.offer < notice.offer
+            else:
+                is_replaced = latest.accepted_at <= accepted_at and (
+                    shared or notice.origin not in active.origins
+                )
+            if is_replaced:
+                replaced.append(active)
+        return replaced
 
     def answer(self, leader: str, notice: attempts.Replaced) -> None:
-        """Answers that no run of an earlier attempt is left here.
+        """Answers that no run of another attempt is left here.
 
         Runs of a former term of this leader may be left until their lease ends.
         """
@@ -228,9 +287,35 @@
             return
         started_s = self._clock.monotonic() - self._started_at
         within_s = max(0.0, RUNS_END_S - started_s)
-        self._peers.send(
-            leader, attempts.Ended(notice.key, notice.origin, within_s)
-        )
+        self._peers.send(leader, _ended(notice, within_s))
+
+    def _known(self, key: str) -> list[tuple[_Part, _Elsewhere]]:
+        return list(self._elsewhere.get(key, {}).items())
+
+    def _is_due(self, active: active_job.ActiveJob, now: float) -> bool:
+        return active.began_at + self._notice_s <= now
+
+    def _hold_back(
+        self, active: active_job.ActiveJob, leader: str, elsewhere: _Elsewhere
+    ) -> None:
+        now = self._clock.monotonic()
+        active.hold_back(leader, elsewhere.ends_by)
+        # The other leaders must know a job of several attempts at any age.
+        active.began_at = min(active.began_at, now - self._notice_s)
+        self._release_moved(active, now)
+
+    def _release_moved(self, active: active_job.ActiveJob, now: float) -> None:
+        """Waits only for the leases of a lost leader if all have left it."""
+        assert self._peers is not None
+        for leader in active.held_back_by:
+            if self._peers.reaches(leader):
+                continue
+            if all(
+                elsewhere.is_left_by_all(active)
+                for (name, _), elsewhere in self._known(active.job.key)
+                if name == leader and elsewhere.conflicts(active)
+            ):
+                active.release(leader, now + RUNS_END_S)
 
     def _announce(
         self,
@@ -243,41 +328,45 @@
             return
         notice = attempts.Running(
             active.job.key,
-            frozenset(active.origins),
-            now - active.began_at,
+            active.offers,
+            now - active.latest.accepted_at,
             max(0.0, active.job.deadline_at - now) + RUNS_END_S,
+            active.job.indices,
         )
-        for session, leader in sessions.items():
-            if session not in active.told:
-                self._peers.send(leader, notice)
-        active.told = dict(sessions)
+        active.told = {
+            session: leader
+            for session, leader in sessions.items()
+            if session in active.told or self._peers.send(leader, notice)
+        }
 
-    def _ask(self, active: active_job.ActiveJob, origin: str) -> None:
+    def _ask(self, active: active_job.ActiveJob) -> None:
         assert self._peers is not None
-        age_s = self._clock.monotonic() - active.began_at
+        latest = active.latest
+        question = attempts.Replaced(
+            active.job.key,
+            latest.origin.id,
+            self._clock.monotonic() - latest.accepted_at,
+            active.job.indices,
+            latest.offer,
+        )
         for leader in active.held_back_by:
-            self._peers.send(
-                leader,
-                attempts.Replaced(
-                    active.job.key, origin, age_s, active.job.indices
-                ),
-            )
+            self._peers.send(leader, question)
 
     def _remove_expired(self, now: float) -> None:
-        for key, known in list(self._earlier.items()):
-            for name, earlier in list(known.items()):
-                if now >= earlier.ends_by:
-                    del known[name]
+        for key, known in list(self._elsewhere.items()):
+            for part, elsewhere in list(known.items()):
+                if now >= elsewhere.ends_by:
+                    del known[part]
             if not known:
-                del self._earlier[key]
+                del self._elsewhere[key]
 
-    def _log_held(self, active: active_job.ActiveJob, origin: str) -> None:
+    def _log_held(self, active: active_job.ActiveJob) -> None:
         log.event(
-            "attempt held back for an earlier one at another leader",
+            "job held back for an attempt at another leader",
             step="schedule",
             request=active.job.key,
             part=active.job.indices[0],
-            home=origin,
+            home=active.latest.origin.id,
             stewards=sorted(active.held_back_by),
         )
 
@@ -287,6 +376,10 @@
     return now + within_s * (1 + _MAX_RATE_DIFFERENCE)
 
 
+def _ended(notice: attempts.Replaced, within_s: float) -> attempts.Ended:
+    return attempts.Ended(notice.key, notice.origin, within_s, notice.indices)
+
+
 def answer_without_leader(notice: attempts.Notice) -> attempts.Ended | None:
     """Returns the answer of an instance that no longer leads, or None.
 
@@ -295,6 +388,6 @@
     """
     match notice:
         case attempts.Replaced():
-            return attempts.Ended(notice.key, notice.origin, RUNS_END_S)
+            return _ended(notice, RUNS_END_S)
         case _:
             return None
--- a/sesameroad/jobs/coordinator.py
+++ b/sesameroad/jobs/coordinator.py
@@ -133,6 +133,7 @@
         "_confined_to",
         "_data_centre",
         "_evacuations",
+        "_last_offer",
         "_leaders",
         "_parts",
         "_reroutes",
@@ -168,6 +169,8 @@
         self._leaders = leaders
         self._clock = clock
         self._reroutes = reroutes
+        # Number of the last offer to a leader.
+        self._last_offer = 0
         # Parts of the running jobs, by key.
         self._parts: dict[str, list[_Part]] = {}
 
@@ -342,9 +345,10 @@
         moved = part.moved
         part.route = route
         part.offered = True
+        job = dataclasses.replace(part.job, offer=self._next_offer())
         try:
             outcome = await route.submit(
-                part.job, moved=moved, lent=part.lent and not moved
+                job, moved=moved, lent=part.lent and not moved
             )
         except asyncio.CancelledError:
             route.cancel(part.job.name)
@@ -402,6 +406,11 @@
             case _:
                 return outcome
 
+    def _next_offer(self) -> int:
+        """Returns a number above those of all offers, also before a restart."""
+        self._last_offer = max(self._last_offer + 1, self._clock.wall_ms())
+        return self._last_offer
+
     async def _reroute(
         self, part: _Part, refusal: outcomes.NotRun
     ) -> outcomes.Outcome | None:
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -339,12 +339,13 @@
             active = None
         if active is None:
             active = active_job.ActiveJob(job, now=now)
+            future = active.join(origin, job, now=now)
             if moved:
                 active.record_move(now, job.unstarted)
                 active.record_told(job.succeeded)
                 self._pool.expect_held_up_starts()
             self._takeover.adopt(active, self._pool)
-            is_held_back = self._attempts.hold(active, origin.id)
+            is_held_back = self._attempts.hold(active)
             if is_held_back and lent and not active.started:
                 return outcomes.NotRun(
                     outcomes.Cause.NO_ROOM, "an earlier attempt may still run"
@@ -368,6 +369,7 @@
                 self._headroom.record(job, now)
             self._wake.set()
         else:
+            future = active.join(origin, job, now=now)
             if moved:
                 # The origin has offered the job to another leader meanwhile.
                 active.record_move(now, job.unstarted)
@@ -382,10 +384,9 @@
                 moved=moved,
                 runs=len(active.runs),
             )
-            active.began_at = max(active.began_at, job.accepted_at)
-            if self._attempts.hold(active, origin.id):
+            if self._attempts.hold(active):
                 active.record_earlier_attempt()
-        future = active.join(origin)
+        self._attempts.tell(active)
         self._tracker.finish_if_complete(active)
         self._tracker.answer_held_up(active)
         return await future
--- a/sesameroad/model/attempts.py
+++ b/sesameroad/model/attempts.py
@@ -2,8 +2,12 @@
 
 A caller without an answer submits its job again under the same key. Times are
 durations that count from the arrival of the notice, as clocks differ.
+
+An origin numbers its offers to leaders upwards, so that its latest offer of a task
+is known although the estimates of two leaders of its age differ.
 """
 
+from collections.abc import Mapping
 import dataclasses
 
 
@@ -13,16 +17,19 @@
 
     Attributes:
         key: Key of the job.
-        origins: Instances that wait for the attempt.
-        age_s: Time since the first of them accepted it, in seconds.
+        offers: Number of the offer of each instance that waits, 0 if unknown.
+        age_s: Time since the latest attempt was accepted, in seconds. Only earlier
+            releases use it.
         ends_within_s: Time within which all its runs have ended, whether or not
             anyone stops them, in seconds.
+        indices: Tasks of the sender, none if unknown.
     """
 
     key: str
-    origins: frozenset[str]
+    offers: Mapping[str, int]
     age_s: float
     ends_within_s: float
+    indices: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -34,13 +41,15 @@
         origin: Instance that waits for the later attempt.
         age_s: Time since it accepted that attempt, in seconds.
         indices: Tasks that the sender is to run. If the origin waits for them
-            at the receiver, too, it has moved them from there.
+            at the receiver, too, its later offer owns them.
+        offer: Number of the offer to the sender, 0 if unknown.
     """
 
     key: str
     origin: str
     age_s: float
     indices: tuple[int, ...]
+    offer: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -51,11 +60,13 @@
         key: Key of the job.
         origin: Instance that waits for the later attempt.
         within_s: Time within which that is true, in seconds.
+        indices: Tasks of the question, none if unknown.
     """
 
     key: str
     origin: str
     within_s: float
+    indices: tuple[int, ...] = ()
 
 
 Notice = Running | Replaced | Ended
--- a/sesameroad/model/jobs.py
+++ b/sesameroad/model/jobs.py
@@ -38,6 +38,8 @@
             if the job has moved from an earlier leader that has told; none if
             unknown.
         succeeded: Indices of the tasks whose success an earlier leader has told.
+        offer: Number of the offer to a leader, higher than those of all earlier
+            offers of its origin; 0 if unknown.
     """
 
     key: str
@@ -59,6 +61,7 @@
     accepted_at: float = 0.0
     unstarted: tuple[int, ...] = ()
     succeeded: tuple[int, ...] = ()
+    offer: int = 0
 
     @property
     def count(self) -> int:
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -480,11 +480,14 @@
         """Returns whether an instance is reachable."""
         return instance in self._mesh.peers
 
-    def send(self, leader: str, notice: notices.Notice) -> None:
-        """Sends a notice to another leader; it is lost if none is reachable."""
+    def send(self, leader: str, notice: notices.Notice) -> bool:
+        """Sends a notice to another leader; it is lost if none is reachable.
+
+        Returns:
+            Whether it was queued.
+        """
         link = self._mesh.peers.get(leader)
-        if link is not None:
-            self._mesh.send(link, notice)
+        return link is not None and self._mesh.send(link, notice)
 
     def receive_notice(self, leader: str, notice: notices.Notice) -> None:
         """Handles a notice of another leader."""
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -149,9 +149,11 @@
             return peer_pb2.Item(
                 attempt_running=peer_pb2.AttemptRunning(
                     key=message.key,
-                    origins=sorted(message.origins),
+                    origins=message.offers.keys(),
                     age_ms=_ceil_ms(message.age_s),
                     ends_within_ms=_ceil_ms(message.ends_within_s),
+                    offers=message.offers.values(),
+                    indices=message.indices,
                 )
             )
         case messages.AttemptReplaced():
@@ -159,8 +161,11 @@
                 attempt_replaced=peer_pb2.AttemptReplaced(
                     key=message.key,
                     origin=message.origin,
-                    age_ms=_ceil_ms(message.age_s),
+                    # Rounded down: two leaders must not both find their own
+                    # attempt the later one.
+                    age_ms=int(message.age_s * _MS),
                     indices=message.indices,
+                    offer=message.offer,
                 )
             )
         case messages.AttemptEnded():
@@ -169,6 +174,7 @@
                     key=message.key,
                     origin=message.origin,
                     within_ms=_ceil_ms(message.within_s),
+                    indices=message.indices,
                 )
             )
         case messages.JobOffer():
@@ -300,13 +306,7 @@
         case "job_offer":
             return _decode_offer(item.job_offer)
         case "attempt_running":
-            running = item.attempt_running
-            return messages.AttemptRunning(
-                running.key,
-                frozenset(running.origins),
-                running.age_ms / _MS,
-                running.ends_within_ms / _MS,
-            )
+            return _decode_running(item.attempt_running)
         case "attempt_replaced":
             replaced = item.attempt_replaced
             return messages.AttemptReplaced(
@@ -314,11 +314,15 @@
                 replaced.origin,
                 replaced.age_ms / _MS,
                 tuple(replaced.indices),
+                replaced.offer,
             )
         case "attempt_ended":
             ended = item.attempt_ended
             return messages.AttemptEnded(
-                ended.key, ended.origin, ended.within_ms / _MS
+                ended.key,
+                ended.origin,
+                ended.within_ms / _MS,
+                tuple(ended.indices),
             )
         case "job_cancel":
             return messages.JobCancel(item.job_cancel.name)
@@ -460,6 +464,7 @@
         age_ms=_ceil_ms(now - job.accepted_at) if job.accepted_at else 0,
         unstarted=job.unstarted,
         succeeded=job.succeeded,
+        offer=job.offer,
     )
 
 
@@ -498,12 +503,36 @@
         accepted_at=now - offer.age_ms / _MS if offer.age_ms else 0.0,
         unstarted=tuple(offer.unstarted),
         succeeded=tuple(offer.succeeded),
+        offer=offer.offer,
     )
     return messages.JobOffer(
         offer.id, offer.data_centre, job, offer.moved, offer.lent
     )
 
 
+def _decode_running(
+    running: peer_pb2.AttemptRunning,
+) -> messages.AttemptRunning:
+    """Returns a notice of a running job.
+
+    Raises:
+        PeerError: If it has offers, but not one for each origin.
+    """
+    offers = running.offers or [0] * len(running.origins)
+    if len(offers) != len(running.origins):
+        raise errors.PeerError(
+            f"{len(running.origins)} origins and {len(offers)} offers",
+            step="decode",
+        )
+    return messages.AttemptRunning(
+        running.key,
+        dict(zip(running.origins, offers, strict=True)),
+        running.age_ms / _MS,
+        running.ends_within_ms / _MS,
+        tuple(running.indices),
+    )
+
+
 def _decode_recent_cancels(
     recent: peer_pb2.RecentCancels,
 ) -> messages.RecentCancels:
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -222,6 +222,7 @@
 
     def send(self, leader, notice):
         self._network.send(self._name, leader, notice)
+        return True
 
 
 class Site:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -185,13 +185,16 @@
         """Guards against runs that a third leader continues and renews."""
         for pause_s in (0.0, 0.3, 0.8, 1.1):
             async with _Fleet() as fleet:
+                accepted_at = fleet.site.clock.monotonic()
                 await fleet.start({0: fleet.all})
                 later = asyncio.create_task(fleet.repeat({1: fleet.all}))
+                # Origins tell the age of a job that they offer again.
+                older = dataclasses.replace(fleet.job, accepted_at=accepted_at)
                 await fleet.close(0)
                 await asyncio.sleep(pause_s)
                 async with fleet.site.leader(token=3) as third:
                     answers = await asyncio.gather(
-                        third.submit(fleet.job, fleet.site.origin, moved=True),
+                        third.submit(older, fleet.site.origin, moved=True),
                         later,
                     )
             self.assertEqual(answers[1], [outcomes.Complete(())], pause_s)
@@ -217,6 +220,64 @@
         self.assertEqual(answers, [outcomes.Complete(())])
         self.assertEqual(fleet.site.history.overlapping, [])
 
+    async def test_attempt_that_joins_is_told_at_once(self):
+        """Guards against a notice that waits until the joined attempt is old."""
+        async with _Fleet() as fleet:
+            await fleet.start({0: fleet.all})
+            joined = asyncio.create_task(fleet.repeat({0: fleet.all}))
+            await asyncio.sleep(0.01)
+            self.assertEqual(
+                [set(notice.offers) for _, notice in fleet.site.links.sent],
+                [{"origin"}, {"origin", "other"}],
+            )
+            await fleet.add_leader(token=4)
+            await asyncio.sleep(0.1)
+            self.assertEqual(len(fleet.site.links.sent), 3)
+            await joined
+
+    async def test_origin_that_its_former_leader_still_hears(self):
+        """Guards against runs that the former leader goes on with.
+
+        The origin has taken its stream for broken and offers the job again, to
+        another leader or at last to the former one.
+        """
+        for heard_again in (False, True):
+            async with _Fleet() as fleet:
+                job = dataclasses.replace(
+                    fleet.job,
+                    spec="4.0/8.0",
+                    accepted_at=fleet.site.clock.monotonic(),
+                )
+                fleet.job = dataclasses.replace(job, offer=1)
+                await fleet.start({0: fleet.all})
+                answers = [
+                    asyncio.create_task(
+                        fleet.leaders[number].submit(
+                            dataclasses.replace(job, offer=offer),
+                            _jobs.Origin(fleet.site.origin.id),
+                            moved=True,
+                        )
+                    )
+                    for number, offer in ((1, 2), (0, 3))[: 1 + heard_again]
+                ]
+                await asyncio.wait(answers)
+            self.assertEqual(answers[-1].result(), outcomes.Complete(()))
+            self.assertEqual(fleet.site.history.overlapping, [], heard_again)
+
+    async def test_cut_between_the_leaders_leaves_runs_alone(self):
+        """Guards against a job that is ended although none of its tasks waits."""
+        async with _Fleet() as fleet:
+            await fleet.start({0: fleet.all})
+            later = asyncio.create_task(fleet.repeat({1: fleet.all}))
+            # The later attempt was told, but its question gets lost.
+            fleet.site.links.lost = 1
+            await asyncio.sleep(0.0015)
+            fleet.site.links.cut.add("leader1")
+            await later
+            first = await fleet._firsts[0]
+        self.assertEqual(first, outcomes.Complete(()))
+        self.assertEqual(fleet.site.history.overlapping, [])
+
     async def test_third_attempt_replaces_both(self):
         """Guards against an older attempt that ends, or outlives, a later one."""
         async with _Fleet() as fleet:
--- a/tests/test_job_coordinator.py
+++ b/tests/test_job_coordinator.py
@@ -21,6 +21,7 @@
         self.answers = list(answers)
         self.took_s = took_s
         self.asked = []
+        self.offers = []
         self.unstarted = []
         self.succeeded = []
         self.cancelled = []
@@ -30,6 +31,7 @@
 
     async def submit(self, job, *, moved, lent):
         self.asked.append((job.indices, moved, lent))
+        self.offers.append(job.offer)
         self.unstarted.append(job.unstarted)
         self.succeeded.append(job.succeeded)
         answer = self.answers.pop(0)
@@ -87,6 +89,20 @@
         self.assertEqual(outcome, _DONE)
         self.assertEqual(own.asked, [((0, 1, 2, 3), False, False)])
 
+    async def test_each_offer_has_a_higher_number(self):
+        """Guards against a move that its former leader takes for an earlier one.
+
+        After a restart, an instance has the same id.
+        """
+        lost = errors.PeerError("lost", step="offer job", peer="i2")
+        leader = _Leader(lost, lost, _DONE, took_s=0.0)
+        await self.run_job(_Leaders(dc1=leader))
+        self.assertEqual(leader.offers, sorted(set(leader.offers)))
+        await asyncio.sleep(0.1)
+        restarted = _Leader(_DONE)
+        await self.run_job(_Leaders(dc1=restarted))
+        self.assertGreater(restarted.offers[0], leader.offers[-1])
+
     async def test_tasks_that_do_not_fit_are_lent(self):
         """Guards against tasks that wait while there is capacity elsewhere."""
         own = _Leader(_DONE, free_cores=17.0)
--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -1,17 +1,18 @@
 """Several leaders under cuts, moves of jobs and repeated attempts, in virtual time.
 
 Schedules overlap cuts between a leader and endpoints, claims of next leaders,
-origins that move their jobs, are lost or have their heartbeats held up, callers
-that come again while the former origin lives, and faults of endpoints.
+origins that move their jobs and may still be heard where they were, are lost or have
+their heartbeats held up, callers that come again while the former origin lives, and
+faults of endpoints.
 
 Not generated, because two runs are possible then (docs/guarantees.md):
 
 - Late starts in one schedule with restarts: an incarnation carries out a start that
   its leader has given up, after a report of the former one without the run.
 - The same if the job has reached another leader, which does not know the start.
-- An origin that a leader hears although it has moved its jobs to another one.
-- A later attempt while the former origin lives, if the leaders do not reach each
-  other, or one of them has led for less than 0.2 s.
+- A later attempt while the former origin lives, or an origin that a leader hears
+  although it has moved its jobs, if the leaders do not reach each other
+  (`tests.test_cut_off_leaders`), or one of them has led for less than 0.2 s.
 
 Clocks of endpoints are not slow here.
 """
@@ -99,12 +100,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Move:
-    """The stream of an origin ends; it offers its jobs to another leader."""
+    """The stream of an origin ends; it offers its jobs to another leader.
+
+    The former leader goes on hearing the origin for a time.
+    """
 
     at: float
     origin: int
     leader: int
     pause_s: float
+    heard_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -292,16 +297,34 @@
         self.leader = leader
         self.link = _jobs.HeartbeatOrigin(name, phase_s=phase_s)
         self.lost = False
+        # Links to leaders that it has left, and when these lose it.
+        self._heard = []
         # Number of streams that have ended.
         self.ended = 0
+        # Number of its last offer.
+        self.offers = 0
         # Unanswered jobs by key, and whether they have been offered before.
         self.jobs = {}
 
-    def leave(self):
+    def leave(self, *, heard_s=0.0):
         self.ended += 1
-        self.link.lose()
+        if heard_s:
+            loop = asyncio.get_running_loop()
+            self._heard.append(
+                (self.link, loop.call_later(heard_s, self.link.lose))
+            )
+        else:
+            self.link.lose()
         self.leader = None
 
+    def lose(self):
+        self.lost = True
+        self.leave()
+        for link, timer in self._heard:
+            if timer.when() > asyncio.get_running_loop().time():
+                timer.cancel()
+                link.lose()
+
 
 class _Play:
     """Plays a schedule.
@@ -405,7 +428,12 @@
             case _Move():
                 instance = self._instance(event.origin)
                 if not instance.lost and instance.leader is not None:
-                    await self._move(instance, event.leader, event.pause_s)
+                    await self._move(
+                        instance,
+                        event.leader,
+                        event.pause_s,
+                        heard_s=event.heard_s,
+                    )
             case _Loss():
                 await self._lose(event)
             case _Repeat():
@@ -450,9 +478,9 @@
         for name in self._names(cut.endpoints):
             paths.join(name)
 
-    async def _move(self, instance, number, pause_s):
+    async def _move(self, instance, number, pause_s, *, heard_s=0.0):
         former = instance.leader
-        instance.leave()
+        instance.leave(heard_s=heard_s)
         ended = instance.ended
         await asyncio.sleep(pause_s)
         while not (
@@ -478,8 +506,7 @@
         instance = self._instance(loss.origin)
         if instance.lost:
             return
-        instance.lost = True
-        instance.leave()
+        instance.lose()
         jobs = [job for job, _ in instance.jobs.values()]
         instance.jobs.clear()
         await asyncio.sleep(loss.return_s)
@@ -522,6 +549,8 @@
     def _offer(self, instance, job):
         """Offers a job to the leader of its origin, or keeps it for the next."""
         self._last_deadline_at = max(self._last_deadline_at, job.deadline_at)
+        instance.offers += 1
+        job = dataclasses.replace(job, offer=instance.offers)
         _, moved = instance.jobs.get(job.key, (job, False))
         if instance.leader is None:
             instance.jobs[job.key] = job, moved
@@ -578,6 +607,10 @@
     return _seconds(0.1, _FAULTS_S)
 
 
+# Time for which a leader hears an origin that has left it.
+_HEARD_S = st.just(0.0) | st.just(0.0) | _seconds(0.1, 3.0)
+
+
 @st.composite
 def _incidents(draw):
     """Draws a cut, and what follows from it on its other side."""
@@ -610,6 +643,7 @@
             origin=origin,
             leader=draw(_LEADERS),
             pause_s=draw(_seconds(0.0, 0.3)),
+            heard_s=draw(_HEARD_S),
         )
         events.append(move)
         if draw(st.sampled_from([False, False, True])):
@@ -694,6 +728,7 @@
                 origin=_ORIGINS,
                 leader=_LEADERS,
                 pause_s=_seconds(0.0, 0.6),
+                heard_s=_HEARD_S,
             ),
             max_size=1,
         ),
@@ -831,6 +866,21 @@
     ],
 )
 
+# The same as the next leader has just claimed; the caller comes there once more.
+_REPEATED_AT_NEXT_LEADER = _Schedule(
+    endpoints=4,
+    phases=[0.14, 0.18, 0.15, 0.08],
+    events=[
+        _Arrival(0.05, origin=1, tasks=1, run_s=2.0, cores=2.0),
+        _Arrival(0.05, origin=0, tasks=2, run_s=2.0, cores=2.0),
+        _Restart(0.2, endpoint=0, down_s=0.03),
+        _Repeat(1.4, origin=0, next_origin=2),
+        _Claim(1.62, endpoints=frozenset({0, 2, 3})),
+        _Move(1.62, origin=3, leader=0, pause_s=0.0),
+        _Repeat(1.92, origin=0, next_origin=3),
+    ],
+)
+
 
 class LeaderSchedulesTest(unittest.TestCase):
 
@@ -846,6 +896,7 @@
     @hypothesis.example(_EARLIER_COMES_BACK)
     @hypothesis.example(_JOINS_AFTER_MOVE)
     @hypothesis.example(_JOINS_AFTER_RETURN)
+    @hypothesis.example(_REPEATED_AT_NEXT_LEADER)
     def test_tasks_of_several_leaders_run_once_at_a_time(self, schedule):
         """Guards against leaders that rely on the end of the same lease."""
         self.assertEqual(_virtual.run(_Play(schedule).run()), [])
