Tell a new leader of running jobs before its first start

What callers would see: a task runs twice at a time, if the caller comes again at a leader that has claimed less than 0.1 s ago, while the origin of its former attempt lives.

Cause: the other leaders told a new one of their jobs at their next periodic check, up to 0.1 s after its claim. It started tasks as soon as it had the cancels of its peers.

Change: a leader that sees a new claim sends its notices ahead of its report of recent cancels, on the same stream. The new leader starts nothing before it has the reports of the peers that live.

The schedules of several leaders no longer leave out attempts that come within 0.2 s of a claim; their play tells a new leader in this order.

--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -436,6 +436,10 @@
                     active.release_expired(self._clock.monotonic())
                 self._wake.set()
 
+    def tell_attempts(self) -> None:
+        """Tells other leaders of the attempts that they should know by now."""
+        self._attempts.tell_all()
+
     def _may_run_beside(self, notice: notices.Replaced) -> bool:
         """Returns whether runs of other attempts may be left here."""
         key = notice.key
--- a/sesameroad/node/canceller.py
+++ b/sesameroad/node/canceller.py
@@ -39,6 +39,9 @@
     def peer_links(self) -> Mapping[str, links.Link]:
         """Live link to each peer by its instance id."""
 
+    def tell_attempts(self) -> None:
+        """Tells other leaders of the jobs here that they should know."""
+
     def unseen_led(self) -> Sequence[str]:
         """Returns the data centres that a leader may have which is not visible."""
 
@@ -142,12 +145,17 @@
     def tell_leader(
         self, link: links.Link, heartbeat: messages.Heartbeat
     ) -> None:
-        """Sends the recent cancels to a leader whose claim was not seen before."""
+        """Sends the recent cancels to a leader whose claim was not seen before.
+
+        It starts nothing before it has them. The jobs that the leader here runs go
+        ahead on the same stream, so it knows these as well.
+        """
         if not heartbeat.own_claims:
             return
         token = max(claim.token for claim in heartbeat.own_claims)
         if token <= link.told_token:
             return
+        self._leaders.tell_attempts()
         if self._send_recent(link, token):
             link.told_token = token
 
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -498,6 +498,11 @@
         if answer is not None:
             self.send(leader, answer)
 
+    def tell_attempts(self) -> None:
+        """Tells other leaders of the jobs here that they should know."""
+        if self._scheduler is not None:
+            self._scheduler.tell_attempts()
+
     def update_endpoints(self) -> None:
         """Applies the current list of endpoints."""
         if self._scheduler is None:
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -174,6 +174,18 @@
         """Ends the leadership of an instance, which stays reachable."""
         self._schedulers[name] = None, next(self._terms)
 
+    async def tell(self, name):
+        """Tells a new leader of the jobs of the others, as its peers do.
+
+        Each that sees its claim sends what it must know before its report of
+        recent cancels. The leader starts nothing before it has all reports.
+        """
+        await asyncio.sleep(self._DELAY_S)
+        for other in self.sessions(name).values():
+            scheduler, _ = self._schedulers[other]
+            scheduler.tell_attempts()
+        await asyncio.sleep(1.5 * self._DELAY_S)
+
     def reaches(self, source, target):
         return target in self._schedulers and not {source, target} & self.cut
 
@@ -225,6 +237,17 @@
         return True
 
 
+class PeerReports:
+    """Reports of the peers of a new leader, as `jobs.cancel_reports`."""
+
+    def __init__(self, links, name):
+        self._links = links
+        self._name = name
+
+    async def wait(self):
+        await self._links.tell(self._name)
+
+
 class Site:
     """Endpoints of one data centre and the leaders that hold them.
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -46,21 +46,23 @@
             await self.close(number)
         await asyncio.gather(*self._firsts)
 
-    async def _open(self, *, token):
+    async def _open(self, *, token, **options):
         stack = contextlib.AsyncExitStack()
         self._stacks.append(stack)
         self.leaders.append(
-            await stack.enter_async_context(self.site.leader(token=token))
+            await stack.enter_async_context(
+                self.site.leader(token=token, **options)
+            )
         )
 
     async def close(self, number):
         await self._stacks[number].aclose()
 
-    async def add_leader(self, *, token):
+    async def add_leader(self, *, token, **options):
         listed, self.site.endpoints = self.site.endpoints, []
         for number in range(4):
             self.site.add(f"e{token}{number}", 16.0)
-        await self._open(token=token)
+        await self._open(token=token, **options)
         self.site.endpoints = listed
 
     async def start(self, parts, *, after_s=0.0):
@@ -278,6 +280,18 @@
         self.assertEqual(first, outcomes.Complete(()))
         self.assertEqual(fleet.site.history.overlapping, [])
 
+    async def test_leader_that_has_just_claimed_starts_nothing_beside(self):
+        """Guards against a start before the new leader was told."""
+        async with _Fleet() as fleet:
+            await fleet.start({0: fleet.all})
+            reports = _jobs.PeerReports(fleet.site.links, "leader4")
+            await fleet.add_leader(
+                token=4, cancel_reports=reports, settle_s=0.0
+            )
+            answers = await fleet.repeat({2: fleet.all})
+        self.assertEqual(answers, [outcomes.Complete(())])
+        self.assertEqual(fleet.site.history.overlapping, [])
+
     async def test_third_attempt_replaces_both(self):
         """Guards against an older attempt that ends, or outlives, a later one."""
         async with _Fleet() as fleet:
--- a/tests/test_canceller.py
+++ b/tests/test_canceller.py
@@ -53,6 +53,9 @@
         self.unseen = []
         self.own = None
 
+    def tell_attempts(self):
+        pass
+
     def unseen_led(self):
         return self.unseen
 
@@ -135,6 +138,18 @@
         self.canceller.tell_leader(late, again)
         self.assertEqual(late.sent[1], messages.RecentCancels(8, {"k": 2.0}))
 
+    async def test_running_jobs_are_told_before_the_report(self):
+        """Guards against a new leader that starts tasks which run elsewhere."""
+        self.open()
+        link = _Link()
+        running = messages.AttemptRunning("k", {"a": 3}, 1.25, 8.5, (0,))
+        self.leaders.tell_attempts = lambda: link.send(running)
+        claim = messages.LeadershipClaim("dc1", 7)
+        self.canceller.tell_leader(
+            link, messages.Heartbeat(0, 0, False, (claim,))
+        )
+        self.assertEqual(link.sent, [running, messages.RecentCancels(7, {})])
+
     async def test_flood_of_cancels_is_sent_in_bounded_messages(self):
         """Guards against a report that holds up heartbeats, or lacks cancels."""
         self.open()
--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -12,7 +12,7 @@
 - The same if the job has reached another leader, which does not know the start.
 - A later attempt while the former origin lives, or an origin that a leader hears
   although it has moved its jobs, if the leaders do not reach each other
-  (`tests.test_cut_off_leaders`), or one of them has led for less than 0.2 s.
+  (`tests.test_cut_off_leaders`).
 
 Clocks of endpoints are not slow here.
 """
@@ -43,8 +43,6 @@
 _CLAIM_PAUSE_S = 0.25
 # Time after which a caller without an answer comes again, at the earliest.
 _RETURN_S = 1.3
-# Time within which a new leader is told of the jobs of the others.
-_TOLD_S = 0.2
 # Distance of the tokens of two leaders, which raise them by one at a time.
 _TOKEN_STEP = 2**18
 _MAX_LEADERS = 3
@@ -235,7 +233,6 @@
         self.paths = _Paths(play.site.fleet)
         self.names = set(names)
         self.closed = False
-        self.opened_at = play.site.clock.monotonic()
         self._play = play
         self._name = f"leader{token}"
         self._scheduler = scheduler_module.Scheduler(
@@ -247,6 +244,7 @@
             metrics=job_metrics.JobMetrics(),
             peers=play.site.links.open(self._name),
             attempt_notice_s=1.0,
+            cancel_reports=_jobs.PeerReports(play.site.links, self._name),
         )
         play.site.links.add(self._name, self._scheduler)
         self._update()
@@ -525,7 +523,6 @@
             or instance.lost
             or other.lost
             or other.leader is None
-            or now - other.leader.opened_at < _TOLD_S
         ):
             return
         for job, _ in list(instance.jobs.values()):
