Test attempts of nearly the same age at two leaders

Two leaders take the other's attempt for the later one if the ages differ by less than the delay of their notices. The test shows that they neither wait for each other nor start both.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -266,6 +266,37 @@
             self.assertEqual(answers[-1].result(), outcomes.Complete(()))
             self.assertEqual(fleet.site.history.overlapping, [], heard_again)
 
+    async def test_attempts_of_the_same_age(self):
+        """Guards against two leaders that wait for each other, or both start.
+
+        Both wait for room. Each hears of the other's attempt late, so that both
+        may take it for the later one; then both are answered.
+        """
+        for apart_s in (0.0, 0.0005, 0.01):
+            async with _Fleet() as fleet:
+                fillers = [
+                    asyncio.create_task(
+                        leader.submit(
+                            fleet.site.job(
+                                key * 16, count=8, run_s=1.5, deadline_s=9
+                            ),
+                            fleet.site.origin,
+                        )
+                    )
+                    for leader, key in zip(fleet.leaders, "ef", strict=True)
+                ]
+                await asyncio.sleep(0.1)
+                began_at = asyncio.get_running_loop().time()
+                first = asyncio.create_task(
+                    fleet.leaders[0].submit(fleet.job, fleet.site.origin)
+                )
+                await asyncio.sleep(apart_s)
+                await fleet.repeat({1: fleet.all})
+                await asyncio.gather(first, *fillers)
+                took_s = asyncio.get_running_loop().time() - began_at
+            self.assertLess(took_s, 1.5 + _RUN_S + 0.2, apart_s)
+            self.assertEqual(fleet.site.history.overlapping, [], apart_s)
+
     async def test_cut_between_the_leaders_leaves_runs_alone(self):
         """Guards against a job that is ended although none of its tasks waits."""
         async with _Fleet() as fleet:
