--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -46,21 +46,23 @@
             await self.close(number)
         await asyncio.gather(*self._firsts)
 
-    async def _open(self, *, token):
+    async def _open(self, *, token, **options):
         stack = contextlib.AsyncExitStack()
         self._stacks.append(stack)
         self.leaders.append(
-            await stack.enter_async_context(self.site.leader(token=token))
+            await stack.enter_async_context(
+                self.site.leader(token=token, **options)
+            )
         )
 
     async def close(self, number):
         await self._stacks[number].aclose()
 
-    async def add_leader(self, *, token):
+    async def add_leader(self, *, token, **options):
         listed, self.site.endpoints = self.site.endpoints, []
         for number in range(4):
             self.site.add(f"e{token}{number}", 16.0)
-        await self._open(token=token)
+        await self._open(token=token, **options)
         self.site.endpoints = listed
 
     async def start(self, parts, *, after_s=0.0):
@@ -185,13 +187,16 @@
         """Guards against runs that a third leader continues and renews."""
         for pause_s in (0.0, 0.3, 0.8, 1.1):
             async with _Fleet() as fleet:
+                accepted_at = fleet.site.clock.monotonic()
                 await fleet.start({0: fleet.all})
                 later = asyncio.create_task(fleet.repeat({1: fleet.all}))
+                # Origins tell the age of a job that they offer again.
+                older = dataclasses.replace(fleet.job, accepted_at=accepted_at)
                 await fleet.close(0)
                 await asyncio.sleep(pause_s)
                 async with fleet.site.leader(token=3) as third:
                     answers = await asyncio.gather(
-                        third.submit(fleet.job, fleet.site.origin, moved=True),
+                        third.submit(older, fleet.site.origin, moved=True),
                         later,
                     )
             self.assertEqual(answers[1], [outcomes.Complete(())], pause_s)
@@ -217,6 +222,107 @@
         self.assertEqual(answers, [outcomes.Complete(())])
         self.assertEqual(fleet.site.history.overlapping, [])
 
+    async def test_attempt_that_joins_is_told_at_once(self):
+        """Guards against a notice that waits until the joined attempt is old."""
+        async with _Fleet() as fleet:
+            await fleet.start({0: fleet.all})
+            joined = asyncio.create_task(fleet.repeat({0: fleet.all}))
+            await asyncio.sleep(0.01)
+            self.assertEqual(
+                [set(notice.offers) for _, notice in fleet.site.links.sent],
+                [{"origin"}, {"origin", "other"}],
+            )
+            await fleet.add_leader(token=4)
+            await asyncio.sleep(0.1)
+            self.assertEqual(len(fleet.site.links.sent), 3)
+            await joined
+
+    async def test_origin_that_its_former_leader_still_hears(self):
+        """Guards against runs that the former leader goes on with.
+
+        The origin has taken its stream for broken and offers the job again, to
+        another leader or at last to the former one.
+        """
+        for heard_again in (False, True):
+            async with _Fleet() as fleet:
+                job = dataclasses.replace(
+                    fleet.job,
+                    spec="4.0/8.0",
+                    accepted_at=fleet.site.clock.monotonic(),
+                )
+                fleet.job = dataclasses.replace(job, offer=1)
+                await fleet.start({0: fleet.all})
+                answers = [
+                    asyncio.create_task(
+                        fleet.leaders[number].submit(
+                            dataclasses.replace(job, offer=offer),
+                            _jobs.Origin(fleet.site.origin.id),
+                            moved=True,
+                        )
+                    )
+                    for number, offer in ((1, 2), (0, 3))[: 1 + heard_again]
+                ]
+                await asyncio.wait(answers)
+            self.assertEqual(answers[-1].result(), outcomes.Complete(()))
+            self.assertEqual(fleet.site.history.overlapping, [], heard_again)
+
+    async def test_attempts_of_the_same_age(self):
+        """Guards against two leaders that wait for each other, or both start.
+
+        Both wait for room. Each hears of the other's attempt late, so that both
+        may take it for the later one; then both are answered.
+        """
+        for apart_s in (0.0, 0.0005, 0.01):
+            async with _Fleet() as fleet:
+                fillers = [
+                    asyncio.create_task(
+                        leader.submit(
+                            fleet.site.job(
+                                key * 16, count=8, run_s=1.5, deadline_s=9
+                            ),
+                            fleet.site.origin,
+                        )
+                    )
+                    for leader, key in zip(fleet.leaders, "ef", strict=True)
+                ]
+                await asyncio.sleep(0.1)
+                began_at = asyncio.get_running_loop().time()
+                first = asyncio.create_task(
+                    fleet.leaders[0].submit(fleet.job, fleet.site.origin)
+                )
+                await asyncio.sleep(apart_s)
+                await fleet.repeat({1: fleet.all})
+                await asyncio.gather(first, *fillers)
+                took_s = asyncio.get_running_loop().time() - began_at
+            self.assertLess(took_s, 1.5 + _RUN_S + 0.2, apart_s)
+            self.assertEqual(fleet.site.history.overlapping, [], apart_s)
+
+    async def test_cut_between_the_leaders_leaves_runs_alone(self):
+        """Guards against a job that is ended although none of its tasks waits."""
+        async with _Fleet() as fleet:
+            await fleet.start({0: fleet.all})
+            later = asyncio.create_task(fleet.repeat({1: fleet.all}))
+            # The later attempt was told, but its question gets lost.
+            fleet.site.links.lost = 1
+            await asyncio.sleep(0.0015)
+            fleet.site.links.cut.add("leader1")
+            await later
+            first = await fleet._firsts[0]
+        self.assertEqual(first, outcomes.Complete(()))
+        self.assertEqual(fleet.site.history.overlapping, [])
+
+    async def test_leader_that_has_just_claimed_starts_nothing_beside(self):
+        """Guards against a start before the new leader was told."""
+        async with _Fleet() as fleet:
+            await fleet.start({0: fleet.all})
+            reports = _jobs.PeerReports(fleet.site.links, "leader4")
+            await fleet.add_leader(
+                token=4, cancel_reports=reports, settle_s=0.0
+            )
+            answers = await fleet.repeat({2: fleet.all})
+        self.assertEqual(answers, [outcomes.Complete(())])
+        self.assertEqual(fleet.site.history.overlapping, [])
+
     async def test_third_attempt_replaces_both(self):
         """Guards against an older attempt that ends, or outlives, a later one."""
         async with _Fleet() as fleet:
