Let the leaders of the tests of doubled runs wait for their peers' reports

A leader that has just claimed starts nothing before its peers have told it of their jobs and recent cancels, on one stream. The leaders of tests.test_doubled_runs had no such wait, so the test of a later attempt at a leader that has just claimed could not see it.

--- a/tests/test_doubled_runs.py
+++ b/tests/test_doubled_runs.py
@@ -28,7 +28,14 @@
         self.site.endpoints = [e for e in listed if e.id in names]
         stack = contextlib.AsyncExitStack()
         leader = await stack.enter_async_context(
-            self.site.leader(token, orders_=orders_, settle_s=0.0)
+            self.site.leader(
+                token,
+                orders_=orders_,
+                cancel_reports=_jobs.PeerReports(
+                    self.site.links, f"leader{token}"
+                ),
+                settle_s=0.0,
+            )
         )
         self.site.endpoints = listed
         self._stacks[leader] = stack
@@ -191,7 +198,7 @@
     async def test_later_attempt_reaches_a_leader_that_has_just_claimed(self):
         """Guards against a start before the other leaders have told of theirs.
 
-        They tell a new leader of their jobs at their next check.
+        They told a new leader of their jobs at their next check.
         """
         fleet = _Fleet(count=2)
         first = await fleet.open(1, "e0")
