Key held-up starts by endpoint id, and pass them between leaders

A start without an answer was kept with the endpoint object of the leader that had sent it, so that no other leader could be told of it. Starts are now keyed by endpoint id and task. `starts_of` returns those of a job as `model.held_up.HeldUpStart`, and `adopt` records those of another leader, which any report of their endpoint to this one bars.

--- a/sesameroad/jobs/held_up_starts.py
+++ b/sesameroad/jobs/held_up_starts.py
@@ -4,8 +4,11 @@
 import dataclasses
 
 from sesameroad.jobs import active_job
+from sesameroad.leasing import endpoint_pool
 from sesameroad.leasing import leased_endpoint
 from sesameroad.leasing import runs
+from sesameroad.model import held_up
+from sesameroad.model import jobs
 
 
 @dataclasses.dataclass(slots=True)
@@ -13,14 +16,14 @@
     """A start that may still be carried out.
 
     Attributes:
-        leased: Endpoint to which it was sent.
+        endpoint: Id of the endpoint to which it was sent.
         task: Task that it would run.
-        token: Fencing token of the start.
+        token: Fencing token of the start, -1 if another leader has sent it.
         until: Time at which its run has ended, if there was any.
         patient_until: Time until which a job waits for the endpoint to answer.
     """
 
-    leased: leased_endpoint.LeasedEndpoint
+    endpoint: str
     task: str
     token: int
     until: float
@@ -66,17 +69,58 @@
     ) -> _HeldUpStart:
         # The last moment at which the start may be carried out begins a lease.
         until = run.held_up_until + leased.lease.longest_s
-        start = _HeldUpStart(leased, run.task, run.token, until)
-        name = leased.endpoint.id
-        former = self._starts.setdefault(name, {}).get(run.task)
+        return self._record(
+            _HeldUpStart(leased.endpoint.id, run.task, run.token, until)
+        )
+
+    def _record(self, start: _HeldUpStart) -> _HeldUpStart:
+        starts = self._starts.setdefault(start.endpoint, {})
+        former = starts.get(start.task)
         if former is not None:
-            start.until = max(until, former.until)
-            start.token = max(run.token, former.token)
-        self._starts[name][run.task] = start
-        if name in self._blocking.get(run.task, ()):
+            start.until = max(start.until, former.until)
+            start.token = max(start.token, former.token)
+        starts[start.task] = start
+        if start.endpoint in self._blocking.get(start.task, ()):
             self._block(start)
         return start
 
+    def starts_of(
+        self, active: active_job.ActiveJob, now: float
+    ) -> tuple[held_up.HeldUpStart, ...]:
+        """Returns the starts of the tasks of a job that may still come."""
+        indices = {
+            active.job.task(index): index for index in active.job.indices
+        }
+        return tuple(
+            held_up.HeldUpStart(indices[task], name, start.until - now)
+            for name, starts in self._starts.items()
+            for task, start in starts.items()
+            if task in indices and now < start.until
+        )
+
+    def adopt(
+        self,
+        job: jobs.Job,
+        starts: Iterable[held_up.HeldUpStart],
+        now: float,
+    ) -> None:
+        """Adds starts of the tasks of a job that another leader has sent.
+
+        Any report of their endpoint to this leader bars them, as its token is
+        higher than theirs.
+        """
+        for start in starts:
+            self._block(
+                self._record(
+                    _HeldUpStart(
+                        start.endpoint,
+                        job.task(start.index),
+                        token=-1,
+                        until=now + start.left_s,
+                    )
+                )
+            )
+
     def block(
         self, leased: leased_endpoint.LeasedEndpoint, now: float
     ) -> list[str]:
@@ -92,14 +136,12 @@
         return list(starts)
 
     def _block(self, start: _HeldUpStart) -> None:
-        name = start.leased.endpoint.id
-        self._blocking.setdefault(start.task, {})[name] = start
+        self._blocking.setdefault(start.task, {})[start.endpoint] = start
 
     def _unblock(self, start: _HeldUpStart) -> None:
-        name = start.leased.endpoint.id
         blocking = self._blocking.get(start.task, {})
-        if blocking.get(name) is start:
-            del blocking[name]
+        if blocking.get(start.endpoint) is start:
+            del blocking[start.endpoint]
             if not blocking:
                 del self._blocking[start.task]
 
@@ -144,7 +186,12 @@
             active.job.task(index) in self._blocking for index in active.waiting
         )
 
-    def outlast(self, active: active_job.ActiveJob, now: float) -> bool:
+    def outlast(
+        self,
+        active: active_job.ActiveJob,
+        pool: endpoint_pool.EndpointPool,
+        now: float,
+    ) -> bool:
         """Returns whether a job can't end in time because of blocked tasks.
 
         An endpoint that answers is about to see the raised token. One that has
@@ -155,9 +202,12 @@
         job = active.job
         latest_start = min(job.expires_at, job.deadline_at) - job.estimate_s
         return any(
-            start.leased.silent_since is not None
-            and now >= start.patient_until
+            now >= start.patient_until
             and start.until > latest_start
+            and (
+                (leased := pool.find(start.endpoint)) is None
+                or leased.silent_since is not None
+            )
             for index in active.waiting
             for start in self._blocking.get(job.task(index), {}).values()
         )
--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -578,7 +578,9 @@
 
     def answer_held_up(self, active: active_job.ActiveJob) -> None:
         """Ends a job that a held-up start blocks for longer than is of use."""
-        if self._held_up_starts.outlast(active, self._clock.monotonic()):
+        if self._held_up_starts.outlast(
+            active, self._pool, self._clock.monotonic()
+        ):
             self.finish(active, ending.held_up())
 
     def log_end(
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -517,7 +517,7 @@
                     active, outcomes.Cause.OVERLOAD, "no room while of use"
                 ),
             )
-        elif self._held_up_starts.outlast(active, now):
+        elif self._held_up_starts.outlast(active, self._pool, now):
             self._tracker.finish(active, ending.held_up())
         else:
             self._end_if_evacuated(active)
--- a/sesameroad/leasing/endpoint_pool.py
+++ b/sesameroad/leasing/endpoint_pool.py
@@ -82,6 +82,10 @@
     def __iter__(self) -> Iterator[leased_endpoint.LeasedEndpoint]:
         return iter(tuple(self._leased.values()))
 
+    def find(self, name: str) -> leased_endpoint.LeasedEndpoint | None:
+        """Returns an endpoint by its id, None if it is not held."""
+        return self._leased.get(name)
+
     @property
     def evacuated(self) -> frozenset[str]:
         """The data centres whose endpoints get no more starts."""
--- a/tests/test_held_up_starts.py
+++ b/tests/test_held_up_starts.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from sesameroad.jobs import active_job
 from sesameroad.jobs import held_up_starts
@@ -420,6 +421,26 @@
         run.held_up_until = now + 12
         starts = held_up_starts.HeldUpStarts()
         starts.add(leased, run)
-        self.assertTrue(starts.outlast(active, now))
+        pool = {leased.endpoint.id: leased}
+        pool = mock.Mock(find=pool.get)
+        self.assertTrue(starts.outlast(active, pool, now))
         leased.silent_since = None
-        self.assertFalse(starts.outlast(active, now))
+        self.assertFalse(starts.outlast(active, pool, now))
+
+    async def test_next_leader_is_told_of_a_start(self):
+        """Guards against a start that the next leader counts as impossible."""
+        site = _jobs.Site()
+        now = site.clock.monotonic()
+        leased = self._leased(site, 0)
+        active = active_job.ActiveJob(site.job(count=3), now=now)
+        run = active.new_run(2, 1)
+        run.token, run.held_up_until = 7, now + 12
+        former, starts = (held_up_starts.HeldUpStarts() for _ in range(2))
+        former.add(leased, run)
+        told = former.starts_of(active, now + 2)
+        self.assertEqual([(s.index, s.endpoint) for s in told], [(2, "e0")])
+        starts.adopt(active.job, told, now + 5)
+        starts.remove_expired(now + 16)
+        self.assertTrue(starts.blocks(run.task))
+        starts.remove_expired(now + 16.1)
+        self.assertFalse(starts.blocks(run.task))
