--- a/tests/test_held_up_notices.py
+++ b/tests/test_held_up_notices.py
@@ -92,6 +92,17 @@
             await self._end(outcome)
             submitted.cancel()
 
+    async def test_leader_that_is_killed_while_a_start_is_on_its_way(self):
+        """Guards against a start that a leader was killed too early to tell."""
+        async with self._held_up(crash_s=0.2) as (_, submitted):
+            self._kill("leader1")
+            async with self.site.leader(2) as second:
+                outcome = await self._submit(
+                    second, "leader2", self._job(), moved=True
+                )
+            await self._end(outcome)
+            submitted.cancel()
+
     async def test_later_attempt_at_another_leader(self):
         """Guards against a start that is unknown where the caller comes again.
 
