--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -97,6 +97,22 @@
             self.assertEqual(decoded[0].job.succeeded, (2,))
             self.assertEqual(decoded[1], reply)
 
+    def test_messages_that_a_release_does_not_know_are_left_out(self):
+        """Guards against streams that break while releases are mixed.
+
+        A peer of an earlier release gets the notices of held-up starts like this.
+        """
+        unknown = b"\xc2\x3e\x02\x08\x01"  # Field 1000 with a message.
+        item = peer_pb2.Item.FromString(unknown)
+        self.assertEqual(codec.decode(peer_pb2.Envelope(items=[item])), [])
+
+    def test_held_up_start_without_an_endpoint_is_malformed(self):
+        """Guards against a task that is blocked for no endpoint."""
+        item = peer_pb2.Item()
+        item.held_up_starts.starts.add(key="k", left_ms=5)
+        with self.assertRaises(errors.PeerError):
+            codec.decode_item(item)
+
     @hypothesis.given(st.binary(max_size=64))
     def test_malformed_input_raises_only_peer_errors(self, text):
         """Any other error would end the task that reads from the stream."""
