--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from sesameroad import errors
+from sesameroad.model import held_up
 from sesameroad.model import jobs
 from sesameroad.model import needs
 from sesameroad.model import outcomes
@@ -25,6 +26,15 @@
     messages.AttemptRunning("k", {"a": 0, "b": 7}, 1.25, 8.5, (0, 3)),
     messages.AttemptReplaced("k", "b", 1.5, (0, 3), 7),
     messages.AttemptEnded("k", "b", 1.25, (0, 3)),
+    messages.HeldUpStarts(
+        {
+            "k": (
+                held_up.HeldUpStart(0, "e1", 12.5),
+                held_up.HeldUpStart(3, "e2", 0.25),
+            ),
+            "j": (held_up.HeldUpStart(0, "e1", 1.0),),
+        }
+    ),
     messages.Heartbeat(3, 4, False, evacuations_version=9, evacuated=("z",)),
     messages.ConfigurationUpdate(b"{}"),
     messages.EndpointUpdate(b"x", (messages.LeavingMark("e", 3, 1_500),)),
@@ -87,6 +97,22 @@
             self.assertEqual(decoded[0].job.succeeded, (2,))
             self.assertEqual(decoded[1], reply)
 
+    def test_messages_that_a_release_does_not_know_are_left_out(self):
+        """Guards against streams that break while releases are mixed.
+
+        A peer of an earlier release gets the notices of held-up starts like this.
+        """
+        unknown = b"\xc2\x3e\x02\x08\x01"  # Field 1000 with a message.
+        item = peer_pb2.Item.FromString(unknown)
+        self.assertEqual(codec.decode(peer_pb2.Envelope(items=[item])), [])
+
+    def test_held_up_start_without_an_endpoint_is_malformed(self):
+        """Guards against a task that is blocked for no endpoint."""
+        item = peer_pb2.Item()
+        item.held_up_starts.starts.add(key="k", left_ms=5)
+        with self.assertRaises(errors.PeerError):
+            codec.decode_item(item)
+
     @hypothesis.given(st.binary(max_size=64))
     def test_malformed_input_raises_only_peer_errors(self, text):
         """Any other error would end the task that reads from the stream."""
