Start the unstarted tasks of a moved job where its former leader is known

Callers: in a fleet with several leaders, a job older than 1 s whose leader resigned and whose next leader led already waited 1.5 s for its tasks that no leader had started. The next leader had been told of the job by the former one, took that as another offer of the same origin and held the job back until the answer of an instance that no longer leads.

It now does not hold a job that has moved for a leader that has resigned, if all that waited there have offered the job to it since. Tasks that the former leader may have started wait 1.2 s as before. The test failed before and passes; on a schedule of it the first start came 1.55 s after the offer before.

--- a/sesameroad/jobs/attempts.py
+++ b/sesameroad/jobs/attempts.py
@@ -149,9 +149,19 @@
         """
         if self._peers is None:
             return False
+        leaders = set(self._peers.sessions().values())
         for (leader, _), elsewhere in self._known(active.job.key):
-            if elsewhere.conflicts(active):
-                self._hold_back(active, leader, elsewhere)
+            if not elsewhere.conflicts(active):
+                continue
+            if (
+                active.moved
+                and leader not in leaders
+                and elsewhere.is_left_by_all(active)
+            ):
+                # The job has moved here from a leader that has resigned. It
+                # waits for the runs that this one has not told as not started.
+                continue
+            self._hold_back(active, leader, elsewhere)
         if active.held_back_by:
             self._log_held(active)
             self._ask(active)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -166,6 +166,38 @@
         self.assertEqual(answers, [outcomes.Complete(())])
         self.assertEqual(fleet.site.history.overlapping, [])
 
+    async def test_job_moves_from_a_resigned_leader_that_has_told_of_it(self):
+        """Guards against tasks that wait although no leader has started them.
+
+        The other leader knows the job as one of its former leader.
+        """
+        async with _Fleet() as fleet:
+            site = fleet.site
+            job = dataclasses.replace(fleet.job, offer=1)
+            filler = site.job("f" * 16, count=7, run_s=1.5, deadline_s=9)
+            busy = asyncio.create_task(
+                fleet.leaders[0].submit(filler, _jobs.Origin("busy"))
+            )
+            await asyncio.sleep(0.01)
+            former = asyncio.create_task(
+                fleet.leaders[0].submit(job, site.origin)
+            )
+            await asyncio.sleep(_RETURN_S)
+            await fleet.close(0)
+            answer = await former
+            self.assertEqual(answer.unstarted, (1, 2, 3))
+            moved = dataclasses.replace(
+                job, offer=2, unstarted=answer.unstarted
+            )
+            moving = asyncio.create_task(
+                fleet.leaders[1].submit(moved, site.origin, moved=True)
+            )
+            await asyncio.sleep(0.1)
+            started = set(site.history.starts)
+            self.assertTrue({job.task(i) for i in (1, 2, 3)} <= started)
+            await asyncio.gather(moving, busy)
+        self.assertEqual(site.history.overlapping, [])
+
     async def test_leader_that_resigns_as_the_caller_comes_again(self):
         """Guards against its runs, which go on until their leases end."""
         for resigns_s in (-0.05, 0.0, 0.001, 0.002, 0.05):
