Tell a new leader of jobs that are on their way to another one

Callers: a task could run twice at a time if the leader of a job was killed or resigned, and its caller came again at a leader that claimed after it. The other leaders tell a new one of their jobs before its first start, but no leader has this job until its origin has offered it to the next one. The new leader started the later attempt beside the runs that the next leader of the earlier one took over.

The new leader holds a later attempt back for 1.5 s, in which the next leader of the earlier one tells it of the job. Not covered: an origin that leads a data centre itself, or that has not noticed the loss yet.

The play of the tests tells a new leader of moving jobs in the order of the node; tests.test_leaders, tests.test_node and tests.test_job_coordinator cover the parts of it.

--- a/sesameroad/jobs/attempts.py
+++ b/sesameroad/jobs/attempts.py
@@ -33,7 +33,7 @@
 # resigned: its origin looks for the next leader for 1.2 s, and tasks that have not
 # started start there at once; the notice follows with the next check, 0.1 s later.
 # The rest is for delays on the way and differences between clocks.
-_RESIGNED_S = 1.5
+RESIGNED_S = 1.5
 # Leader, and the tasks of a job there or the instances that wait for it.
 _Part = tuple[str, frozenset[int] | frozenset[str]]
 # Ratio by which the clocks of two instances may differ in rate, as in
@@ -302,7 +302,7 @@
         if self._peers is None:
             return
         started_s = self._clock.monotonic() - self._started_at
-        within_s = max(0.0, _RESIGNED_S - started_s)
+        within_s = max(0.0, RESIGNED_S - started_s)
         self._peers.send(leader, _ended(notice, within_s))
 
     def _known(self, key: str) -> list[tuple[_Part, _Elsewhere]]:
@@ -404,6 +404,6 @@
     """
     match notice:
         case attempts.Replaced():
-            return _ended(notice, _RESIGNED_S)
+            return _ended(notice, RESIGNED_S)
         case _:
             return None
--- a/sesameroad/jobs/coordinator.py
+++ b/sesameroad/jobs/coordinator.py
@@ -181,6 +181,15 @@
             if part.route is not None:
                 part.route.cancel(part.job.name)
 
+    def between_leaders(self) -> list[jobs.Job]:
+        """Returns the offered jobs, or parts, that no leader has now."""
+        return [
+            part.job
+            for parts in self._parts.values()
+            for part in parts
+            if part.offered and part.route is None
+        ]
+
     def stopped(self, key: str) -> outcomes.Outcome:
         """Returns the outcome of a job that ends here before its leaders answer.
 
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Hashable
+from collections.abc import Iterable
 import dataclasses
 import math
 
@@ -518,6 +519,46 @@
             for notice in self._held_up_notices.all():
                 self._mesh.send(link, notice)
 
+    def tell_moving(
+        self,
+        link: links.Link,
+        heartbeat: messages.Heartbeat,
+        moving: Callable[[], Iterable[jobs.Job]],
+    ) -> None:
+        """Tells a leader whose claim was not seen before of jobs of callers here.
+
+        If their leader was lost together with that of the other one, no leader
+        knows them until they have been offered to the next one. It must be called
+        before the recent cancels are sent, for which a new leader waits before it
+        starts any task. An instance that leads answers questions for its own
+        jobs only, so it does not tell.
+
+        Args:
+            link: Link to the leader.
+            heartbeat: Its heartbeat.
+            moving: Returns the offered jobs that no leader has now.
+        """
+        notice_s = self._settings.timing.attempt_notice_s
+        if self._scheduler is not None or not (
+            notice_s and heartbeat.own_claims
+        ):
+            return
+        token = max(claim.token for claim in heartbeat.own_claims)
+        if token <= link.told_token:
+            return
+        now = self._clock.monotonic()
+        for job in moving():
+            age_s = now - job.accepted_at
+            if age_s >= notice_s:
+                notice = notices.Running(
+                    job.key,
+                    {self._settings.instance_id: 0},
+                    age_s,
+                    attempts.RESIGNED_S,
+                    job.indices,
+                )
+                self._mesh.send(link, notice)
+
     def _broadcast(self, notice: held_up_notices.Notice) -> None:
         self._mesh.broadcast(notice)
 
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -439,6 +439,9 @@
                 self._forward_endpoints(link, message)
                 self._leaders.apply_heartbeat(link, message)
                 self._leaders.tell_held_up(link, message)
+                self._leaders.tell_moving(
+                    link, message, self._coordinator.between_leaders
+                )
                 self._canceller.tell_leader(link, message)
                 link.set_idle(self._leaders.is_idle(link))
             case messages.JobOffer():
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -10,6 +10,7 @@
 from sesameroad.jobs import held_up_notices
 from sesameroad.jobs import scheduler as scheduler_module
 from sesameroad.leasing import orders
+from sesameroad.model import attempts as notices
 from sesameroad.model import endpoints
 from sesameroad.model import jobs
 from sesameroad.model import needs
@@ -165,6 +166,7 @@
         # Starts without an answer that each instance knows of.
         self._held_up = {}
         self._terms = itertools.count()
+        self.moving = {}
         self.cut = set()
         self.lost = 0
         self.sent = []
@@ -224,6 +226,15 @@
         for other in self.sessions(name).values():
             scheduler, _ = self._schedulers[other]
             scheduler.tell_attempts()
+        for origin, moving in self.moving.items():
+            notice = notices.Running(
+                moving.key,
+                {origin: 0},
+                1.0,
+                attempts.RESIGNED_S,
+                moving.indices,
+            )
+            self.send(origin, name, notice)
         await asyncio.sleep(1.5 * self._DELAY_S)
 
     def reaches(self, source, target):
--- a/tests/test_doubled_runs.py
+++ b/tests/test_doubled_runs.py
@@ -222,9 +222,13 @@
         fleet.submit(first, job, "x")
         await asyncio.sleep(_RETURN_S)
         await fleet.close(first)
+        links = fleet.site.links
+        links.remove("x")
+        links.moving["x"] = job
         second = await fleet.open(3, "e1", settle_s=0.01)
         fleet.submit(second, fleet.again(job), "y")
         await asyncio.sleep(0.3)
+        links.moving.clear()
         third = await fleet.open(4, "e0", settle_s=0.02)
         fleet.submit(third, job, "x", moved=True)
         self.assertEqual(await fleet.end(), [])
--- a/tests/test_job_coordinator.py
+++ b/tests/test_job_coordinator.py
@@ -72,6 +72,27 @@
 
 class JobCoordinatorTest(_virtual.VirtualTimeTest):
 
+    async def test_jobs_that_no_leader_has_are_known(self):
+        """Guards against a new leader that is not told of a job on its way."""
+        site = _jobs.Site(count=1)
+        lost = outcomes.Unknown(outcomes.Cause.STEWARD_LOST, "")
+        leaders = _Leaders(dc1=_Leader(lost, _DONE))
+        job_coordinator = coordinator.JobCoordinator(
+            data_centre="dc1", leaders=leaders, clock=site.clock
+        )
+        job = site.job(deadline_s=9)
+        running = asyncio.create_task(job_coordinator.run(job))
+        await asyncio.sleep(0.005)
+        self.assertEqual(job_coordinator.between_leaders(), [])
+        (leader,) = leaders.leaders.values()
+        leaders.leaders.clear()
+        await asyncio.sleep(0.02)
+        (moving,) = job_coordinator.between_leaders()
+        self.assertEqual(moving.indices, job.indices)
+        leaders.leaders["dc1"] = leader
+        self.assertEqual(await running, _DONE)
+        self.assertEqual(job_coordinator.between_leaders(), [])
+
     async def run_job(self, leaders, count=4, **options):
         site = _jobs.Site(count=1)
         job_coordinator = coordinator.JobCoordinator(
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -219,6 +219,24 @@
             self.mesh.peers["p2"], messages.AttemptEnded("k", "o", 1.5)
         )
 
+    async def test_new_leader_is_told_of_jobs_that_no_leader_has(self):
+        """Guards against a later attempt beside a job that is being moved."""
+        self.mesh.send = mock.Mock()
+        link = types.SimpleNamespace(told_token=7)
+        job = mock.Mock(key="k", accepted_at=998.5, indices=(0,))
+        young = mock.Mock(key="j", accepted_at=999.5, indices=(0,))
+        for token, count in ((7, 0), (8, 1)):
+            claim = messages.LeadershipClaim("dc2", token)
+            self.leaders.tell_moving(
+                link,
+                messages.Heartbeat(0, 0, False, (claim,)),
+                lambda: [job, young],
+            )
+            self.assertEqual(self.mesh.send.call_count, count)
+        self.mesh.send.assert_called_once_with(
+            link, messages.AttemptRunning("k", {"i1": 0}, 1.5, 1.5, (0,))
+        )
+
     async def test_stream_that_loses_a_cancel_is_closed(self):
         """Guards against a job that its leader runs on for a live origin.
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -31,6 +31,9 @@
     def tell_held_up(self, link, heartbeat):
         self.calls.append(("held-up starts", link.hello.instance_id))
 
+    def tell_moving(self, link, heartbeat, moving):
+        self.calls.append(("moving jobs", link.hello.instance_id))
+
     def is_idle(self, link):
         return True
 
@@ -126,6 +129,7 @@
         def send(message):
             # A leader may start tasks once it has the cancels.
             self.assertIn(("held-up starts", "i2"), self.leaders.calls)
+            self.assertIn(("moving jobs", "i2"), self.leaders.calls)
             sent.append(message)
 
         link = types.SimpleNamespace(
