Tell starts that were not sent from those without an answer

A start to an endpoint that refused the connection counted as one that may be carried out for 12 s, like a start whose answer was lost. No byte of it has left the leader. `NoAnswer.sent` is false if no connection was opened (`aiohttp.ClientConnectorError`), and such a start is not held up. What follows it is as before: the run is stopped and given up with the lease or a report.

--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -467,7 +467,10 @@
                 self._events.on_refused(leased, run, answer.refusal)
                 self._check_replaced(answer, endpoint.url)
             case orders.NoAnswer():
-                leased.expect_held_up_start(now)
+                if answer.sent:
+                    leased.expect_held_up_start(now)
+                else:
+                    run.held_up_until = 0.0
                 self._events.on_unanswered(leased, run, answer.detail)
 
     async def _order_start(
--- a/sesameroad/leasing/orders.py
+++ b/sesameroad/leasing/orders.py
@@ -106,13 +106,15 @@
 class NoAnswer:
     """No answer was received.
 
-    The order may be carried out, possibly seconds later.
+    The order may be carried out, possibly seconds later, if it was sent.
 
     Attributes:
         detail: Human-readable reason.
+        sent: Whether a connection was opened, so that it may have been sent.
     """
 
     detail: str
+    sent: bool = True
 
 
 Answer = Accepted | Refused | NoAnswer
--- a/sesameroad/platform/order_client.py
+++ b/sesameroad/platform/order_client.py
@@ -202,6 +202,8 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 return response.status, await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return orders.NoAnswer(str(error), sent=False)
         except (
             TimeoutError,
             aiohttp.ClientError,
--- a/standins/simulated_endpoint.py
+++ b/standins/simulated_endpoint.py
@@ -17,7 +17,7 @@
 
 _DONE = orders.Ending.DONE
 _MISDIRECTED = orders.Refused(orders.Refusal.MISDIRECTED)
-_REFUSED_CONNECTION = orders.NoAnswer("the connection was refused")
+_REFUSED_CONNECTION = orders.NoAnswer("the connection was refused", sent=False)
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/test_order_client.py
+++ b/tests/test_order_client.py
@@ -1,8 +1,10 @@
 """Orders to endpoints that answer late, partly or not at all."""
 
 import asyncio
+import dataclasses
 import time
 import unittest
+from unittest import mock
 
 from sesameroad.leasing import orders
 from sesameroad.model import endpoints
@@ -72,6 +74,21 @@
         self.assertIsInstance(answer, orders.NoAnswer)
         self.assertLess(time.monotonic() - began_at, _LIMIT_S)
 
+    async def test_start_that_no_connection_has_taken_was_not_sent(self):
+        """Guards against waiting for a start that can't be carried out."""
+        endpoint = await self._endpoint(b"")
+        server = await asyncio.start_server(mock.Mock(), "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        closed = dataclasses.replace(endpoint, url=f"http://127.0.0.1:{port}")
+        for endpoint_, sent in ((endpoint, True), (closed, False)):
+            answer = await self.client.start(
+                endpoint_, task="t", run=1, spec="", token=1, lease_until_ms=1
+            )
+            self.assertIsInstance(answer, orders.NoAnswer)
+            self.assertIs(answer.sent, sent)
+
     async def test_stop_without_an_answer_ends_at_its_own_timeout(self):
         """Guards against stops that are repeated too late.
 
