Start a task again only at the endpoint of its held-up start

A start without an answer was given up when its stop was answered or the raised token was reported, and its task started on another endpoint. If the first endpoint then started again under its id, it knew neither, and carried the start out beside that run if it came before the leader's first order: two runs of one task at a time, with a single leader.

The task now starts at the endpoint of its held-up start, which never has two runs of a task, or nowhere, until the start can no longer come (12 s and one lease). `RunTracker.may_start` checks it again before each order. A job is answered, outcome unknown, and its other runs are stopped, as soon as it can't end in time: its endpoint drains, is evacuated, unlisted, silent for a lease, or has refused six starts in a row. Polls each 10 ms of a silent endpoint, `is_restart_urgent` and the blocking of tasks by silence are removed.

Tests of the former rule that had the task run elsewhere are replaced: the same starts are held up, and the task must complete at its endpoint, once, in the same time. Two of them held up all starts of an endpoint for good; there the fault now ends after the first ones, as no start elsewhere is left.

tests.test_held_up_starts...test_late_start_is_the_first_order_of_the_next_incarnation failed before and passes.

--- a/sesameroad/jobs/ending.py
+++ b/sesameroad/jobs/ending.py
@@ -30,10 +30,10 @@
 
 
 def held_up() -> outcomes.Unknown:
-    """Returns the outcome of a job that a former start of a task blocks."""
+    """Returns the outcome of a job that a start without an answer holds up."""
     return outcomes.Unknown(
         outcomes.Cause.ENDPOINT_LOST,
-        "a start may still be carried out by a silent endpoint",
+        "a start without an answer may still be carried out",
     )
 
 
--- a/sesameroad/jobs/held_up_starts.py
+++ b/sesameroad/jobs/held_up_starts.py
@@ -1,4 +1,4 @@
-"""Starts without an answer that may be carried out by a restarted endpoint."""
+"""Starts without an answer, which keep their tasks at their endpoints."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -10,6 +10,10 @@
 from sesameroad.model import held_up
 from sesameroad.model import jobs
 
+# Starts of a task in a row without success after which a job no longer counts on
+# the endpoint. The pauses between them add up to 3 s.
+_MAX_TRIES = 6
+
 
 @dataclasses.dataclass(slots=True)
 class _HeldUpStart:
@@ -17,86 +21,49 @@
 
     Attributes:
         endpoint: Id of the endpoint to which it was sent.
-        task: Task that it would run.
-        token: Fencing token of the start, -1 if another leader has sent it.
         until: Time at which its run has ended, if there was any.
-        patient_until: Time until which a job waits for the endpoint to answer.
+        number: Number of its run, 0 if another leader has sent it.
+        tries: Number of starts in a row that were refused or not answered.
+        retries_at_once: Whether the next start need not wait for the pause of
+            the endpoint.
     """
 
     endpoint: str
-    task: str
-    token: int
     until: float
-    patient_until: float = 0.0
+    number: int = 0
+    tries: int = 0
+    retries_at_once: bool = True
 
 
 class HeldUpStarts:
-    """Tasks that start nowhere else while a former start may be carried out.
-
-    Neither a stop nor the end of the lease prevents a start that arrives after
-    its endpoint has started again. Only the raised token does, once the new
-    incarnation has seen it. So a start is kept until it can no longer come. It
-    blocks its task from the time at which the endpoint is silent or has started
-    again until it has reported with the raised token. While the endpoint
-    answers, the stop or the token that it has seen bars the start.
+    """Tasks that start at one endpoint only while a start may be carried out.
+
+    An endpoint never has two runs of a task. But neither a stop nor a raised
+    token nor the end of the lease prevents a start that arrives after its
+    endpoint has started again. So the task of a start without an answer starts
+    at the same endpoint, or nowhere, until that start can no longer come. If
+    several endpoints may carry out starts of a task, it starts at none of them.
     """
 
-    __slots__ = ("_blocking", "_starts")
+    __slots__ = ("_starts",)
 
     def __init__(self) -> None:
-        # By endpoint, then by task.
+        # By task, then by endpoint.
         self._starts: dict[str, dict[str, _HeldUpStart]] = {}
-        # Those that block their task, by task, then by endpoint.
-        self._blocking: dict[str, dict[str, _HeldUpStart]] = {}
 
-    def add_barred(
-        self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run
-    ) -> None:
-        """Adds the start of a run that the present incarnation will not begin.
-
-        It has answered the stop or has seen a higher token.
-        """
-        self._add(leased, run)
+    def __bool__(self) -> bool:
+        return bool(self._starts)
 
     def add(
         self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run
     ) -> None:
-        """Blocks the task of a run whose lease has expired without a report."""
-        self._block(self._add(leased, run))
+        """Adds the start of a run that neither an answer nor a list has shown.
 
-    def _add(
-        self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run
-    ) -> _HeldUpStart:
-        # The last moment at which the start may be carried out begins a lease.
+        Its endpoint may carry it out until `held_up_until`. The run then lasts
+        for a lease at most unless this leader finds it.
+        """
         until = run.held_up_until + leased.lease.longest_s
-        return self._record(
-            _HeldUpStart(leased.endpoint.id, run.task, run.token, until)
-        )
-
-    def _record(self, start: _HeldUpStart) -> _HeldUpStart:
-        starts = self._starts.setdefault(start.endpoint, {})
-        former = starts.get(start.task)
-        if former is not None:
-            start.until = max(start.until, former.until)
-            start.token = max(start.token, former.token)
-        starts[start.task] = start
-        if start.endpoint in self._blocking.get(start.task, ()):
-            self._block(start)
-        return start
-
-    def starts_of(
-        self, active: active_job.ActiveJob, now: float
-    ) -> tuple[held_up.HeldUpStart, ...]:
-        """Returns the starts of the tasks of a job that may still come."""
-        indices = {
-            active.job.task(index): index for index in active.job.indices
-        }
-        return tuple(
-            held_up.HeldUpStart(indices[task], name, start.until - now)
-            for name, starts in self._starts.items()
-            for task, start in starts.items()
-            if task in indices and now < start.until
-        )
+        self._record(run.task, leased.endpoint.id, until, number=run.number)
 
     def adopt(
         self,
@@ -104,110 +71,159 @@
         starts: Iterable[held_up.HeldUpStart],
         now: float,
     ) -> None:
-        """Adds starts of the tasks of a job that another leader has sent.
-
-        Any report of their endpoint to this leader bars them, as its token is
-        higher than theirs.
-        """
+        """Adds starts of the tasks of a job that another leader has sent."""
         for start in starts:
-            self._block(
-                self._record(
-                    _HeldUpStart(
-                        start.endpoint,
-                        job.task(start.index),
-                        token=-1,
-                        until=now + start.left_s,
-                    )
-                )
+            self._record(
+                job.task(start.index), start.endpoint, now + start.left_s
             )
 
-    def block(
-        self, leased: leased_endpoint.LeasedEndpoint, now: float
-    ) -> list[str]:
-        """Blocks the tasks of an endpoint that is silent or has started again.
-
-        Returns:
-            The tasks, some of which may have another run.
-        """
-        starts = self._starts.get(leased.endpoint.id, {})
-        for start in starts.values():
-            start.patient_until = now + leased.lease.longest_s
-            self._block(start)
-        return list(starts)
-
-    def _block(self, start: _HeldUpStart) -> None:
-        self._blocking.setdefault(start.task, {})[start.endpoint] = start
-
-    def _unblock(self, start: _HeldUpStart) -> None:
-        blocking = self._blocking.get(start.task, {})
-        if blocking.get(start.endpoint) is start:
-            del blocking[start.endpoint]
-            if not blocking:
-                del self._blocking[start.task]
-
-    def record_fenced(
-        self, leased: leased_endpoint.LeasedEndpoint, token: int
+    def _record(
+        self, task: str, endpoint: str, until: float, *, number: int = 0
     ) -> None:
-        """Frees the tasks whose starts an endpoint refuses by a token.
-
-        The starts are kept, as its next incarnation does not know the token.
-        """
-        if not self._blocking:
-            return
-        for start in self._starts.get(leased.endpoint.id, {}).values():
-            if start.token < token:
-                self._unblock(start)
+        starts = self._starts.setdefault(task, {})
+        start = starts.setdefault(endpoint, _HeldUpStart(endpoint, until))
+        start.until = max(start.until, until)
+        start.number = max(start.number, number)
+        start.tries += 1
+        start.retries_at_once = True
+
+    def record_refusal(self, run: runs.Run) -> None:
+        """Records that an endpoint has refused another start of a task."""
+        for start in self._starts.get(run.task, {}).values():
+            start.tries += 1
 
     def remove_expired(self, now: float) -> None:
         """Removes the starts whose runs have ended, if there were any."""
-        for name, starts in list(self._starts.items()):
-            for task, start in list(starts.items()):
+        for task, starts in list(self._starts.items()):
+            for name, start in list(starts.items()):
                 if now >= start.until:
-                    del starts[task]
-                    self._unblock(start)
+                    del starts[name]
             if not starts:
-                del self._starts[name]
+                del self._starts[task]
+
+    def starts_of(
+        self, active: active_job.ActiveJob, now: float
+    ) -> tuple[held_up.HeldUpStart, ...]:
+        """Returns the starts of the tasks of a job that may still come."""
+        if not self._starts:
+            return ()
+        return tuple(
+            held_up.HeldUpStart(index, name, start.until - now)
+            for index in active.job.indices
+            for name, start in self._starts.get(
+                active.job.task(index), {}
+            ).items()
+            if now < start.until
+        )
 
-    def tasks_at(self, leased: leased_endpoint.LeasedEndpoint) -> Iterable[str]:
+    def tasks_at(self, endpoint: str) -> set[str]:
         """Returns the tasks that a start to an endpoint may begin later."""
-        return self._starts.get(leased.endpoint.id, {}).keys()
+        return {
+            task for task, starts in self._starts.items() if endpoint in starts
+        }
 
     def blocks(self, task: str) -> bool:
         """Returns whether a start of a task may still be carried out."""
-        return task in self._blocking
+        return task in self._starts
 
     def blocks_key(self, key: str) -> bool:
-        """Returns whether any task of a caller's job is blocked."""
-        return any(task.startswith(f"{key}.") for task in self._blocking)
+        """Returns whether any task of a caller's job has such a start."""
+        return any(task.startswith(f"{key}.") for task in self._starts)
 
     def blocks_any(self, active: active_job.ActiveJob) -> bool:
-        """Returns whether any waiting task of a job is blocked."""
-        return bool(self._blocking) and any(
-            active.job.task(index) in self._blocking for index in active.waiting
+        """Returns whether any waiting task of a job has such a start."""
+        return bool(self._starts) and any(
+            active.job.task(index) in self._starts for index in active.waiting
         )
 
+    def may_start_at(self, task: str, endpoint: str) -> bool:
+        """Returns whether no other endpoint may carry out a start of a task."""
+        return self._starts.get(task, {}).keys() <= {endpoint}
+
+    def retry(
+        self,
+        task: str,
+        pool: endpoint_pool.EndpointPool,
+        now: float,
+    ) -> leased_endpoint.LeasedEndpoint | None:
+        """Returns the endpoint at which a task may start again now, if any.
+
+        Its lists have been read since it last was silent or started again, so
+        that a run of a start that came late is known.
+        """
+        starts = self._starts.get(task, {})
+        if len(starts) != 1:
+            return None
+        (start,) = starts.values()
+        leased = pool.find(start.endpoint)
+        if (
+            leased is None
+            or leased.is_start_queue_full
+            or not leased.is_open
+            or (leased.is_paused(now) and not start.retries_at_once)
+        ):
+            return None
+        return leased
+
+    def record_retry(self, task: str) -> int:
+        """Records that a task is about to start again at its endpoint.
+
+        Returns:
+            Number of the run of the former start. The endpoint refuses it and
+            lower ones after a stop.
+        """
+        (start,) = self._starts[task].values()
+        start.retries_at_once = False
+        return start.number
+
     def outlast(
         self,
         active: active_job.ActiveJob,
         pool: endpoint_pool.EndpointPool,
         now: float,
     ) -> bool:
-        """Returns whether a job can't end in time because of blocked tasks.
-
-        An endpoint that answers is about to see the raised token. One that has
-        just become silent may answer again within a lease.
-        """
-        if not self._blocking:
+        """Returns whether a job can't end in time because of its starts."""
+        if not self._starts:
             return False
         job = active.job
         latest_start = min(job.expires_at, job.deadline_at) - job.estimate_s
         return any(
-            now >= start.patient_until
-            and start.until > latest_start
-            and (
-                (leased := pool.find(start.endpoint)) is None
-                or leased.silent_since is not None
-            )
+            self._earliest_start(starts.values(), job, pool, now) > latest_start
             for index in active.waiting
-            for start in self._blocking.get(job.task(index), {}).values()
+            if (starts := self._starts.get(job.task(index)))
         )
+
+    def _earliest_start(
+        self,
+        starts: Iterable[_HeldUpStart],
+        job: jobs.Job,
+        pool: endpoint_pool.EndpointPool,
+        now: float,
+    ) -> float:
+        """Returns the earliest time at which a task may start again."""
+        *others, last = sorted(starts, key=lambda start: start.until)
+        leased = pool.find(last.endpoint)
+        if (
+            leased is None
+            or last.tries >= _MAX_TRIES
+            or not _may_run(leased, job, now)
+        ):
+            return last.until
+        return others[-1].until if others else now
+
+
+def _may_run(
+    leased: leased_endpoint.LeasedEndpoint, job: jobs.Job, now: float
+) -> bool:
+    """Returns whether an endpoint can be expected to run tasks of a job.
+
+    One that has just become silent may answer again within a lease.
+    """
+    endpoint = leased.endpoint
+    return (
+        leased.is_expected(now)
+        and not leased.closed
+        and job.service in endpoint.kinds
+        and (not job.required_label or job.required_label in endpoint.labels)
+        and job.need.fits(endpoint.offer)
+    )
--- a/sesameroad/jobs/placement.py
+++ b/sesameroad/jobs/placement.py
@@ -100,6 +100,10 @@
             return Ranking(self, active, ())
         return Ranking(self, active, self._available)
 
+    def invalidate(self) -> None:
+        """Has the free cores counted again."""
+        self._largest_cores = self._free_cores = None
+
     def run_added(self, cores: float) -> None:
         """Updates the free cores after a run was placed."""
         self._largest_cores = None
@@ -139,6 +143,35 @@
         """Returns the time by which the runs of a job must be able to end."""
         return active.runs_end_by(self._now)
 
+    def is_fit(
+        self,
+        active: active_job.ActiveJob,
+        leased: leased_endpoint.LeasedEndpoint,
+        *,
+        end_by: float,
+    ) -> bool:
+        """Returns whether an endpoint can run a task of a job.
+
+        It is unfit while the lease that it was granted for other jobs would
+        keep the run alive for too long after the loss of its origin.
+
+        Args:
+            active: The job of the task.
+            leased: The endpoint.
+            end_by: Time by which the run must have ended if its origin is lost.
+        """
+        job = active.job
+        return (
+            leased.fits(job.need)
+            and leased.lease.latest_end <= end_by
+            and job.service in leased.endpoint.kinds
+            and (not job.required_label or leased.has_label(job.required_label))
+            and (
+                not job.per_endpoint
+                or leased.count_runs(job.key) < job.per_endpoint
+            )
+        )
+
     def cost(
         self,
         active: active_job.ActiveJob,
@@ -149,9 +182,7 @@
         """Returns the cost of an endpoint for a task; infinite if unfit.
 
         A slow endpoint is unfit if it would make the job late while another
-        endpoint could still finish it in time. An endpoint is also unfit while
-        the lease that it was granted for other jobs would keep the run alive
-        for too long after the loss of its origin.
+        endpoint could still finish it in time.
 
         Args:
             active: The job of the task.
@@ -159,18 +190,9 @@
             end_by: Time by which the run must have ended if its origin is lost.
         """
         job = active.job
-        if not leased.fits(job.need) or leased.lease.latest_end > end_by:
+        if not self.is_fit(active, leased, end_by=end_by):
             return math.inf
         endpoint = leased.endpoint
-        if (
-            job.service not in endpoint.kinds
-            or (job.required_label and not leased.has_label(job.required_label))
-            or (
-                job.per_endpoint
-                and leased.count_runs(job.key) >= job.per_endpoint
-            )
-        ):
-            return math.inf
         slowness = leased.slowness
         if (
             slowness > _SLOW_RATIO * self._median_slowness
--- a/sesameroad/jobs/placer.py
+++ b/sesameroad/jobs/placer.py
@@ -47,7 +47,7 @@
             pool: The endpoints.
             table: Gets the new runs.
             backlog: The waiting jobs.
-            held_up_starts: Tasks that must not start.
+            held_up_starts: Tasks that may start at one endpoint only.
             whole_starts: Decides whether a job may start, None if any may.
             interference: Queues to keep apart, None if detection is disabled.
             headroom: Reserves cores for urgent jobs, None if there are none.
@@ -77,7 +77,12 @@
             ):
                 continue
             waiting = len(active.waiting)
+            if self._held_up_starts:
+                self._place_held_up(active, candidates, now)
             placed = False
+            if not active.waiting:
+                self._backlog.discard(active)
+                continue
             if candidates.may_fit(
                 active.job.need.cores
             ) and self._leaves_headroom(active, candidates, now):
@@ -127,6 +132,51 @@
             active, room=room, cores_ahead=cores_ahead, now=now
         )
 
+    def _place_held_up(
+        self,
+        active: active_job.ActiveJob,
+        candidates: placement.Candidates,
+        now: float,
+    ) -> None:
+        """Places the tasks of a job whose former starts may still come.
+
+        Each starts at the endpoint of its former start, however slow that is.
+        """
+        end_by = candidates.end_by(active)
+        for index in tuple(active.waiting):
+            task = active.job.task(index)
+            leased = self._held_up_starts.retry(task, self._pool, now)
+            if (
+                leased is None
+                or self._is_blocked(active, index, candidates, now)
+                or not candidates.is_fit(active, leased, end_by=end_by)
+            ):
+                continue
+            number = self._held_up_starts.record_retry(task)
+            active.raise_run_number(index, number)
+            active.waiting.remove(index)
+            self._order_start(active, index, leased)
+            candidates.invalidate()
+
+    def _is_blocked(
+        self,
+        active: active_job.ActiveJob,
+        index: int,
+        candidates: placement.Candidates,
+        now: float,
+    ) -> bool:
+        """Returns whether another run of a task may not have ended.
+
+        A run of an earlier attempt, or of an order that was carried out late,
+        is still being stopped.
+        """
+        task = active.job.task(index)
+        return (
+            active.may_run_elsewhere(index, now)
+            or self._table.has_run(task)
+            or task in candidates.orphans
+        )
+
     def _place_job(
         self,
         active: active_job.ActiveJob,
@@ -139,14 +189,9 @@
         while active.waiting:
             index = active.waiting[0]
             task = active.job.task(index)
-            if (
-                active.may_run_elsewhere(index, now)
-                or self._table.has_run(task)
-                or task in candidates.orphans
-                or self._held_up_starts.blocks(task)
+            if self._held_up_starts.blocks(task) or self._is_blocked(
+                active, index, candidates, now
             ):
-                # A run of an earlier attempt, or of an order that was carried
-                # out late, is still being stopped, or may still begin.
                 blocked.append(active.waiting.popleft())
                 continue
             leased = ranking.best
--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -109,6 +109,7 @@
                 or leased.has_label(active.job.required_label)
             )
             and self._may_share_lease(active, leased)
+            and self._held_up_starts.may_start_at(run.task, leased.endpoint.id)
         ):
             if leased.is_start_queue_short and len(self._backlog):
                 self._wake.set()
@@ -189,6 +190,7 @@
             reason=refusal.value,
         )
         run.held_up_until = 0.0
+        self._held_up_starts.record_refusal(run)
         match refusal:
             case (
                 orders.Refusal.NO_ROOM
@@ -243,7 +245,6 @@
         now = self._clock.monotonic()
         first = not leased.reconciled
         leased.reconciled = True
-        self._held_up_starts.record_fenced(leased, token)
         for end in report.ended:
             if end.number <= leased.seen:
                 continue
@@ -262,9 +263,6 @@
                     run.state = runs.State.RUNNING
                     run.confirmed_at = now
             elif run.is_gone(asked_at=asked_at, token=token):
-                if now < run.held_up_until:
-                    # Neither the stop nor the token holds after a restart.
-                    self._held_up_starts.add_barred(leased, run)
                 self._mark_lost(leased, run, "not listed any more")
         found = self._takeover.record_running(leased, listed)
         if found:
@@ -280,7 +278,7 @@
 
     def _log_late_starts(self, leased: leased_endpoint.LeasedEndpoint) -> None:
         """Logs listed runs whose starts this leader had given up."""
-        given_up = set(self._held_up_starts.tasks_at(leased))
+        given_up = self._held_up_starts.tasks_at(leased.endpoint.id)
         late = sorted(given_up & leased.orphans.keys())
         if not late:
             return
@@ -303,7 +301,6 @@
     ) -> None:
         """Logs a restart; the next report shows which runs it has ended."""
         leased.orphans.clear()
-        self._block_held_up(leased, "it has started again")
         log.event(
             "endpoint started again",
             step="run",
@@ -313,46 +310,6 @@
             listed=[f"{r.task}#{r.run}" for r in report.running],
         )
 
-    def on_silent(self, leased: leased_endpoint.LeasedEndpoint) -> None:
-        """Raises the token of an endpoint that may start again.
-
-        The first order that reaches its next incarnation then bars the starts
-        that are held up.
-        """
-        if self._block_held_up(leased, "it is silent"):
-            leased.fence()
-
-    def _block_held_up(
-        self, leased: leased_endpoint.LeasedEndpoint, cause: str
-    ) -> bool:
-        """Blocks the tasks of held-up starts that a restart may let through.
-
-        Runs of these tasks elsewhere go on: their loss would be certain, and
-        the start is most likely refused.
-        """
-        now = self._clock.monotonic()
-        tasks = self._held_up_starts.block(leased, now)
-        if not tasks:
-            return False
-        log.event(
-            "starts that are held up block their tasks",
-            step="start",
-            peer=leased.endpoint.id,
-            cause=cause,
-            count=len(tasks),
-            tasks=tasks[:_MAX_LOGGED_TASKS],
-            running=sum(self._table.has_run(task) for task in tasks),
-        )
-        self._metrics.starts_blocked(len(tasks))
-        return True
-
-    def is_restart_urgent(self, leased: leased_endpoint.LeasedEndpoint) -> bool:
-        """Returns whether a held-up start may come beside a run elsewhere."""
-        return any(
-            self._table.has_run(task) and task not in leased.runs
-            for task in self._held_up_starts.tasks_at(leased)
-        )
-
     def on_fenced(
         self, leased: leased_endpoint.LeasedEndpoint, token: int
     ) -> None:
@@ -398,9 +355,7 @@
         """Marks the runs as lost whose lease has expired without a report.
 
         Another leader may have renewed it if the origin of a run has moved its
-        job there. An origin that is heard from now on has not. A start without
-        an answer may still be carried out if the endpoint starts again, so its
-        task starts nowhere else for now.
+        job there. An origin that is heard from now on has not.
         """
         now = self._clock.monotonic()
         for run in list(leased.runs.values()):
@@ -409,11 +364,9 @@
             active = self._table.job_of(run)
             if active is not None:
                 active.resumes_after = now
-            if now < run.held_up_until:
-                self._held_up_starts.add(leased, run)
             self._mark_lost(leased, run, cause)
             if active is not None:
-                self.answer_held_up(active)
+                self.end_if_held_up(active)
 
     # Ends of runs.
 
@@ -482,6 +435,16 @@
     def _mark_lost(
         self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run, cause: str
     ) -> None:
+        """Removes a run that has ended without a report, and queues its task.
+
+        The stop, the token and the lease hold in the present incarnation only.
+        A start without an answer may be carried out by the next one.
+        """
+        now = self._clock.monotonic()
+        held_up_s = max(0.0, run.held_up_until - now)
+        if held_up_s:
+            self._held_up_starts.add(leased, run)
+            self._metrics.start_held_up()
         log.problem(
             "run lost",
             step="run",
@@ -491,7 +454,8 @@
             run=run.number,
             reason=cause,
             state=run.state.value,
-            sent_ms_ago=int((self._clock.monotonic() - run.sent_at) * 1_000),
+            sent_ms_ago=int((now - run.sent_at) * 1_000),
+            held_up_ms=int(held_up_s * 1_000),
             confirmed=run.confirmed_at > 0,
             token=run.token,
             born_ms=run.born_ms,
@@ -576,11 +540,12 @@
         if active.is_complete:
             self.finish(active, outcomes.Complete(()))
 
-    def answer_held_up(self, active: active_job.ActiveJob) -> None:
-        """Ends a job that a held-up start blocks for longer than is of use."""
+    def end_if_held_up(self, active: active_job.ActiveJob) -> None:
+        """Ends a job whose held-up starts come for longer than is of use."""
         if self._held_up_starts.outlast(
             active, self._pool, self._clock.monotonic()
         ):
+            self._metrics.job_held_up()
             self.finish(active, ending.held_up())
 
     def log_end(
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -387,7 +387,7 @@
                 active.record_earlier_attempt()
         future = active.join(origin)
         self._tracker.finish_if_complete(active)
-        self._tracker.answer_held_up(active)
+        self._tracker.end_if_held_up(active)
         return await future
 
     def cancel(self, name: str, origin_id: str) -> None:
@@ -517,9 +517,8 @@
                     active, outcomes.Cause.OVERLOAD, "no room while of use"
                 ),
             )
-        elif self._held_up_starts.outlast(active, self._pool, now):
-            self._tracker.finish(active, ending.held_up())
         else:
+            self._tracker.end_if_held_up(active)
             self._end_if_evacuated(active)
 
     def _end_unaccounted(self, active: active_job.ActiveJob) -> None:
@@ -543,11 +542,15 @@
         all endpoints have been read.
         """
         now = self._clock.monotonic()
-        if not active.waiting or (
-            active.moved
-            and not (
-                now >= active.moved_runs_end_by
-                and self._pool.is_reconciled(now)
+        if (
+            active.closing
+            or not active.waiting
+            or (
+                active.moved
+                and not (
+                    now >= active.moved_runs_end_by
+                    and self._pool.is_reconciled(now)
+                )
             )
         ):
             return
--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -30,12 +30,9 @@
 # runs.
 _RETRY_S = 0.05
 _SLOW_RETRY_S = 0.5
-# Pause between polls of an endpoint without runs that may have a start held up. A
-# restart must be noticed before the start is carried out.
+# Pause between polls of an endpoint without runs that may have a start held up. Its
+# task waits for the endpoint, and the token bars starts of an earlier leader.
 _HELD_UP_RETRY_S = 0.2
-# The same if the task of such a start runs elsewhere: until the next incarnation
-# has been reached, the start may be carried out beside that run.
-_URGENT_RETRY_S = 0.01
 # Delay before ends are acknowledged by a separate poll, as another run may come
 # whose polls acknowledge them. A poll per second and endpoint is cheap compared
 # to one per task.
@@ -120,12 +117,6 @@
             token: Fencing token of the refused order.
         """
 
-    def on_silent(self, leased: leased_endpoint.LeasedEndpoint) -> None:
-        """Called when the endpoint no longer answers."""
-
-    def is_restart_urgent(self, leased: leased_endpoint.LeasedEndpoint) -> bool:
-        """Returns whether a restart must be noticed as soon as possible."""
-
     def on_replaced(
         self, leased: leased_endpoint.LeasedEndpoint, url: str
     ) -> None:
@@ -409,9 +400,7 @@
         """Records an unanswered poll and waits before the next one."""
         self._record_silence(now)
         leased = self._leased
-        if self._events.is_restart_urgent(leased):
-            await asyncio.sleep(_URGENT_RETRY_S)
-        elif leased.runs:
+        if leased.runs:
             await asyncio.sleep(_RETRY_S)
         elif now < leased.held_up_until:
             await asyncio.sleep(_HELD_UP_RETRY_S)
@@ -423,7 +412,6 @@
         leased = self._leased
         if leased.silent_since is None:
             leased.silent_since = now
-            self._events.on_silent(leased)
         has_runs = leased.has_sent_runs or leased.orphans
         if has_runs and now >= leased.lease.latest_end:
             # Starts and renewals without an answer may still be carried out.
--- a/sesameroad/leasing/leased_endpoint.py
+++ b/sesameroad/leasing/leased_endpoint.py
@@ -349,16 +349,24 @@
         silent_s = now - self.silent_since
         return self.polled_at > 0 and silent_s < self.lease.longest_s
 
-    def accepts_runs(self, now: float) -> bool:
-        """Returns whether new runs may be started."""
+    @property
+    def is_open(self) -> bool:
+        """Whether it answers, all of its runs are known, and it is in use."""
         return (
             self.reconciled
             and not self.orphans
             and self.silent_since is None
             and not self.closed
-            and now >= self._paused_until
         )
 
+    def is_paused(self, now: float) -> bool:
+        """Returns whether new runs are suspended after a refusal or failure."""
+        return now < self._paused_until
+
+    def accepts_runs(self, now: float) -> bool:
+        """Returns whether new runs may be started."""
+        return self.is_open and not self.is_paused(now)
+
     def invalidate(self, now: float) -> None:
         """Marks the known runs as incomplete.
 
--- a/sesameroad/telemetry/job_metrics.py
+++ b/sesameroad/telemetry/job_metrics.py
@@ -110,9 +110,14 @@
             "Peers that have not told a new leader of their recent cancels.",
             registry=registry,
         )
-        self._starts_blocked = prometheus_client.Counter(
-            "sesameroad_held_up_starts_blocked",
-            "Starts without an answer that block their tasks for a restart.",
+        self._starts_held_up = prometheus_client.Counter(
+            "sesameroad_held_up_starts",
+            "Starts without an answer that keep their tasks at one endpoint.",
+            registry=registry,
+        )
+        self._jobs_held_up = prometheus_client.Counter(
+            "sesameroad_jobs_held_up",
+            "Jobs that a start without an answer keeps from ending in time.",
             registry=registry,
         )
         self._starts_late = prometheus_client.Counter(
@@ -196,9 +201,13 @@
         """Counts a run that has ended."""
         self._runs_ended_by(result).inc()
 
-    def starts_blocked(self, count: int) -> None:
-        """Counts starts without an answer that block their tasks."""
-        self._starts_blocked.inc(count)
+    def start_held_up(self) -> None:
+        """Counts a start without an answer that keeps its task there."""
+        self._starts_held_up.inc()
+
+    def job_held_up(self) -> None:
+        """Counts a job that can't end in time because of such a start."""
+        self._jobs_held_up.inc()
 
     def starts_late(self, count: int) -> None:
         """Counts listed runs whose starts were given up."""
