Play late starts together with restarts under one leader

The schedules of several leaders left out late starts beside restarts, because two runs were possible then. Under one leader they are not any more: a property of their own draws them with cuts, repeated attempts, lost origins and lost stops, and also expects that each job is answered in time.

--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -6,9 +6,8 @@
 
 Not generated, because two runs are possible then (docs/guarantees.md):
 
-- Late starts in one schedule with restarts: an incarnation carries out a start that
-  its leader has given up, after a report of the former one without the run.
-- The same if the job has reached another leader, which does not know the start.
+- Late starts in one schedule with restarts if the job has reached another leader,
+  which does not know the start. With one leader they come together.
 - An origin that a leader hears although it has moved its jobs to another one.
 - A later attempt while the former origin lives, if the leaders do not reach each
   other, or one of them has led for less than 0.2 s.
@@ -739,6 +738,72 @@
     )
 
 
+@st.composite
+def _restarts_beside_late_starts(draw):
+    """Draws starts that an endpoint carries out late, and its restart."""
+    late = _LateStarts(
+        draw(_seconds(0.0, 3.0)),
+        endpoint=draw(st.integers(0, 3)),
+        late_s=draw(_seconds(0.2, 3.0)),
+        for_s=draw(_seconds(0.1, 1.0)),
+    )
+    restart_at = late.at + draw(_seconds(0.1, 2.0) | _seconds(0.3, 4.0))
+    restart = _Restart(
+        round(restart_at, 2),
+        endpoint=late.endpoint,
+        down_s=draw(_seconds(0.0, 0.5)),
+    )
+    return [late, restart]
+
+
+def _one_leader_schedules():
+    """Returns schedules in which no other leader gets a job."""
+    return st.builds(
+        _schedule,
+        st.integers(2, 4),
+        st.lists(_seconds(0.0, 0.24), min_size=2, max_size=4),
+        st.lists(_restarts_beside_late_starts(), min_size=1, max_size=3),
+        st.lists(
+            _arrivals(_seconds(0.05, 3.0), _seconds(0.3, 4.0)),
+            min_size=3,
+            max_size=8,
+        ),
+        st.lists(
+            st.builds(
+                _Cut,
+                at=_times(),
+                leader=st.just(0),
+                endpoints=_ENDPOINTS,
+                reset=st.booleans(),
+                for_s=_seconds(0.1, 2.5),
+            ),
+            max_size=2,
+        ),
+        st.lists(
+            st.builds(
+                _Repeat,
+                at=_seconds(1.4, _FAULTS_S),
+                origin=_ORIGINS,
+                next_origin=_ORIGINS,
+            )
+            | st.builds(
+                _Loss,
+                at=_times(),
+                origin=_ORIGINS,
+                return_s=_seconds(1.3, 2.0),
+                next_origin=_ORIGINS,
+            )
+            | st.builds(
+                _LostStops,
+                at=_times(),
+                endpoint=st.integers(0, 3),
+                count=st.sampled_from([2, 5, 10, 30]),
+            ),
+            max_size=2,
+        ),
+    )
+
+
 # The former leader starts the task elsewhere, as the lease that it has granted ends
 # before it misses the origin. The next leader has renewed the run.
 _MOVED_RUN = _Schedule(
@@ -832,8 +897,36 @@
 )
 
 
+# A start that was given up comes as the first order of the next incarnation, beside
+# the next run of its task.
+_LATE_AFTER_RESTART = _Schedule(
+    endpoints=4,
+    phases=[0.2, 0.19, 0.23, 0.22],
+    events=[
+        _Arrival(0.12, origin=2, tasks=3, run_s=3.44, cores=4.0),
+        _Arrival(0.29, origin=1, tasks=3, run_s=0.31, cores=8.0),
+        _Arrival(0.38, origin=3, tasks=2, run_s=2.18, cores=4.0),
+        _LateStarts(1.94, endpoint=2, late_s=2.05, for_s=0.43),
+        _Arrival(1.96, origin=0, tasks=1, run_s=1.94, cores=8.0),
+        _Restart(3.93, endpoint=2, down_s=0.16),
+    ],
+)
+
+
 class LeaderSchedulesTest(unittest.TestCase):
 
+    @_properties.examples(100)
+    @hypothesis.given(_one_leader_schedules())
+    @hypothesis.example(_LATE_AFTER_RESTART)
+    def test_tasks_of_late_starts_run_once_at_a_time(self, schedule):
+        """Guards against a run beside a start that comes after a restart.
+
+        Also against a job that waits for such a start beyond its deadline.
+        """
+        play = _Play(schedule)
+        self.assertEqual(_virtual.run(play.run()), [])
+        self.assertEqual(play.overdue, [])
+
     def test_joined_attempt_that_moves_runs_once_at_a_time(self):
         """Guards against two leaders that run one attempt for two origins."""
         play = _Play(_JOINED_ATTEMPT_MOVES)
