--- a/sesameroad/jobs/active_job.py
+++ b/sesameroad/jobs/active_job.py
@@ -153,11 +153,6 @@
         """Ids of the instances that wait for the outcome."""
         return list(self._waiters)
 
-    @property
-    def live_origins(self) -> list[str]:
-        """Ids of the instances that wait and are alive."""
-        return [n for n, w in self._waiters.items() if w.origin.live]
-
     @property
     def offers(self) -> dict[str, int]:
         """Number of the offer of each instance that waits, 0 if unknown."""
