--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -236,7 +236,7 @@
             error=detail,
         )
         leased.pause(self._clock.monotonic())
-        if not self.stopped:
+        if run.held_up_until and not self.stopped:
             self._record_held_up(leased, run)
         if run.state is runs.State.STARTING:
             self.stop_run(leased, run)
