Give up an endpoint of a held-up start by time, not by tries

With a short `start_answer_ms`, six starts in a row take a fraction of a second, and jobs were answered although their endpoint might have accepted the next one. A job now counts on its endpoint until starts of the task have failed for 3 s, and the fourth and later ones wait for the pause of the endpoint. A leader that has just got a job does not take an endpoint for gone that it may not have read yet.

--- a/sesameroad/jobs/held_up_starts.py
+++ b/sesameroad/jobs/held_up_starts.py
@@ -10,9 +10,12 @@
 from sesameroad.model import held_up
 from sesameroad.model import jobs
 
-# Starts of a task in a row without success after which a job no longer counts on
-# the endpoint. The pauses between them add up to 3 s.
-_MAX_TRIES = 6
+# Starts of a task in a row without an answer after which the next ones wait for the
+# pause of the endpoint: its path may hold up all of them.
+_MAX_TRIES_AT_ONCE = 3
+# Time between starts of a task in a row without success after which a job no longer
+# counts on the endpoint; with the pauses of the endpoint, the seventh start.
+_MAX_FAILING_S = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,6 +27,8 @@
         until: Time at which its run has ended, if there was any.
         number: Number of its run, 0 if another leader has sent it.
         tries: Number of starts in a row that were refused or not answered.
+        failing_since: Time at which the first of them was sent.
+        failed_at: Time at which the last of them was sent.
         retries_at_once: Whether the next start need not wait for the pause of
             the endpoint.
     """
@@ -32,8 +37,25 @@
     until: float
     number: int = 0
     tries: int = 0
+    failing_since: float = 0.0
+    failed_at: float = 0.0
     retries_at_once: bool = True
 
+    def record_failure(self, sent_at: float) -> None:
+        """Records a start that was refused or not answered."""
+        if not self.tries:
+            self.failing_since = sent_at
+        self.tries += 1
+        self.failed_at = sent_at
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the endpoint can't be expected to accept the task soon."""
+        return (
+            self.tries > _MAX_TRIES_AT_ONCE
+            and self.failed_at - self.failing_since >= _MAX_FAILING_S
+        )
+
 
 class HeldUpStarts:
     """Tasks that start at one endpoint only while a start may be carried out.
@@ -63,7 +85,10 @@
         for a lease at most unless this leader finds it.
         """
         until = run.held_up_until + leased.lease.longest_s
-        self._record(run.task, leased.endpoint.id, until, number=run.number)
+        start = self._record(run.task, leased.endpoint.id, until)
+        start.number = max(start.number, run.number)
+        start.record_failure(run.sent_at)
+        start.retries_at_once = start.tries <= _MAX_TRIES_AT_ONCE
 
     def adopt(
         self,
@@ -77,20 +102,21 @@
                 job.task(start.index), start.endpoint, now + start.left_s
             )
 
-    def _record(
-        self, task: str, endpoint: str, until: float, *, number: int = 0
-    ) -> None:
+    def _record(self, task: str, endpoint: str, until: float) -> _HeldUpStart:
         starts = self._starts.setdefault(task, {})
         start = starts.setdefault(endpoint, _HeldUpStart(endpoint, until))
         start.until = max(start.until, until)
-        start.number = max(start.number, number)
-        start.tries += 1
-        start.retries_at_once = True
+        return start
 
-    def record_refusal(self, run: runs.Run) -> None:
+    def record_refused(self, run: runs.Run) -> None:
         """Records that an endpoint has refused another start of a task."""
         for start in self._starts.get(run.task, {}).values():
-            start.tries += 1
+            start.record_failure(run.sent_at)
+
+    def record_accepted(self, task: str) -> None:
+        """Records that an endpoint has accepted another start of a task."""
+        for start in self._starts.get(task, {}).values():
+            start.tries = 0
 
     def remove_expired(self, now: float) -> None:
         """Removes the starts whose runs have ended, if there were any."""
@@ -188,7 +214,8 @@
         job = active.job
         latest_start = min(job.expires_at, job.deadline_at) - job.estimate_s
         return any(
-            self._earliest_start(starts.values(), job, pool, now) > latest_start
+            self._earliest_start(starts.values(), active, pool, now)
+            > latest_start
             for index in active.waiting
             if (starts := self._starts.get(job.task(index)))
         )
@@ -196,18 +223,21 @@
     def _earliest_start(
         self,
         starts: Iterable[_HeldUpStart],
-        job: jobs.Job,
+        active: active_job.ActiveJob,
         pool: endpoint_pool.EndpointPool,
         now: float,
     ) -> float:
-        """Returns the earliest time at which a task may start again."""
+        """Returns the earliest time at which a task may start again.
+
+        A leader that has just got a job may not have read its endpoints yet.
+        """
         *others, last = sorted(starts, key=lambda start: start.until)
         leased = pool.find(last.endpoint)
-        if (
-            leased is None
-            or last.tries >= _MAX_TRIES
-            or not _may_run(leased, job, now)
-        ):
+        if leased is None:
+            is_gone = now >= active.moved_runs_end_by
+        else:
+            is_gone = last.is_failing or not _may_run(leased, active.job, now)
+        if is_gone:
             return last.until
         return others[-1].until if others else now
 
--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -166,6 +166,7 @@
     ) -> None:
         """Handles a confirmed start."""
         run.held_up_until = 0.0
+        self._held_up_starts.record_accepted(run.task)
         if run.state is runs.State.STARTING:
             run.state = runs.State.RUNNING
         leased.wake()
@@ -190,7 +191,7 @@
             reason=refusal.value,
         )
         run.held_up_until = 0.0
-        self._held_up_starts.record_refusal(run)
+        self._held_up_starts.record_refused(run)
         match refusal:
             case (
                 orders.Refusal.NO_ROOM
