Test a held-up start whose address another endpoint takes for a while

The task started elsewhere as soon as another endpoint answered at the address, and the start came beside it after the return: two runs.

--- a/tests/test_held_up_starts.py
+++ b/tests/test_held_up_starts.py
@@ -209,6 +209,27 @@
             self.assertEqual(site.history.overlapping, [], step)
             self.assertEqual(len(site.history.starts), 1)
 
+    async def test_address_of_a_held_up_start_is_taken_for_a_while(self):
+        """Guards against a run beside a start that comes after the return.
+
+        Another endpoint answers at the address, which ends the runs there.
+        """
+        site = self._site(count=3)
+        late = site.fleet.endpoints["e0"]
+        job = site.job(
+            count=1, run_s=2.0, cores=16.0, stretch=6.0, deadline_s=20
+        )
+        async with site.leader() as leader:
+            late.fault.late_s = 0.9
+            submitted = self._submit(site, leader, job)
+            await asyncio.sleep(0.05)
+            late.fault.late_s = 0.0
+            late.fault.misdirected = True
+            await asyncio.sleep(0.8)
+            late.fault.misdirected = False
+            self.assertEqual(await submitted, outcomes.Complete(()))
+        self.assertEqual(site.history.overlapping, [])
+
     async def test_other_runs_of_an_answered_job_are_stopped(self):
         """Guards against runs that go on for a caller that was answered."""
         site = self._site(count=2)
@@ -442,7 +463,9 @@
             self.assertIs(starts.retry(task, pool, now + passed_s), found)
             allowed = {e for e in ("e0", "e1") if starts.may_start_at(task, e)}
             self.assertEqual(allowed, ids, passed_s)
-            self.assertEqual(starts.blocks(task), passed_s < 14)
+            # Attempts at this leader, and at others that ask it.
+            self.assertEqual(starts.blocks_any(active), passed_s < 14)
+            self.assertEqual(starts.blocks_key(active.job.key), passed_s < 14)
 
     async def test_task_starts_after_the_lists_were_read(self):
         """Guards against a start beside a late run that is not known yet."""
