Play late starts and restarts while leaders end

Schedules of tests.test_leader_schedules had them together under one leader only.

They are not added to the schedules in which origins move away from a leader that lives: these find other doubled runs, also without a late start or a restart.

--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -6,8 +6,8 @@
 
 Not generated, because two runs are possible then (docs/guarantees.md):
 
-- Late starts in one schedule with restarts if the job has reached another leader,
-  which does not know the start. With one leader they come together.
+- Late starts in one schedule with restarts if origins move away from a leader that
+  lives, as other faults show there. With leaders that end they come together.
 - An origin that a leader hears although it has moved its jobs to another one.
 - A later attempt while the former origin lives, if the leaders do not reach each
   other, or one of them has led for less than 0.2 s.
@@ -758,6 +758,31 @@
     return [late, restart]
 
 
+def _late_start_schedules():
+    """Returns schedules in which the leader ends after late starts."""
+    return st.builds(
+        _schedule,
+        st.integers(2, 4),
+        st.lists(_seconds(0.0, 0.24), min_size=2, max_size=4),
+        st.lists(_restarts_beside_late_starts(), min_size=1, max_size=3),
+        st.lists(
+            _arrivals(_seconds(0.05, 3.0), _seconds(0.3, 4.0)),
+            min_size=3,
+            max_size=8,
+        ),
+        st.lists(
+            st.builds(
+                _Close,
+                at=_times(),
+                leader=_LEADERS,
+                pause_s=_seconds(0.0, 0.75),
+            ),
+            min_size=1,
+            max_size=3,
+        ),
+    )
+
+
 def _one_leader_schedules():
     """Returns schedules in which no other leader gets a job."""
     return st.builds(
@@ -929,6 +954,14 @@
         self.assertEqual(_virtual.run(play.run()), [])
         self.assertEqual(play.overdue, [])
 
+    @_properties.examples(50)
+    @hypothesis.given(_late_start_schedules())
+    def test_tasks_of_late_starts_at_the_next_leader_run_once_at_a_time(
+        self, schedule
+    ):
+        """Guards against a run beside a start that the former leader has sent."""
+        self.assertEqual(_virtual.run(_Play(schedule).run()), [])
+
     def test_joined_attempt_that_moves_runs_once_at_a_time(self):
         """Guards against two leaders that run one attempt for two origins."""
         play = _Play(_JOINED_ATTEMPT_MOVES)
