--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -23,9 +23,9 @@
     messages.Hello("a", "dc1", "ff"),
     messages.Heartbeat(3, 4, True),
     messages.Heartbeat(3, 4, False, slow=True),
-    messages.AttemptRunning("k", frozenset({"a", "b"}), 1.25, 8.5),
-    messages.AttemptReplaced("k", "b", 1.5, (0, 3)),
-    messages.AttemptEnded("k", "b", 1.25),
+    messages.AttemptRunning("k", {"a": 0, "b": 7}, 1.25, 8.5, (0, 3)),
+    messages.AttemptReplaced("k", "b", 1.5, (0, 3), 7),
+    messages.AttemptEnded("k", "b", 1.25, (0, 3)),
     messages.HeldUpStarts(
         {
             "k": (
