--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -43,6 +43,7 @@
         data_centres: Sequence[str],
         store_port: int,
         directory: pathlib.Path,
+        processor_share: float,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -64,6 +65,7 @@
                     "metrics": self.metrics,
                     "platform": f"127.0.0.1:{store_port}",
                     "max_lease_ms": 1_000,
+                    "processor_share": processor_share,
                 }
             )
         )
@@ -126,6 +128,8 @@
         seed: int = 0,
         data_centres: Sequence[str] = ("dc1",),
         can_cut: bool = False,
+        processor_share: float = 1.0,
+        late_orders: simulated_endpoint_server.LateOrders | None = None,
         history: simulated_endpoint.RunHistory | None = None,
     ) -> None:
         """Creates a deployment that is not started yet.
@@ -137,19 +141,23 @@
             data_centres: Data centres, to which instances and endpoints belong
                 in turn.
             can_cut: Whether paths lead through forwarders.
+            processor_share: Share of a core that instances count on. With less
+                than 1/64 for each endpoint, each data centre has a leader.
+            late_orders: Choice of late orders; a new one if None.
             history: Receives the runs on all endpoints; a new one if None.
         """
         self.store = store.Store()
         self.history = history or simulated_endpoint.RunHistory()
         self.endpoints: list[simulated_endpoint.SimulatedEndpoint] = []
         self.instances: list[Instance] = []
-        self.late_orders = simulated_endpoint_server.LateOrders(
+        self.late_orders = late_orders or simulated_endpoint_server.LateOrders(
             random.Random(seed)
         )
         self._servers: dict[str, simulated_endpoint_server.EndpointServer] = {}
         self._row_writes: dict[str, asyncio.Task[None]] = {}
         self.paths = network_paths.Paths() if can_cut else None
         self._data_centres = data_centres
+        self._processor_share = processor_share
         self._counts = (instance_count, endpoint_count)
         self._runners: list[web.AppRunner] = []
         self._directory = tempfile.TemporaryDirectory()
@@ -173,6 +181,7 @@
                     data_centres=self._data_centres,
                     store_port=await self._serve(application),
                     directory=directory,
+                    processor_share=self._processor_share,
                 )
             )
         if self.paths is not None:
--- a/standins/network_paths.py
+++ b/standins/network_paths.py
@@ -26,12 +26,13 @@
         # Paths whose forwarder does not listen.
         self._closed: set[tuple[str, str]] = set()
 
-    async def open(self, reader: str, target: str, address: str) -> None:
-        """Opens the path from a reader to the address of a target."""
+    async def open(self, reader: str, target: str, address: str) -> str:
+        """Opens the path from a reader to a target, and returns its address."""
         forwarder = await forwarder_module.Forwarder.open(address)
         self._forwarders[reader, target] = forwarder
         self._targets[reader, target] = address
         self._replaced[reader, address] = forwarder.address
+        return forwarder.address
 
     async def close(self) -> None:
         """Closes all paths."""
@@ -59,17 +60,22 @@
             for path in paths:
                 self._forwarders[path].fault = forwarder_module.Fault.CUT
 
-    async def restore(self) -> None:
-        """Ends all cuts; what was held back arrives now."""
-        for path in self._closed:
+    async def restore(
+        self, pairs: Iterable[tuple[str, str]] | None = None
+    ) -> None:
+        """Ends the cuts of pairs, or all; what was held back arrives now."""
+        paths = set(self._forwarders)
+        if pairs is not None:
+            paths &= self._named_both_ways(pairs)
+        for path in paths & self._closed:
             address = self._targets[path]
             own = self._replaced[path[0], address]
             self._forwarders[path] = await forwarder_module.Forwarder.open(
                 address, port=int(own.rpartition(":")[2])
             )
-        self._closed.clear()
-        for forwarder in self._forwarders.values():
-            forwarder.fault = forwarder_module.Fault.NONE
+        self._closed -= paths
+        for path in paths:
+            self._forwarders[path].fault = forwarder_module.Fault.NONE
 
     def replace_addresses(
         self, application: web.Application, *, reader: str
@@ -104,8 +110,14 @@
     def _both_ways(
         self, pairs: Iterable[tuple[str, str]]
     ) -> set[tuple[str, str]]:
-        named = set(pairs)
-        both = named | {(target, reader) for reader, target in named}
         return {
-            path for path in both - self._closed if path in self._forwarders
+            path
+            for path in self._named_both_ways(pairs) - self._closed
+            if path in self._forwarders
         }
+
+    def _named_both_ways(
+        self, pairs: Iterable[tuple[str, str]]
+    ) -> set[tuple[str, str]]:
+        named = set(pairs)
+        return named | {(target, reader) for reader, target in named}
--- a/standins/simulated_endpoint_server.py
+++ b/standins/simulated_endpoint_server.py
@@ -34,10 +34,19 @@
             one of the present leader.
         journal: Orders, except polls, and restarts as endpoints saw them, a
             line each.
+        held_starts: Endpoint of each start that is held, and the monotonic time
+            at which it is carried out.
+        reach_any: Whether an order is carried out by the next incarnation of
+            its endpoint even before the present leader has reached that.
     """
 
     def __init__(
-        self, random_: random.Random, *, min_s: float = 0.5, max_s: float = 1.8
+        self,
+        random_: random.Random,
+        *,
+        min_s: float = 0.5,
+        max_s: float = 1.8,
+        reach_any: bool = False,
     ) -> None:
         """Creates an object that holds no orders until the share is set.
 
@@ -45,7 +54,10 @@
             random_: Source of all choices.
             min_s: Shortest time for which an order is held, in seconds.
             max_s: Longest time for which an order is held, in seconds.
+            reach_any: See the attribute.
         """
+        self.held_starts: asyncio.Queue[tuple[str, float]] = asyncio.Queue()
+        self.reach_any = reach_any
         self.share = 0.0
         self.highest_token = 0
         self.journal: list[str] = []
@@ -157,6 +169,10 @@
 
         fault = self.simulated.fault
         late_s = fault.late_s or self._late_orders.draw_s()
+        if late_s and not fault.silent:
+            self._late_orders.held_starts.put_nowait(
+                (self.simulated.endpoint.id, time.monotonic() + late_s)
+            )
         return await self._order(
             request,
             carry_out,
@@ -242,9 +258,10 @@
         self, name: str, carry_out: Callable[[], orders.Answer], born_ms: int
     ) -> None:
         # No leader can prevent a late start in an incarnation that the present
-        # one has not reached yet, so such an order is dropped.
+        # one has not reached yet, so such an order is dropped by default.
         restarted = self.simulated.endpoint.born_ms != born_ms
-        if not self.port or (restarted and not self._contacted):
+        is_reached = self._contacted or self._late_orders.reach_any
+        if not self.port or (restarted and not is_reached):
             self._record(f"{name}: dropped after a restart")
             return
         when = "late, after a restart" if restarted else "late"
@@ -257,7 +274,8 @@
             self._contacted = True
 
     def _record(self, text: str) -> None:
-        self._late_orders.record(self.simulated.endpoint.id, text)
+        endpoint = self.simulated.endpoint
+        self._late_orders.record(f"{endpoint.id} born {endpoint.born_ms}", text)
 
     async def _leave_unanswered(self, request: web.Request) -> web.Response:
         await asyncio.sleep(_SILENCE_S)
--- a/tests/_processes.py
+++ b/tests/_processes.py
@@ -4,7 +4,9 @@
 import contextlib
 import dataclasses
 import json
+import pathlib
 import random
+import shutil
 import unittest
 
 import aiohttp
@@ -22,7 +24,7 @@
 OK = 200
 _REFUSED = (429, 503)
 _RESENT = (502, 504)
-_LOST = 0
+LOST = 0
 # Log lines and fields that a failed test shows.
 _LOGGED = (
     "endpoint started",
@@ -43,6 +45,7 @@
     "state",
     "sent_ms_ago",
     "born_ms",
+    "steward_of",
     "former_born_ms",
     "listed",
     "token",
@@ -60,7 +63,7 @@
     Attributes:
         key: Its id.
         count: Number of its tasks.
-        attempts: Answer to each attempt: a status, or `_LOST` without one.
+        attempts: Answer to each attempt: a status, or `LOST` without one.
         state: State in the last answer.
         not_done: Tasks that were not done when the last answer arrived.
     """
@@ -109,8 +112,13 @@
         """Returns a random generator of one activity of the test."""
         return random.Random(f"{self.seed} {name}")
 
-    async def post(self, job, *, instance, run_s, cores, timeout_s):
-        """Sends a job once; returns the status or `_LOST`."""
+    async def post(
+        self, job, *, instance, run_s, cores, timeout_s, slack_s=0.0
+    ):
+        """Sends a job once; returns the status or `LOST`.
+
+        Waits for an answer until `slack_s` after the time in the request.
+        """
         step = {
             "count": job.count,
             "cpu": int(cores * 1_000),
@@ -132,13 +140,13 @@
                     "Host": deployment.HOST,
                     "Timeout-Ms": str(int(timeout_s * 1_000)),
                 },
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
+                timeout=aiohttp.ClientTimeout(total=timeout_s + slack_s),
             ) as answer:
                 content = json.loads(await answer.text())
                 job.state = content.get("state", "")
                 return answer.status
         except (aiohttp.ClientError, OSError, TimeoutError):
-            return _LOST
+            return LOST
 
     async def submit(
         self,
@@ -170,7 +178,7 @@
             self.deployment.late_orders.record(
                 "caller", f"{job.key} instance {chosen}: {status}"
             )
-            if status not in (_LOST, *_RESENT):
+            if status not in (LOST, *_RESENT):
                 break
             if len(job.attempts) == max_attempts:
                 break
@@ -221,6 +229,19 @@
             shown[_FIRST_LINES:-_LAST_LINES] = [f"({left_out} lines left out)"]
         return "\n" + "\n".join(line[:_LINE_LENGTH] for line in shown)
 
+    def keep_logs(self, kept, error):
+        """Copies the logs of a series that failed to a directory, if given."""
+        if not kept:
+            return
+        directory = pathlib.Path(kept) / f"seed-{self.seed}"
+        directory.mkdir(parents=True, exist_ok=True)
+        for instance in self.deployment.instances:
+            shutil.copy(instance.log, directory)
+        (directory / "journal.txt").write_text(
+            "\n".join(self.deployment.late_orders.journal)
+        )
+        (directory / "error.txt").write_text(f"{error}")
+
     def check(self):
         """Asserts what holds for every job at any time."""
         if overlapping := sorted(set(self.history.overlapping)):
--- a/tests/test_cut_leader_processes.py
+++ b/tests/test_cut_leader_processes.py
@@ -18,8 +18,6 @@
 import asyncio
 import itertools
 import os
-import pathlib
-import shutil
 import signal
 import time
 
@@ -71,7 +69,7 @@
             except (AssertionError, TimeoutError) as error:
                 failed[seed] = error
                 print(f"seed {seed}: {error!r:.120}", flush=True)
-                self._keep_logs(seed)
+                self.keep_logs(os.environ.get("CUT_LOGS"), error)
         for seed, error in failed.items():
             self.fail(f"seeds {sorted(failed)} failed, seed {seed}: {error}")
 
@@ -180,18 +178,6 @@
         # A trace shows all lines with " is ".
         self.deployment.late_orders.record("cut", text)
 
-    def _keep_logs(self, seed):
-        """Copies the logs of a series that failed."""
-        if not (kept := os.environ.get("CUT_LOGS")):
-            return
-        directory = pathlib.Path(kept) / f"seed-{seed}"
-        directory.mkdir(parents=True, exist_ok=True)
-        for instance in self.deployment.instances:
-            shutil.copy(instance.log, directory)
-        (directory / "journal.txt").write_text(
-            "\n".join(self.deployment.late_orders.journal)
-        )
-
 
 def _names(groups):
     """Returns the names of the instances or endpoints of each group."""
