Let the cuts of mixed faults wait for links that come back

A cut came 0.38 s after a paused leader had been resumed, before it was linked to the instance that kept the earlier attempt: nothing can prevent two runs then. Cuts wait until later attempts have been known for 1.3 s after a pause, a restart or a cut.

--- a/tests/test_mixed_faults_processes.py
+++ b/tests/test_mixed_faults_processes.py
@@ -53,6 +53,9 @@
 _POLL_S = 0.05
 # Time after which a later attempt has reached the leaders.
 _JOIN_S = 0.3
+# The same after a cut or the return of an instance: links and leaders come back,
+# and origins offer their jobs again.
+_RELINK_S = 1.3
 # Share of cuts shortly before which callers come again at another instance.
 _JOINED_SHARE = 0.6
 # Time for what instances write to their logs after a doubled run.
@@ -129,7 +132,8 @@
         # answer, and the instances that have one now.
         self.fault_counts = collections.Counter()
         self.faulty = set()
-        # Time from which each instance that was ended or paused is back.
+        # Time from which each instance that was ended or paused is back, and the
+        # end of the last cut.
         self.back_at = {}
         self.restarting = set()
         self.unanswered = []
@@ -321,6 +325,7 @@
             await asyncio.sleep(random_.uniform(0.8, 3.0))
             await paths.restore([*cut, *cut_endpoints])
             self.cutting = False
+            self.back_at["cut"] = time.monotonic()
             self._record("is the end of the cut")
 
     def _draw_sides(self, random_):
@@ -346,11 +351,11 @@
 
     def _has_come_again(self, job):
         """Returns whether instances know a later attempt, or none comes."""
-        arrived_before = time.monotonic() - _JOIN_S
-        if max(self.back_at.values(), default=0.0) > arrived_before:
+        now = time.monotonic()
+        if now < max(self.back_at.values(), default=0.0) + _RELINK_S:
             return job in self.finished
         return job in self.finished or any(
-            job is posted and sent_at < arrived_before
+            job is posted and now > sent_at + _JOIN_S
             for number, posts in self.posts.items()
             if number not in self.faulty
             for posted, sent_at in posts.values()
