--- a/sesameroad/jobs/coordinator.py
+++ b/sesameroad/jobs/coordinator.py
@@ -82,7 +82,7 @@
         refusal: Refusal of a leader without capacity, after which it was offered
             to another one.
         refused_in: Evacuated data centres whose leaders have refused it.
-        confined: Whether only evacuated data centres can run it.
+        confined: Whether only its data centre can run it.
     """
 
     job: jobs.Job
@@ -133,6 +133,7 @@
         "_confined_to",
         "_data_centre",
         "_evacuations",
+        "_last_offer",
         "_leaders",
         "_parts",
         "_reroutes",
@@ -156,9 +157,10 @@
             clock: Time source.
             evacuations: The evacuated data centres; None if there are never
                 any.
-            confined_to: Returns the evacuated data centres that alone can run a
-                job, none if others can. A leader there knows whether an
-                earlier attempt is running, and refuses the job otherwise.
+            confined_to: Returns the data centres that alone can run a job, none
+                if all can: evacuated ones, whose leader knows whether an
+                earlier attempt is running and refuses the job otherwise, or
+                those of endpoints that may still carry out a start of it.
             reroutes: Whether a job that one leader refuses for want of capacity
                 is offered once to another one.
         """
@@ -168,6 +170,8 @@
         self._leaders = leaders
         self._clock = clock
         self._reroutes = reroutes
+        # Number of the last offer to a leader.
+        self._last_offer = 0
         # Parts of the running jobs, by key.
         self._parts: dict[str, list[_Part]] = {}
 
@@ -342,9 +346,10 @@
         moved = part.moved
         part.route = route
         part.offered = True
+        job = dataclasses.replace(part.job, offer=self._next_offer())
         try:
             outcome = await route.submit(
-                part.job, moved=moved, lent=part.lent and not moved
+                job, moved=moved, lent=part.lent and not moved
             )
         except asyncio.CancelledError:
             route.cancel(part.job.name)
@@ -402,6 +407,11 @@
             case _:
                 return outcome
 
+    def _next_offer(self) -> int:
+        """Returns a number above those of all offers, also before a restart."""
+        self._last_offer = max(self._last_offer + 1, self._clock.wall_ms())
+        return self._last_offer
+
     async def _reroute(
         self, part: _Part, refusal: outcomes.NotRun
     ) -> outcomes.Outcome | None:
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -7,6 +7,8 @@
 from sesameroad import errors
 from sesameroad.model import clocks
 from sesameroad.model import demands
+from sesameroad.model import held_up
+from sesameroad.model import held_up_notices
 from sesameroad.model import jobs
 from sesameroad.model import needs
 from sesameroad.model import outcomes
@@ -149,9 +151,11 @@
             return peer_pb2.Item(
                 attempt_running=peer_pb2.AttemptRunning(
                     key=message.key,
-                    origins=sorted(message.origins),
+                    origins=message.offers.keys(),
                     age_ms=_ceil_ms(message.age_s),
                     ends_within_ms=_ceil_ms(message.ends_within_s),
+                    offers=message.offers.values(),
+                    indices=message.indices,
                 )
             )
         case messages.AttemptReplaced():
@@ -159,8 +163,11 @@
                 attempt_replaced=peer_pb2.AttemptReplaced(
                     key=message.key,
                     origin=message.origin,
-                    age_ms=_ceil_ms(message.age_s),
+                    # Rounded down: two leaders must not both find their own
+                    # attempt the later one.
+                    age_ms=int(message.age_s * _MS),
                     indices=message.indices,
+                    offer=message.offer,
                 )
             )
         case messages.AttemptEnded():
@@ -169,8 +176,11 @@
                     key=message.key,
                     origin=message.origin,
                     within_ms=_ceil_ms(message.within_s),
+                    indices=message.indices,
                 )
             )
+        case messages.HeldUpStarts():
+            return peer_pb2.Item(held_up_starts=_encode_held_up(message))
         case messages.JobOffer():
             return peer_pb2.Item(job_offer=_encode_offer(message))
         case messages.JobCancel():
@@ -300,13 +310,7 @@
         case "job_offer":
             return _decode_offer(item.job_offer)
         case "attempt_running":
-            running = item.attempt_running
-            return messages.AttemptRunning(
-                running.key,
-                frozenset(running.origins),
-                running.age_ms / _MS,
-                running.ends_within_ms / _MS,
-            )
+            return _decode_running(item.attempt_running)
         case "attempt_replaced":
             replaced = item.attempt_replaced
             return messages.AttemptReplaced(
@@ -314,12 +318,18 @@
                 replaced.origin,
                 replaced.age_ms / _MS,
                 tuple(replaced.indices),
+                replaced.offer,
             )
         case "attempt_ended":
             ended = item.attempt_ended
             return messages.AttemptEnded(
-                ended.key, ended.origin, ended.within_ms / _MS
+                ended.key,
+                ended.origin,
+                ended.within_ms / _MS,
+                tuple(ended.indices),
             )
+        case "held_up_starts":
+            return _decode_held_up(item.held_up_starts)
         case "job_cancel":
             return messages.JobCancel(item.job_cancel.name)
         case "recent_cancels":
@@ -460,6 +470,7 @@
         age_ms=_ceil_ms(now - job.accepted_at) if job.accepted_at else 0,
         unstarted=job.unstarted,
         succeeded=job.succeeded,
+        offer=job.offer,
     )
 
 
@@ -498,12 +509,36 @@
         accepted_at=now - offer.age_ms / _MS if offer.age_ms else 0.0,
         unstarted=tuple(offer.unstarted),
         succeeded=tuple(offer.succeeded),
+        offer=offer.offer,
     )
     return messages.JobOffer(
         offer.id, offer.data_centre, job, offer.moved, offer.lent
     )
 
 
+def _decode_running(
+    running: peer_pb2.AttemptRunning,
+) -> messages.AttemptRunning:
+    """Returns a notice of a running job.
+
+    Raises:
+        PeerError: If it has offers, but not one for each origin.
+    """
+    offers = running.offers or [0] * len(running.origins)
+    if len(offers) != len(running.origins):
+        raise errors.PeerError(
+            f"{len(running.origins)} origins and {len(offers)} offers",
+            step="decode",
+        )
+    return messages.AttemptRunning(
+        running.key,
+        dict(zip(running.origins, offers, strict=True)),
+        running.age_ms / _MS,
+        running.ends_within_ms / _MS,
+        tuple(running.indices),
+    )
+
+
 def _decode_recent_cancels(
     recent: peer_pb2.RecentCancels,
 ) -> messages.RecentCancels:
@@ -531,6 +566,46 @@
     )
 
 
+def _encode_held_up(notice: messages.HeldUpStarts) -> peer_pb2.HeldUpStarts:
+    return peer_pb2.HeldUpStarts(
+        starts=[
+            peer_pb2.HeldUpStart(
+                key=key,
+                index=start.index,
+                endpoint=start.endpoint,
+                left_ms=_ceil_ms(start.left_s),
+            )
+            for key, starts in notice.starts.items()
+            for start in starts
+        ]
+    )
+
+
+def _decode_held_up(message: peer_pb2.HeldUpStarts) -> messages.HeldUpStarts:
+    """Returns starts that may still be carried out.
+
+    Raises:
+        PeerError: If there are more than a sender puts into one message, or if
+            any has no key or no endpoint.
+    """
+    if len(message.starts) > held_up_notices.MAX_STARTS:
+        raise errors.PeerError(
+            f"{len(message.starts)} held-up starts", step="decode"
+        )
+    starts: dict[str, list[held_up.HeldUpStart]] = {}
+    for start in message.starts:
+        if not (start.key and start.endpoint):
+            raise errors.PeerError(
+                "a held-up start without a key or an endpoint", step="decode"
+            )
+        starts.setdefault(start.key, []).append(
+            held_up.HeldUpStart(
+                start.index, start.endpoint, start.left_ms / _MS
+            )
+        )
+    return messages.HeldUpStarts({k: tuple(s) for k, s in starts.items()})
+
+
 def _encode_outcome(outcome: outcomes.Outcome) -> peer_pb2.Outcome:
     match outcome:
         case outcomes.Complete():
