--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -164,6 +164,14 @@
 
     async def __aenter__(self) -> "Deployment":
         """Starts all parts and waits until all instances are ready."""
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         instance_count, endpoint_count = self._counts
         for number in range(endpoint_count):
             await self.add_endpoint(f"e{number}", self._data_centre_of(number))
@@ -190,7 +198,6 @@
             instance.start()
         for instance in self.instances:
             await self.wait_ready(instance)
-        return self
 
     async def __aexit__(self, *_: object) -> None:
         """Kills the instances and stops the servers."""
--- a/tests/test_mixed_faults_processes.py
+++ b/tests/test_mixed_faults_processes.py
@@ -100,6 +100,7 @@
         for seed in range(first, first + count):
             try:
                 await self._play(seed)
+                print(f"seed {seed}: passed", flush=True)
             except* (AssertionError, TimeoutError) as group:
                 failed[seed] = group.exceptions[0]
                 print(f"seed {seed}: {failed[seed]!r:.160}", flush=True)
