Share the loop over seeds of the series over processes

Series of restarts, cuts and mixed faults read their seeds and keep the logs of those that fail in the same way; RESTART_LOGS works like CUT_LOGS and MIXED_LOGS.

--- a/tests/_processes.py
+++ b/tests/_processes.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import json
+import os
 import pathlib
 import random
 import shutil
@@ -229,11 +230,29 @@
             shown[_FIRST_LINES:-_LAST_LINES] = [f"({left_out} lines left out)"]
         return "\n" + "\n".join(line[:_LINE_LENGTH] for line in shown)
 
-    def keep_logs(self, kept, error):
-        """Copies the logs of a series that failed to a directory, if given."""
-        if not kept:
-            return
-        directory = pathlib.Path(kept) / f"seed-{self.seed}"
+    async def play_seeds(self, name, play, *, first):
+        """Plays series, whose seeds environment variables can name.
+
+        NAME_FIRST_SEED is the first one, NAME_SEEDS their number, and NAME_LOGS
+        a directory for the logs of series that fail.
+        """
+        first = int(os.environ.get(f"{name}_FIRST_SEED", first))
+        count = int(os.environ.get(f"{name}_SEEDS", "1"))
+        failed = {}
+        for seed in range(first, first + count):
+            try:
+                await play(seed)
+                print(f"seed {seed}: passed", flush=True)
+            except* (AssertionError, TimeoutError) as group:
+                error = group.exceptions[0]
+                failed[seed] = error
+                print(f"seed {seed}: {error!r:.160}", flush=True)
+                if kept := os.environ.get(f"{name}_LOGS"):
+                    self._keep_logs(pathlib.Path(kept) / f"seed-{seed}", error)
+        for seed, error in failed.items():
+            self.fail(f"seeds {sorted(failed)} failed, seed {seed}: {error}")
+
+    def _keep_logs(self, directory, error):
         directory.mkdir(parents=True, exist_ok=True)
         for instance in self.deployment.instances:
             shutil.copy(instance.log, directory)
--- a/tests/test_cut_leader_processes.py
+++ b/tests/test_cut_leader_processes.py
@@ -17,7 +17,6 @@
 
 import asyncio
 import itertools
-import os
 import signal
 import time
 
@@ -60,18 +59,7 @@
         while the former one took the runs of the others as ended and started
         their tasks elsewhere.
         """
-        first = int(os.environ.get("CUT_FIRST_SEED", "2"))
-        count = int(os.environ.get("CUT_SEEDS", "1"))
-        failed = {}
-        for seed in range(first, first + count):
-            try:
-                await self._play(seed)
-            except (AssertionError, TimeoutError) as error:
-                failed[seed] = error
-                print(f"seed {seed}: {error!r:.120}", flush=True)
-                self.keep_logs(os.environ.get("CUT_LOGS"), error)
-        for seed, error in failed.items():
-            self.fail(f"seeds {sorted(failed)} failed, seed {seed}: {error}")
+        await self.play_seeds("CUT", self._play, first=2)
 
     async def _play(self, seed):
         await self.open(
--- a/tests/test_mixed_faults_processes.py
+++ b/tests/test_mixed_faults_processes.py
@@ -24,7 +24,6 @@
 import signal
 import time
 
-from standins import simulated_endpoint
 from standins import simulated_endpoint_server
 from tests import _processes
 
@@ -62,23 +61,6 @@
 _LOG_S = 0.3
 
 
-class _History(simulated_endpoint.RunHistory):
-    """Runs on all endpoints, which tells of two runs of one task.
-
-    Attributes:
-        overlap: Set when a task has started beside another run of it.
-    """
-
-    def __init__(self):
-        super().__init__()
-        self.overlap = asyncio.Event()
-
-    def begin(self, task, endpoint_id):
-        super().begin(task, endpoint_id)
-        if self.overlapping:
-            self.overlap.set()
-
-
 class MixedFaultsTest(_processes.ProcessTest):
     """Four instances and six endpoints in two data centres."""
 
@@ -94,19 +76,7 @@
         later attempt moved to the next leader while the former leader ran the
         earlier attempt. Refusals must be true and all callers answered.
         """
-        first = int(os.environ.get("MIXED_FIRST_SEED", "8"))
-        count = int(os.environ.get("MIXED_SEEDS", "1"))
-        failed = {}
-        for seed in range(first, first + count):
-            try:
-                await self._play(seed)
-                print(f"seed {seed}: passed", flush=True)
-            except* (AssertionError, TimeoutError) as group:
-                failed[seed] = group.exceptions[0]
-                print(f"seed {seed}: {failed[seed]!r:.160}", flush=True)
-                self.keep_logs(os.environ.get("MIXED_LOGS"), failed[seed])
-        for seed, error in failed.items():
-            self.fail(f"seeds {sorted(failed)} failed, seed {seed}: {error}")
+        await self.play_seeds("MIXED", self._play, first=8)
 
     async def _play(self, seed):
         self.seed = seed
@@ -125,7 +95,6 @@
                 max_s=random_.choice((4.0, 8.0, 12.0)),
                 reach_any=True,
             ),
-            history=_History(),
         )
         # Job and time of each unfinished request, by the number of its instance.
         self.posts = collections.defaultdict(dict)
@@ -177,7 +146,8 @@
 
     async def _watch_runs(self):
         """Fails as soon as two runs of one task overlap."""
-        await self.history.overlap.wait()
+        while not self.history.overlapping:  # noqa: ASYNC110
+            await asyncio.sleep(_POLL_S)
         await asyncio.sleep(_LOG_S)
         self.check()
 
@@ -352,10 +322,11 @@
 
     def _has_come_again(self, job):
         """Returns whether instances know a later attempt, or none comes."""
+        if job in self.finished:
+            return True
         now = time.monotonic()
-        if now < max(self.back_at.values(), default=0.0) + _RELINK_S:
-            return job in self.finished
-        return job in self.finished or any(
+        linked_at = max(self.back_at.values(), default=0.0) + _RELINK_S
+        return now > linked_at and any(
             job is posted and now > sent_at + _JOIN_S
             for number, posts in self.posts.items()
             if number not in self.faulty
--- a/tests/test_restarted_endpoint_processes.py
+++ b/tests/test_restarted_endpoint_processes.py
@@ -11,8 +11,6 @@
 
 import asyncio
 import collections
-import json
-import os
 import signal
 import time
 
@@ -107,17 +105,7 @@
         Endpoints restart and carry out orders late, the store is down at times,
         and the leader is paused.
         """
-        first = int(os.environ.get("RESTART_FIRST_SEED", "1"))
-        count = int(os.environ.get("RESTART_SEEDS", "1"))
-        failed = {}
-        for seed in range(first, first + count):
-            try:
-                await self._play(seed)
-            except (AssertionError, TimeoutError) as error:
-                failed[seed] = error
-                print(f"seed {seed}: {error!r:.120}", flush=True)
-        for seed, error in failed.items():
-            self.fail(f"seeds {sorted(failed)} failed, seed {seed}: {error}")
+        await self.play_seeds("RESTART", self._play, first=1)
 
     async def _play(self, seed):
         await self.open(endpoint_count=4, seed=seed)
@@ -180,7 +168,7 @@
             await asyncio.sleep(random_.uniform(1.5, 4.0))
             if time.monotonic() >= end_at:
                 return
-            leader = self._find_leader()
+            leader = self.find_leader()
             self.deployment.late_orders.record(
                 "signal", f"{leader.name} is stopped"
             )
@@ -190,15 +178,3 @@
             self.deployment.late_orders.record(
                 "signal", f"{leader.name} is resumed"
             )
-
-    def _find_leader(self):
-        """Returns the instance that claimed the endpoints last."""
-        claims = {}
-        for instance in self.deployment.instances:
-            for text in instance.log.read_text().splitlines():
-                if '"stewardship claimed"' in text:
-                    claims[instance.name] = json.loads(text)["time"]
-        return max(
-            self.deployment.instances,
-            key=lambda instance: claims.get(instance.name, ""),
-        )
