--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -172,6 +172,7 @@
     ) -> None:
         """Handles a confirmed start."""
         run.held_up_until = 0.0
+        self._held_up_starts.record_accepted(run.task)
         if run.state is runs.State.STARTING:
             run.state = runs.State.RUNNING
         leased.wake()
@@ -196,7 +197,7 @@
             reason=refusal.value,
         )
         run.held_up_until = 0.0
-        self._held_up_starts.record_refusal(run)
+        self._held_up_starts.record_refused(run)
         match refusal:
             case (
                 orders.Refusal.NO_ROOM
@@ -236,7 +237,7 @@
             error=detail,
         )
         leased.pause(self._clock.monotonic())
-        if not self.stopped:
+        if run.held_up_until and not self.stopped:
             self._record_held_up(leased, run)
         if run.state is runs.State.STARTING:
             self.stop_run(leased, run)
