Look up the other leaders only for a job that they have told of

Each offer of a job built the list of all leaders, also if none of them has told of the job, which is the case for nearly all jobs. It is built only if one has. What is decided is the same; the tests of attempts, schedules and planned changes pass.

--- a/sesameroad/jobs/attempts.py
+++ b/sesameroad/jobs/attempts.py
@@ -149,8 +149,9 @@
         """
         if self._peers is None:
             return False
-        leaders = set(self._peers.sessions().values())
-        for (leader, _), elsewhere in self._known(active.job.key):
+        known = self._known(active.job.key)
+        leaders = set(self._peers.sessions().values()) if known else set()
+        for (leader, _), elsewhere in known:
             if not elsewhere.conflicts(active):
                 continue
             if (
