Bound the time for which another instance's notice keeps a task

The time left was taken as it came. It is now at most 14 s, the 12 s of a late order and a lease, with the allowance for clocks. The test failed before and passes.

--- a/sesameroad/jobs/held_up_notices.py
+++ b/sesameroad/jobs/held_up_notices.py
@@ -26,6 +26,10 @@
 # Bounds the memory of a fault that leaves all starts without an answer to a few
 # megabytes: 800 jobs a second for 12 s.
 _MAX_KEYS = 10_000
+# Longest time for which a start that another instance tells of is kept, in seconds:
+# the 12 s of a late order and a lease, with the allowance for clocks. A wrong or
+# hostile notice must not keep a task for longer.
+_MAX_LEFT_S = 14.0
 
 _Starts = dict[tuple[int, str], "_KnownStart"]
 
@@ -112,7 +116,9 @@
         """Adds the starts that another instance has told of."""
         for key, starts in notice.starts.items():
             for start in starts:
-                left_s = start.left_s * (1 + _MAX_RATE_DIFFERENCE)
+                left_s = min(
+                    start.left_s * (1 + _MAX_RATE_DIFFERENCE), _MAX_LEFT_S
+                )
                 self._add(
                     key, dataclasses.replace(start, left_s=left_s), own=False
                 )
--- a/tests/test_held_up_notices.py
+++ b/tests/test_held_up_notices.py
@@ -187,6 +187,12 @@
             clock=self.clock, send=self.sent.append
         )
 
+    async def test_start_is_kept_no_longer_than_it_can_come(self):
+        """Guards against a notice that blocks a task for days."""
+        start = held_up.HeldUpStart(0, "e0", 4e6)
+        self.known.receive(messages.HeldUpStarts({_KEY: (start,)}))
+        self.assertLess(self.known.of(_KEY)[0].left_s, 14.1)
+
     async def test_time_that_passes_is_subtracted(self):
         """Guards against a start that counts for longer with each leader."""
         self.known.record(_KEY, held_up.HeldUpStart(0, "e0", 12.0))
