--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -443,8 +443,9 @@
             keys: Keys of their jobs.
         """
         now = self._clock.monotonic()
-        for key in keys:
-            for active in self._table.of_key(key):
+        told = set(keys)
+        for active in self._table:
+            if active.job.key in told:
                 self._adopt_held_up(active, now)
 
     def _adopt_held_up(self, active: active_job.ActiveJob, now: float) -> None:
