End a job with the origin of its latest attempt

What callers would see: a task runs twice at a time. The caller came again at a second origin, whose attempt joined the earlier one at its leader. A cut then took the second origin away. The leader went on for the first origin, which had not noticed that its caller was gone; the second origin moved the job to a leader that claimed on the other side and had no notice of it.

Cause: a job counted as alive while any of its origins was heard, and its leases were renewed by the latest of them. Its caller has left all but the latest attempt.

Change: a job lives, and its leases are renewed, only while the origin of its latest attempt is heard.

The new test failed before and passes.

--- a/sesameroad/jobs/active_job.py
+++ b/sesameroad/jobs/active_job.py
@@ -165,8 +165,13 @@
 
     @property
     def has_live_origin(self) -> bool:
-        """Whether any instance that waits for the outcome is alive."""
-        return any(w.origin.live for w in self._waiters.values())
+        """Whether the instance of the latest attempt is alive.
+
+        The caller has left the earlier attempts. If that instance is lost, it may
+        offer the job to a leader that knows nothing of the runs here, however
+        long the instance of an earlier attempt goes on waiting.
+        """
+        return bool(self._waiters) and self.latest.origin.live
 
     def may_resume(self, now: float) -> bool:
         """Returns whether an origin lives and runs that were given up are gone.
@@ -319,10 +324,7 @@
 
         The caller may have lost its instance when that was last heard.
         """
-        silent_s = min(
-            (w.origin.silent_s for w in self._waiters.values()),
-            default=0.0,
-        )
+        silent_s = self.latest.origin.silent_s if self._waiters else 0.0
         return now - silent_s + _RETURN_S
 
     def settle(self, outcome: outcomes.Outcome) -> None:
--- a/tests/test_doubled_runs.py
+++ b/tests/test_doubled_runs.py
@@ -47,9 +47,9 @@
 
     def submit(self, leader, job, origin, **options):
         """Submits a job and returns the task that waits for its outcome."""
-        submitted = asyncio.create_task(
-            leader.submit(job, _jobs.Origin(origin), **options)
-        )
+        if isinstance(origin, str):
+            origin = _jobs.Origin(origin)
+        submitted = asyncio.create_task(leader.submit(job, origin, **options))
         self._waiting.append(submitted)
         return submitted
 
@@ -209,6 +209,27 @@
         fleet.submit(second, fleet.again(job), "y")
         self.assertEqual(await fleet.end(), [])
 
+    async def test_cut_after_a_later_attempt_has_joined(self):
+        """Guards against runs that go on for a caller that has left.
+
+        The later attempt moves to a leader that claims on the other side of the
+        cut. The origin of the earlier one stays, and its leader still hears it.
+        """
+        fleet = _Fleet(count=2)
+        first = await fleet.open(1, "e0")
+        job = fleet.job(run_s=5.0)
+        fleet.submit(first, job, "x")
+        await asyncio.sleep(_RETURN_S)
+        again = fleet.again(job)
+        origin = _jobs.Origin("y")
+        fleet.submit(first, again, origin)
+        await asyncio.sleep(0.3)
+        fleet.site.links.cut.add("leader1")
+        origin.lose()
+        second = await fleet.open(2, "e1")
+        fleet.submit(second, again, "y", moved=True)
+        self.assertEqual(await fleet.end(), [])
+
     async def test_later_attempt_as_two_leaders_are_lost_together(self):
         """Guards against a start before the job has reached the other new leader.
 
