Tell two keepers of each start before it is sent

Callers: a task ran twice at a time if its leader was killed up to 0.3 s after a start that came late, as the first order of the next incarnation of its endpoint. Only that leader knew of the start, and the next one started the task elsewhere.

Cause: knowledge that others need after the loss of a process was written down only after the fact, when the answer was given up.

Change: a leader numbers its starts and tells two other instances of them before it sends them; the orders wait for one turn of the event loop, in which the message is written. Settled starts are forgotten at the next check. A keeper that loses its stream to a leader counts what it keeps as starts without an answer, with the rule that holds for these.

--- a/sesameroad/jobs/held_up_notices.py
+++ b/sesameroad/jobs/held_up_notices.py
@@ -84,13 +84,21 @@
             for start in starts.values():
                 start.own = False
 
-    def record(self, key: str, start: held_up.HeldUpStart) -> None:
-        """Adds a start that the leader in this process has given up.
+    def record(
+        self, key: str, start: held_up.HeldUpStart, *, own: bool = True
+    ) -> None:
+        """Adds a start whose answer is not waited for any more.
 
         The other instances are told in the next turn of the event loop: a
         leader that was late gives up many starts at once.
+
+        Args:
+            key: Key of its job.
+            start: The start.
+            own: Whether the leader in this process has given it up, and not one
+                that was lost.
         """
-        self._add(key, start, own=True)
+        self._add(key, start, own=own)
         if self._send is not None:
             if not self._queued:
                 asyncio.get_running_loop().call_soon(self.flush)
--- a/sesameroad/jobs/placer.py
+++ b/sesameroad/jobs/placer.py
@@ -6,6 +6,7 @@
 from sesameroad.jobs import held_up_starts as held_up_starts_module
 from sesameroad.jobs import interference as interference_module
 from sesameroad.jobs import job_table
+from sesameroad.jobs import pending_starts as pending_starts_module
 from sesameroad.jobs import placement
 from sesameroad.jobs import whole_starts as whole_starts_module
 from sesameroad.leasing import endpoint_pool
@@ -25,6 +26,7 @@
         "_headroom",
         "_held_up_starts",
         "_interference",
+        "_pending_starts",
         "_pool",
         "_table",
         "_whole_starts",
@@ -37,6 +39,7 @@
         table: job_table.JobTable,
         backlog: backlog_module.Backlog,
         held_up_starts: held_up_starts_module.HeldUpStarts,
+        pending_starts: pending_starts_module.PendingStarts,
         whole_starts: whole_starts_module.WholeStarts | None = None,
         interference: interference_module.Interference | None = None,
         headroom: headroom_module.Headroom | None = None,
@@ -48,6 +51,7 @@
             table: Gets the new runs.
             backlog: The waiting jobs.
             held_up_starts: Tasks that may start at one endpoint only.
+            pending_starts: Gets the starts that are about to be sent.
             whole_starts: Decides whether a job may start, None if any may.
             interference: Queues to keep apart, None if detection is disabled.
             headroom: Reserves cores for urgent jobs, None if there are none.
@@ -57,6 +61,7 @@
         self._table = table
         self._backlog = backlog
         self._held_up_starts = held_up_starts
+        self._pending_starts = pending_starts
         self._whole_starts = whole_starts
         self._headroom = headroom
 
@@ -215,6 +220,7 @@
         run = active.new_run(index, active.next_run_number(index))
         run.born_ms = leased.endpoint.born_ms
         self._table.add_run(active, leased, run)
+        self._pending_starts.add(run, leased.endpoint.id)
         leased.starts.put_nowait(runs.StartOrder(run))
 
     def has_room(self, job: jobs.Job, now: float) -> bool:
--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -11,6 +11,7 @@
 from sesameroad.jobs import held_up_starts as held_up_starts_module
 from sesameroad.jobs import interference as interference_module
 from sesameroad.jobs import job_table
+from sesameroad.jobs import pending_starts as pending_starts_module
 from sesameroad.jobs import takeover as takeover_module
 from sesameroad.leasing import endpoint_pool
 from sesameroad.leasing import leased_endpoint
@@ -42,6 +43,7 @@
         "_interference",
         "_metrics",
         "_on_fenced",
+        "_pending_starts",
         "_pool",
         "_table",
         "_takeover",
@@ -61,6 +63,7 @@
         takeover: takeover_module.Takeover,
         held_up_starts: held_up_starts_module.HeldUpStarts,
         held_up_notices: held_up_notices_module.HeldUpNotices,
+        pending_starts: pending_starts_module.PendingStarts,
         interference: interference_module.Interference | None,
         clock: clocks.Clock,
         on_fenced: Callable[[str], None],
@@ -76,6 +79,7 @@
             takeover: Runs of earlier leaders.
             held_up_starts: Tasks that a start without an answer blocks.
             held_up_notices: Tells other instances of such starts.
+            pending_starts: Tells keepers of starts on their way.
             interference: Learns from the ends of runs, None if disabled.
             clock: Time source.
             on_fenced: Called with the data centre of an endpoint that has seen a
@@ -90,6 +94,7 @@
         self._takeover = takeover
         self._held_up_starts = held_up_starts
         self._held_up_notices = held_up_notices
+        self._pending_starts = pending_starts
         self._interference = interference
         self._clock = clock
         self._on_fenced = on_fenced
@@ -172,6 +177,7 @@
     ) -> None:
         """Handles a confirmed start."""
         run.held_up_until = 0.0
+        self._pending_starts.settle(run)
         self._held_up_starts.record_accepted(run.task)
         if run.state is runs.State.STARTING:
             run.state = runs.State.RUNNING
@@ -197,6 +203,7 @@
             reason=refusal.value,
         )
         run.held_up_until = 0.0
+        self._pending_starts.settle(run)
         self._held_up_starts.record_refused(run)
         match refusal:
             case (
@@ -239,9 +246,26 @@
         leased.pause(self._clock.monotonic())
         if run.held_up_until and not self.stopped:
             self._record_held_up(leased, run)
+            self._pending_starts.settle(run)
         if run.state is runs.State.STARTING:
             self.stop_run(leased, run)
 
+    def tell_added_starts(self) -> None:
+        """Tells the keepers of the starts that have just been queued.
+
+        A session sends one in a later turn of the event loop than its order was
+        queued in, so that the message is ahead of it.
+        """
+        self._pending_starts.tell_added()
+
+    def tell_settled_starts(self) -> None:
+        """Tells the keepers which starts are still pending.
+
+        All instances are told of those that were given up before.
+        """
+        self._held_up_notices.flush()
+        self._pending_starts.tell_settled()
+
     def tell_starts_in_flight(self) -> None:
         """Tells other instances of the starts whose answer is not waited for.
 
@@ -252,7 +276,8 @@
             for run in leased.runs.values():
                 if run.sent_at and now < run.held_up_until:
                     self._record_held_up(leased, run)
-        self._held_up_notices.flush()
+        self._pending_starts.clear()
+        self.tell_settled_starts()
 
     def _record_held_up(
         self, leased: leased_endpoint.LeasedEndpoint, run: runs.Run
@@ -290,6 +315,7 @@
         for run in list(leased.runs.values()):
             if listed.get(run.task) == run.number:
                 run.held_up_until = 0.0
+                self._pending_starts.settle(run)
                 if run.state is runs.State.STARTING:
                     run.state = runs.State.RUNNING
                     run.confirmed_at = now
@@ -522,6 +548,7 @@
         leased = self._table.remove_run(run)
         if leased is None:
             return
+        self._pending_starts.settle(run)
         self._metrics.run_ended(reason)
         now = self._clock.monotonic()
         if self._interference is not None:
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -20,6 +20,7 @@
 from sesameroad.jobs import interference as interference_module
 from sesameroad.jobs import interference_monitor
 from sesameroad.jobs import job_table
+from sesameroad.jobs import pending_starts as pending_starts_module
 from sesameroad.jobs import placer
 from sesameroad.jobs import run_tracker
 from sesameroad.jobs import start_gate as start_gate_module
@@ -75,6 +76,7 @@
         cancel_reports: cancel_reports_module.CancelReports | None = None,
         start_gate: start_gate_module.StartGate | None = None,
         held_up_notices: held_up_notices_module.HeldUpNotices | None = None,
+        pending_starts: pending_starts_module.PendingStarts | None = None,
     ) -> None:
         """Creates a scheduler without endpoints.
 
@@ -100,6 +102,8 @@
             start_gate: Holds back the first starts, None if nothing does.
             held_up_notices: Starts without an answer that this instance knows
                 of, none by default.
+            pending_starts: Tells keepers of starts on their way; nobody is told
+                by default.
         """
         self._clock = clock
         self._metrics = metrics
@@ -116,6 +120,8 @@
             else held_up_notices
         )
         self._held_up_notices.begin_term()
+        if pending_starts is None:
+            pending_starts = pending_starts_module.PendingStarts()
         self._wake = asyncio.Event()
         self._tracker = run_tracker.RunTracker(
             token=token,
@@ -124,6 +130,7 @@
             takeover=self._takeover,
             held_up_starts=self._held_up_starts,
             held_up_notices=self._held_up_notices,
+            pending_starts=pending_starts,
             interference=interference,
             clock=clock,
             on_fenced=on_fenced,
@@ -169,6 +176,7 @@
             table=self._table,
             backlog=self._backlog,
             held_up_starts=self._held_up_starts,
+            pending_starts=pending_starts,
             whole_starts=(
                 whole_starts.WholeStarts(forecast_)
                 if scheduling.whole_starts
@@ -536,6 +544,7 @@
 
     def _place(self) -> None:
         self._placer.place(self._clock.monotonic())
+        self._tracker.tell_added_starts()
 
     async def _check_periodically(self) -> None:
         while True:
@@ -559,6 +568,7 @@
         self._pool.release_unlisted()
         self._pool.update_recovery()
         self._interference_monitor.check(now)
+        self._tracker.tell_settled_starts()
         self._wake.set()
 
     def _check(self, active: active_job.ActiveJob, now: float) -> None:
--- a/sesameroad/leasing/endpoint_session.py
+++ b/sesameroad/leasing/endpoint_session.py
@@ -422,6 +422,8 @@
     async def _send_starts(self) -> None:
         while not self._leased.released:
             order = await self._leased.starts.get()
+            # The message that tells other instances of the start goes first.
+            await asyncio.sleep(0)
             await self._start(order.run)
 
     async def _send_stops(self) -> None:
--- a/sesameroad/node/canceller.py
+++ b/sesameroad/node/canceller.py
@@ -10,7 +10,7 @@
 from sesameroad.jobs import cancellations as cancellations_module
 from sesameroad.model import clocks
 from sesameroad.model import outcomes
-from sesameroad.node import cancel_keepers
+from sesameroad.node import keepers as keepers_module
 from sesameroad.peering import links
 from sesameroad.peering import messages
 from sesameroad.telemetry import job_metrics
@@ -171,7 +171,7 @@
             for link in self._leaders.peer_links.values()
             if not link.leaving
         ]
-        for link in cancel_keepers.choose(
+        for link in keepers_module.choose(
             self._own_id, staying, count=_MIN_KEEPERS - 1, data_centres=()
         ):
             self._send_recent(link, 0)
@@ -266,7 +266,7 @@
         missing = max(1, _MIN_KEEPERS - 1 - remote_leaders) - len(others)
         if missing <= 0:
             return []
-        return cancel_keepers.choose(
+        return keepers_module.choose(
             self._own_id,
             [
                 link
--- a/sesameroad/node/cancel_keepers.py
+++ b/sesameroad/node/keepers.py
@@ -1,4 +1,4 @@
-"""Chooses the instances that keep a cancel beside the leaders."""
+"""Chooses the instances that keep what its sender may be lost with."""
 
 from collections.abc import Collection
 import zlib
@@ -13,16 +13,16 @@
     count: int,
     data_centres: Collection[str],
 ) -> list[links.Link]:
-    """Returns the peers to ask, in other data centres where possible.
+    """Returns the peers to tell, in other data centres where possible.
 
     An instance always chooses the same ones while they live, because a question makes
     a link busy, whose heartbeats are frequent.
 
     Args:
         own_id: Id of this instance.
-        candidates: Peers that are not asked already.
+        candidates: Peers that have not been told already.
         count: Number of peers to return if there are enough.
-        data_centres: Data centres of the instances that have the cancel already.
+        data_centres: Data centres of the instances that have been told already.
     """
     ranked = sorted(
         candidates,
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -13,7 +13,6 @@
 from sesameroad.jobs import cancellations as cancellations_module
 from sesameroad.jobs import coordinator
 from sesameroad.jobs import election
-from sesameroad.jobs import held_up_notices as held_up_notices_module
 from sesameroad.jobs import interference
 from sesameroad.jobs import partitioning
 from sesameroad.jobs import scheduler as scheduler_module
@@ -22,7 +21,6 @@
 from sesameroad.membership import evacuations as evacuations_module
 from sesameroad.model import attempts as notices
 from sesameroad.model import clocks
-from sesameroad.model import held_up_notices
 from sesameroad.model import jobs
 from sesameroad.model import outcomes
 from sesameroad.node import claim_policy
@@ -31,6 +29,7 @@
 from sesameroad.node import leader_coverage
 from sesameroad.node import peer_state
 from sesameroad.node import routes
+from sesameroad.node import start_notices
 from sesameroad.peering import links
 from sesameroad.peering import mesh as mesh_module
 from sesameroad.peering import messages
@@ -108,8 +107,8 @@
         )
         self._cancel_reports: cancel_reports.CancelReports | None = None
         # Starts without an answer that this instance knows, in the same way.
-        self._held_up_notices = held_up_notices_module.HeldUpNotices(
-            clock=clock, send=self._broadcast
+        self._start_notices = start_notices.StartNotices(
+            settings=settings, mesh=mesh, clock=clock, metrics=metrics
         )
         # Data centres that this instance leads.
         self._led: set[str] = set()
@@ -307,7 +306,7 @@
             chosen.link,
             data_centre,
             clock=self._clock,
-            held_up_notices=self._held_up_notices,
+            held_up_notices=self._start_notices.held_up,
         )
 
     def reserve(self, data_centre: str, job: jobs.Job) -> None:
@@ -484,9 +483,11 @@
         A leader that does not hold their endpoints can't run these tasks.
         Evacuated ones are left out.
         """
-        if not len(self._held_up_notices):
+        if not len(self._start_notices.held_up):
             return ()
-        names = {start.endpoint for start in self._held_up_notices.of(key)}
+        names = {
+            start.endpoint for start in self._start_notices.held_up.of(key)
+        }
         if not names:
             return ()
         found = {
@@ -498,12 +499,18 @@
             found.difference_update(self._evacuations.data_centres)
         return tuple(sorted(found))
 
-    def receive_held_up(self, notice: held_up_notices.Notice) -> None:
+    def receive_held_up(self, notice: messages.HeldUpStarts) -> None:
         """Applies what a peer tells of starts without an answer."""
-        self._held_up_notices.receive(notice)
+        self._start_notices.held_up.receive(notice)
         if self._scheduler is not None:
             self._scheduler.apply_held_up(notice.starts)
 
+    def receive_pending(
+        self, link: links.Link, notice: messages.PendingStarts
+    ) -> None:
+        """Keeps the starts that a leader is about to send."""
+        self._start_notices.receive_pending(link, notice)
+
     def tell_held_up(
         self, link: links.Link, heartbeat: messages.Heartbeat
     ) -> None:
@@ -512,12 +519,7 @@
         It must be called before the recent cancels are sent, for which a new
         leader waits before it starts any task.
         """
-        if not (len(self._held_up_notices) and heartbeat.own_claims):
-            return
-        token = max(claim.token for claim in heartbeat.own_claims)
-        if token > link.told_token:
-            for notice in self._held_up_notices.all():
-                self._mesh.send(link, notice)
+        self._start_notices.tell(link, heartbeat)
 
     def tell_moving(
         self,
@@ -559,9 +561,6 @@
                 )
                 self._mesh.send(link, notice)
 
-    def _broadcast(self, notice: held_up_notices.Notice) -> None:
-        self._mesh.broadcast(notice)
-
     def sessions(self) -> dict[Hashable, str]:
         """Returns the other leaders, by their stream and their token."""
         sessions: dict[Hashable, str] = {}
@@ -622,6 +621,9 @@
     def evaluate(self) -> None:
         """Claims data centres without a leader; resigns to better leaders."""
         now = self._clock.monotonic()
+        lost = self._start_notices.record_losses()
+        if lost and self._scheduler is not None:
+            self._scheduler.apply_held_up(lost)
         leaders = self._leaders()
         self._seen_led = frozenset(leaders)
         if leaders:
@@ -739,7 +741,8 @@
             cancellations=self._cancellations,
             cancel_reports=self._cancel_reports,
             start_gate=self._start_gate,
-            held_up_notices=self._held_up_notices,
+            held_up_notices=self._start_notices.held_up,
+            pending_starts=self._start_notices.pending,
         )
         self._task = asyncio.create_task(scheduler.run(), name="leader")
         self._task.add_done_callback(self._handle_ended)
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -466,6 +466,8 @@
                 self._leaders.receive_notice(link.hello.instance_id, message)
             case messages.HeldUpStarts():
                 self._leaders.receive_held_up(message)
+            case messages.PendingStarts():
+                self._leaders.receive_pending(link, message)
             case messages.EndpointUpdate(listing=content):
                 self._endpoint_watcher.adopt(
                     content, source=link.hello.instance_id
--- a/sesameroad/peering/codec.py
+++ b/sesameroad/peering/codec.py
@@ -12,6 +12,7 @@
 from sesameroad.model import jobs
 from sesameroad.model import needs
 from sesameroad.model import outcomes
+from sesameroad.model import pending_starts
 from sesameroad.model import work as work_module
 from sesameroad.peering import messages
 from sesameroad.peering import peer_pb2
@@ -181,6 +182,8 @@
             )
         case messages.HeldUpStarts():
             return peer_pb2.Item(held_up_starts=_encode_held_up(message))
+        case messages.PendingStarts():
+            return peer_pb2.Item(pending_starts=_encode_pending(message))
         case messages.JobOffer():
             return peer_pb2.Item(job_offer=_encode_offer(message))
         case messages.JobCancel():
@@ -330,6 +333,8 @@
             )
         case "held_up_starts":
             return _decode_held_up(item.held_up_starts)
+        case "pending_starts":
+            return _decode_pending(item.pending_starts)
         case "job_cancel":
             return messages.JobCancel(item.job_cancel.name)
         case "recent_cancels":
@@ -606,6 +611,48 @@
     return messages.HeldUpStarts({k: tuple(s) for k, s in starts.items()})
 
 
+def _encode_pending(notice: messages.PendingStarts) -> peer_pb2.PendingStarts:
+    return peer_pb2.PendingStarts(
+        starts=[
+            peer_pb2.PendingStart(
+                number=start.number,
+                key=start.key,
+                index=start.index,
+                endpoint=start.endpoint,
+            )
+            for start in notice.starts
+        ],
+        has_awaited=notice.awaited is not None,
+        awaited=notice.awaited or (),
+    )
+
+
+def _decode_pending(message: peer_pb2.PendingStarts) -> messages.PendingStarts:
+    """Returns the starts that a leader is about to send.
+
+    Raises:
+        PeerError: If there are more than a sender puts into one message, or if
+            any has no key or no endpoint.
+    """
+    if len(message.starts) > pending_starts.MAX_STARTS:
+        raise errors.PeerError(
+            f"{len(message.starts)} pending starts", step="decode"
+        )
+    if not all(start.key and start.endpoint for start in message.starts):
+        raise errors.PeerError(
+            "a pending start without a key or an endpoint", step="decode"
+        )
+    return messages.PendingStarts(
+        tuple(
+            pending_starts.PendingStart(
+                start.number, start.key, start.index, start.endpoint
+            )
+            for start in message.starts
+        ),
+        tuple(message.awaited) if message.has_awaited else None,
+    )
+
+
 def _encode_outcome(outcome: outcomes.Outcome) -> peer_pb2.Outcome:
     match outcome:
         case outcomes.Complete():
--- a/sesameroad/peering/messages.py
+++ b/sesameroad/peering/messages.py
@@ -9,6 +9,7 @@
 from sesameroad.model import held_up_notices
 from sesameroad.model import jobs
 from sesameroad.model import outcomes
+from sesameroad.model import pending_starts
 from sesameroad.model import work as work_module
 
 # Cancels in one message; with keys of 16 characters that is about 0.1 MB, so that an
@@ -115,6 +116,7 @@
 AttemptReplaced = attempts.Replaced
 AttemptEnded = attempts.Ended
 HeldUpStarts = held_up_notices.Notice
+PendingStarts = pending_starts.Notice
 Demand = demands.Demand
 Allocation = demands.Allocation
 
@@ -271,6 +273,7 @@
     | RecentCancels
     | attempts.Notice
     | held_up_notices.Notice
+    | pending_starts.Notice
     | Question
     | Reply
 )
--- a/sesameroad/telemetry/job_metrics.py
+++ b/sesameroad/telemetry/job_metrics.py
@@ -125,6 +125,11 @@
             "Listed runs whose starts this leader had given up.",
             registry=registry,
         )
+        self._starts_of_lost_leaders = prometheus_client.Counter(
+            "sesameroad_starts_of_lost_leaders",
+            "Starts on their way of leaders that this instance has lost.",
+            registry=registry,
+        )
         self._orders = prometheus_client.Counter(
             "sesameroad_orders",
             "Orders to endpoints, by kind and answer.",
@@ -213,6 +218,10 @@
         """Counts listed runs whose starts were given up."""
         self._starts_late.inc(count)
 
+    def starts_of_lost_leader(self, count: int) -> None:
+        """Counts starts that a lost leader had not been told the answer of."""
+        self._starts_of_lost_leaders.inc(count)
+
     def job_unaccounted(self) -> None:
         """Counts a job that was ended because a task was lost track of."""
         self._jobs_unaccounted.inc()
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -8,6 +8,7 @@
 
 from sesameroad.jobs import attempts
 from sesameroad.jobs import held_up_notices
+from sesameroad.jobs import pending_starts
 from sesameroad.jobs import scheduler as scheduler_module
 from sesameroad.leasing import orders
 from sesameroad.model import attempts as notices
@@ -26,6 +27,10 @@
 # for jobs that nothing would end each 0.1 s. A binary fraction adds no rounding to the
 # virtual time.
 _INVARIANT_PERIOD_S = 1 / 64
+# Instances that a leader tells of its starts on their way, and the time for which
+# these count after its loss, as in `node.start_notices`.
+_KEEPERS = 2
+_KEPT_S = 13.1
 
 
 class Origin:
@@ -165,6 +170,10 @@
         self._schedulers = {}
         # Starts without an answer that each instance knows of.
         self._held_up = {}
+        # Starts on their way of each leader, and those that an instance keeps.
+        self._pending = {}
+        self._kept = {}
+        self._told = {}
         self._terms = itertools.count()
         self.moving = {}
         self.cut = set()
@@ -191,6 +200,44 @@
             )
         return self._held_up[name]
 
+    def pending(self, name):
+        """Returns the starts on their way of a leader."""
+        if name not in self._pending:
+            self._pending[name] = pending_starts.PendingStarts(
+                send=functools.partial(self._tell_keepers, name)
+            )
+        return self._pending[name]
+
+    def lose(self, leader):
+        """Ends all streams of a leader, whose keepers notice it at once."""
+        for keeper, kept in self._kept.items():
+            if keeper == leader or keeper in self.cut:
+                continue
+            known = self.held_up(keeper)
+            lost = kept.of(leader, left_s=_KEPT_S)
+            kept.forget(leader)
+            for key, starts in lost.items():
+                for start in starts:
+                    known.record(key, start, own=False)
+            scheduler, _ = self._schedulers.get(keeper, (None, 0))
+            if scheduler is not None:
+                scheduler.apply_held_up(lost)
+
+    def _tell_keepers(self, leader, settled):
+        loop = asyncio.get_running_loop()
+        keepers = [n for n in self._held_up if n != leader][:_KEEPERS]
+        for keeper in keepers:
+            told = self._told.get((leader, keeper), 0)
+            notice = self.pending(leader).notice(told, settled=settled)
+            if notice.starts:
+                self._told[leader, keeper] = notice.starts[-1].number
+            loop.call_later(self._DELAY_S, self._keep, leader, keeper, notice)
+
+    def _keep(self, leader, keeper, notice):
+        if not {leader, keeper} & self.cut:
+            kept = self._kept.setdefault(keeper, pending_starts.KeptStarts())
+            kept.receive(leader, notice)
+
     def pass_on(self, source, target, key=None):
         """Tells a leader what an instance knows, of one job or of all."""
         known = self.held_up(source)
@@ -373,6 +420,7 @@
             interference=interference,
             cancel_reports=cancel_reports,
             held_up_notices=self.links.held_up(f"leader{token}"),
+            pending_starts=self.links.pending(f"leader{token}"),
         )
         self.links.add(f"leader{token}", scheduler)
         scheduler.update(self.endpoints)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -12,6 +12,7 @@
 from sesameroad.model import jobs
 from sesameroad.model import needs
 from sesameroad.model import outcomes
+from sesameroad.model import pending_starts
 from sesameroad.model import work
 from sesameroad.peering import codec
 from sesameroad.peering import messages
@@ -35,6 +36,14 @@
             "j": (held_up.HeldUpStart(0, "e1", 1.0),),
         }
     ),
+    messages.PendingStarts(
+        (
+            pending_starts.PendingStart(7, "k", 3, "e1"),
+            pending_starts.PendingStart(8, "j", 0, "e2"),
+        )
+    ),
+    messages.PendingStarts((), ()),
+    messages.PendingStarts((), (7, 8)),
     messages.Heartbeat(3, 4, False, evacuations_version=9, evacuated=("z",)),
     messages.ConfigurationUpdate(b"{}"),
     messages.EndpointUpdate(b"x", (messages.LeavingMark("e", 3, 1_500),)),
@@ -108,10 +117,11 @@
 
     def test_held_up_start_without_an_endpoint_is_malformed(self):
         """Guards against a task that is blocked for no endpoint."""
-        item = peer_pb2.Item()
-        item.held_up_starts.starts.add(key="k", left_ms=5)
-        with self.assertRaises(errors.PeerError):
-            codec.decode_item(item)
+        for field in ("held_up_starts", "pending_starts"):
+            item = peer_pb2.Item()
+            getattr(item, field).starts.add(key="k")
+            with self.assertRaises(errors.PeerError):
+                codec.decode_item(item)
 
     @hypothesis.given(st.binary(max_size=64))
     def test_malformed_input_raises_only_peer_errors(self, text):
--- a/tests/test_held_up_notices.py
+++ b/tests/test_held_up_notices.py
@@ -53,6 +53,7 @@
         """Cuts a leader off from all, in place of the end of its process."""
         self.paths.cut.update(self.site.fleet.endpoints)
         self.site.links.cut.add(leader)
+        self.site.links.lose(leader)
 
     async def _submit(self, leader, name, job, **options):
         """Offers a job; its origin passes on what it knows before."""
--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -8,8 +8,7 @@
 Not generated, because two runs are possible then (docs/guarantees.md):
 
 - Late starts in one schedule with restarts if origins move away from a leader that
-  lives, or if a leader is killed, which can't tell of a start on its way. With leaders
-  that end by plan they come together.
+  lives. With leaders that end by plan or are killed they come together.
 - A later attempt while the former origin lives, or an origin that a leader hears
   although it has moved its jobs, if the leaders do not reach each other
   (`tests.test_cut_off_leaders`).
@@ -96,6 +95,15 @@
     pause_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class _Kill:
+    """A leader is killed; its origins notice it after a pause."""
+
+    at: float
+    leader: int
+    pause_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class _Move:
     """The stream of an origin ends; it offers its jobs to another leader.
@@ -233,6 +241,7 @@
         self.paths = _Paths(play.site.fleet)
         self.names = set(names)
         self.closed = False
+        self.killed = False
         self._play = play
         self.name = f"leader{token}"
         self._scheduler = scheduler_module.Scheduler(
@@ -246,6 +255,7 @@
             attempt_notice_s=1.0,
             cancel_reports=_jobs.PeerReports(play.site.links, self.name),
             held_up_notices=play.site.links.held_up(self.name),
+            pending_starts=play.site.links.pending(self.name),
         )
         play.site.links.add(self.name, self._scheduler)
         self._update()
@@ -267,6 +277,14 @@
         self._play.site.links.remove(self.name)
         self._task.cancel()
 
+    def kill(self):
+        """Ends all paths and streams at once, without a word to anyone."""
+        self.killed = True
+        for endpoint in self._play.site.endpoints:
+            self.paths.cut(endpoint.id, reset=True)
+        self._play.site.links.cut.add(self.name)
+        self._play.site.links.lose(self.name)
+
     async def wait_closed(self):
         await asyncio.gather(self._task, return_exceptions=True)
         if self._check.done():
@@ -424,6 +442,12 @@
                     await self.close(
                         self._leaders[event.leader], pause_s=event.pause_s
                     )
+            case _Kill():
+                if event.leader < len(self._leaders):
+                    leader = self._leaders[event.leader]
+                    if not leader.closed:
+                        leader.kill()
+                        await self.close(leader, pause_s=event.pause_s)
             case _Move():
                 instance = self._instance(event.origin)
                 if not instance.lost and instance.leader is not None:
@@ -571,6 +595,8 @@
         except TimeoutError:
             self.overdue.append(job.key)
             outcome = None
+        if leader.killed:
+            outcome = None
         match outcome:
             case outcomes.Unknown(
                 cause=outcomes.Cause.STEWARD_LOST,
@@ -792,7 +818,16 @@
 
 
 def _late_start_schedules():
-    """Returns schedules in which the leader ends after late starts."""
+    """Returns schedules in which leaders end or are killed after late starts."""
+    ends = (
+        st.builds(
+            kind,
+            at=_times(),
+            leader=_LEADERS,
+            pause_s=_seconds(0.0, 0.75),
+        )
+        for kind in (_Close, _Kill)
+    )
     return st.builds(
         _schedule,
         st.integers(2, 4),
@@ -803,19 +838,41 @@
             min_size=3,
             max_size=8,
         ),
-        st.lists(
-            st.builds(
-                _Close,
-                at=_times(),
-                leader=_LEADERS,
-                pause_s=_seconds(0.0, 0.75),
-            ),
-            min_size=1,
-            max_size=3,
+        st.lists(st.one_of(*ends), min_size=1, max_size=3),
+        st.lists(_kills_beside_late_starts(), max_size=2).map(
+            lambda incidents: [
+                event for events in incidents for event in events
+            ]
         ),
     )
 
 
+@st.composite
+def _kills_beside_late_starts(draw):
+    """Draws a late start, the kill of its leader, and the endpoint's restart.
+
+    The endpoint listens again shortly before the start is carried out.
+    """
+    late = _LateStarts(
+        draw(_seconds(0.0, 3.0)),
+        endpoint=draw(st.integers(0, 3)),
+        late_s=draw(_seconds(0.8, 3.0)),
+        for_s=draw(_seconds(0.1, 0.4)),
+    )
+    arrival = draw(_arrivals(st.just(late.at), _seconds(2.0, 4.0)))
+    killed_s = draw(_seconds(0.05, 0.4))
+    kill = _Kill(
+        round(late.at + killed_s, 2), draw(_LEADERS), draw(_seconds(0.0, 0.3))
+    )
+    down_s = draw(_seconds(0.1, 0.5))
+    restart = _Restart(
+        round(late.at + late.late_s - down_s, 2),
+        endpoint=late.endpoint,
+        down_s=down_s,
+    )
+    return [late, arrival, kill, restart]
+
+
 def _one_leader_schedules():
     """Returns schedules in which no other leader gets a job."""
     return st.builds(
@@ -988,6 +1045,20 @@
 )
 
 
+# A leader is killed 0.08 s after a start, before it gives up the answer.
+_KILLED_WITH_A_START_ON_ITS_WAY = _Schedule(
+    endpoints=4,
+    phases=[0.23, 0.23, 0.04, 0.01],
+    events=[
+        _Arrival(0.13, origin=0, tasks=3, run_s=3.18, cores=4.0),
+        _LateStarts(2.84, endpoint=1, late_s=2.68, for_s=0.36),
+        _Arrival(2.84, origin=1, tasks=3, run_s=3.15, cores=2.0),
+        _Kill(2.92, leader=0, pause_s=0.16),
+        _Restart(5.29, endpoint=1, down_s=0.23),
+    ],
+)
+
+
 class LeaderSchedulesTest(unittest.TestCase):
 
     @_properties.examples(100)
@@ -1004,10 +1075,14 @@
 
     @_properties.examples(50)
     @hypothesis.given(_late_start_schedules())
+    @hypothesis.example(_KILLED_WITH_A_START_ON_ITS_WAY)
     def test_tasks_of_late_starts_at_the_next_leader_run_once_at_a_time(
         self, schedule
     ):
-        """Guards against a run beside a start that the former leader has sent."""
+        """Guards against a run beside a start that the former leader has sent.
+
+        It has told of the start, or was killed before.
+        """
         self.assertEqual(_virtual.run(_Play(schedule).run()), [])
 
     def test_joined_attempt_that_moves_runs_once_at_a_time(self):
