Tell all leaders of a job that has lost its leader

Callers: a task ran twice at a time. A leader was killed before the job was 1 s old, so that it had told no other leader; the origin of the attempt lived and looked for the next leader. The caller came again at an instance whose leader, that of another data centre, started the tasks beside the runs that the killed leader had left.

Cause: only leaders told leaders of a job, by its age, and origins told new leaders only. What a leader had not told was lost with it, although its origins knew. An origin that leads a data centre did not tell at all, because its leader answered questions for such a job as if nothing were left.

Change: an origin tells all leaders as soon as a leader of its job is lost or has resigned, at any age of the job, and those that claim meanwhile as before. A leader answers for the moved jobs of its own callers with the time in which the next leader tells of them. The check in tests.test_leaders that a young job is not told to a new leader is replaced by one that it is.

--- a/sesameroad/jobs/attempts.py
+++ b/sesameroad/jobs/attempts.py
@@ -304,7 +304,7 @@
             return
         started_s = self._clock.monotonic() - self._started_at
         within_s = max(0.0, RESIGNED_S - started_s)
-        self._peers.send(leader, _ended(notice, within_s))
+        self._peers.send(leader, ended(notice, within_s))
 
     def _known(self, key: str) -> list[tuple[_Part, _Elsewhere]]:
         return list(self._elsewhere.get(key, {}).items())
@@ -393,7 +393,8 @@
     return now + within_s * (1 + _MAX_RATE_DIFFERENCE)
 
 
-def _ended(notice: attempts.Replaced, within_s: float) -> attempts.Ended:
+def ended(notice: attempts.Replaced, within_s: float) -> attempts.Ended:
+    """Returns the answer that other attempts have ended within a time."""
     return attempts.Ended(notice.key, notice.origin, within_s, notice.indices)
 
 
@@ -405,6 +406,6 @@
     """
     match notice:
         case attempts.Replaced():
-            return _ended(notice, RESIGNED_S)
+            return ended(notice, RESIGNED_S)
         case _:
             return None
--- a/sesameroad/jobs/coordinator.py
+++ b/sesameroad/jobs/coordinator.py
@@ -135,6 +135,7 @@
         "_evacuations",
         "_last_offer",
         "_leaders",
+        "_left",
         "_parts",
         "_reroutes",
     )
@@ -148,6 +149,7 @@
         evacuations: evacuations_module.Evacuations | None = None,
         confined_to: Callable[[jobs.Job], Sequence[str]] = lambda job: (),
         reroutes: bool = False,
+        left: Callable[[jobs.Job], None] = lambda job: None,
     ) -> None:
         """Creates a coordinator.
 
@@ -163,6 +165,8 @@
                 those of endpoints that may still carry out a start of it.
             reroutes: Whether a job that one leader refuses for want of capacity
                 is offered once to another one.
+            left: Called with a job, or part, that a leader may have started and
+                that no leader has any more.
         """
         self._evacuations = evacuations
         self._confined_to = confined_to
@@ -170,6 +174,7 @@
         self._leaders = leaders
         self._clock = clock
         self._reroutes = reroutes
+        self._left = left
         # Number of the last offer to a leader.
         self._last_offer = 0
         # Parts of the running jobs, by key.
@@ -367,6 +372,7 @@
             return None
         except errors.PeerError:
             part.record_move(self._clock.monotonic())
+            self._left(part.job)
             return None
         finally:
             part.route = None
@@ -409,6 +415,7 @@
                     unstarted=outcome.unstarted,
                     succeeded=outcome.succeeded,
                 )
+                self._left(part.job)
                 return None
             case outcomes.NotRun() if moved:
                 # An earlier leader may have started tasks.
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -499,6 +499,10 @@
             left_ms=int(max(start.left_s for start in starts) * 1_000),
         )
 
+    def has_key(self, key: str) -> bool:
+        """Returns whether any part of a caller's job is here."""
+        return bool(self._table.of_key(key))
+
     def receive_notice(self, leader: str, notice: notices.Notice) -> None:
         """Handles a notice of another leader on attempts of a caller."""
         match notice:
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -122,6 +122,9 @@
         self._seen_led: frozenset[str] = frozenset()
         # Highest known token of each data centre.
         self._tokens: dict[str, int] = {}
+        # Jobs of callers here whose leader was lost or has resigned, by key, and
+        # the time by which the next leader has told the others of them.
+        self._left: dict[str, float] = {}
         # Cores of the jobs sent to the leader of a data centre since its last
         # heartbeat, infinite after it refused one.
         self._in_transit_cores: dict[str, float] = {}
@@ -535,35 +538,56 @@
         If their leader was lost together with that of the other one, no leader
         knows them until they have been offered to the next one. It must be called
         before the recent cancels are sent, for which a new leader waits before it
-        starts any task. An instance that leads answers questions for its own
-        jobs only, so it does not tell.
+        starts any task.
 
         Args:
             link: Link to the leader.
             heartbeat: Its heartbeat.
             moving: Returns the offered jobs that no leader has now.
         """
-        notice_s = self._settings.timing.attempt_notice_s
-        if self._scheduler is not None or not (
-            notice_s and heartbeat.own_claims
-        ):
+        if not heartbeat.own_claims:
             return
         token = max(claim.token for claim in heartbeat.own_claims)
         if token <= link.told_token:
             return
-        now = self._clock.monotonic()
         for job in moving():
-            age_s = now - job.accepted_at
-            if age_s >= notice_s:
-                notice = notices.Running(
-                    job.key,
-                    {self._settings.instance_id: 0},
-                    age_s,
-                    attempts.RESIGNED_S,
-                    job.indices,
-                )
+            notice = self._left_notice(job)
+            if notice is not None:
                 self._mesh.send(link, notice)
 
+    def tell_left(self, job: jobs.Job) -> None:
+        """Tells all leaders of a job, or part, whose leader was lost or resigned.
+
+        The leader may not have told them, as the job is too young or it was
+        lost before. Its runs go on for a lease, and the caller may come again at
+        another leader before the job has been offered to the next one.
+        """
+        notice = self._left_notice(job)
+        if notice is None:
+            return
+        for leader in self.sessions().values():
+            self.send(leader, notice)
+        if self._scheduler is not None:
+            self._scheduler.receive_notice(self._settings.instance_id, notice)
+
+    def _left_notice(self, job: jobs.Job) -> notices.Running | None:
+        """Returns what to tell of a job that no leader has, if anything."""
+        if not self._settings.timing.attempt_notice_s:
+            return None
+        now = self._clock.monotonic()
+        while self._left and self._left[key := next(iter(self._left))] <= now:
+            del self._left[key]
+        # Added at the end, as they expire in this order.
+        self._left.pop(job.key, None)
+        self._left[job.key] = now + attempts.RESIGNED_S
+        return notices.Running(
+            job.key,
+            {self._settings.instance_id: 0},
+            now - job.accepted_at,
+            attempts.RESIGNED_S,
+            job.indices,
+        )
+
     def sessions(self) -> dict[Hashable, str]:
         """Returns the other leaders, by their stream and their token."""
         sessions: dict[Hashable, str] = {}
@@ -590,7 +614,15 @@
     def receive_notice(self, leader: str, notice: notices.Notice) -> None:
         """Handles a notice of another leader."""
         if self._scheduler is not None:
-            self._scheduler.receive_notice(leader, notice)
+            match notice:
+                case notices.Replaced(key=key) if (
+                    left_s := self._left.get(key, 0.0) - self._clock.monotonic()
+                ) > 0 and not self._scheduler.has_key(key):
+                    # The former leader may have left runs. The next one tells of
+                    # the job within this time.
+                    self.send(leader, attempts.ended(notice, left_s))
+                case _:
+                    self._scheduler.receive_notice(leader, notice)
             return
         answer = attempts.answer_without_leader(notice)
         if answer is not None:
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -172,6 +172,7 @@
             evacuations=self._evacuations,
             confined_to=self._confined_to,
             reroutes=settings.scheduling.reroute_refused,
+            left=self._leaders.tell_left,
         )
         self._caller_jobs = caller_jobs.CallerJobs(
             coordinator=self._coordinator,
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -225,7 +225,7 @@
         link = types.SimpleNamespace(told_token=7)
         job = mock.Mock(key="k", accepted_at=998.5, indices=(0,))
         young = mock.Mock(key="j", accepted_at=999.5, indices=(0,))
-        for token, count in ((7, 0), (8, 1)):
+        for token, count in ((7, 0), (8, 2)):
             claim = messages.LeadershipClaim("dc2", token)
             self.leaders.tell_moving(
                 link,
@@ -233,9 +233,57 @@
                 lambda: [job, young],
             )
             self.assertEqual(self.mesh.send.call_count, count)
-        self.mesh.send.assert_called_once_with(
+        self.mesh.send.assert_any_call(
             link, messages.AttemptRunning("k", {"i1": 0}, 1.5, 1.5, (0,))
         )
+        self.mesh.send.assert_any_call(
+            link, messages.AttemptRunning("j", {"i1": 0}, 0.5, 1.5, (0,))
+        )
+
+    async def test_leaders_are_told_of_a_job_that_has_lost_its_leader(self):
+        """Guards against a later attempt beside runs of a killed leader.
+
+        It was killed before it had told the others of the job.
+        """
+        self.mesh.send = mock.Mock()
+        self.peer("p2", claims=[messages.LeadershipClaim("dc2", 7)])
+        self.mesh.peers["p2"] = _Link(self.mesh.peers["p2"])
+        self.peer("p3")
+        self.leaders.tell_left(
+            mock.Mock(key="k", accepted_at=999.5, indices=(0,))
+        )
+        self.mesh.send.assert_called_once_with(
+            self.mesh.peers["p2"],
+            messages.AttemptRunning("k", {"i1": 0}, 0.5, 1.5, (0,)),
+        )
+
+    async def test_leader_answers_for_jobs_of_its_callers_that_were_moved(self):
+        """Guards against a leader that knows only the runs of its own jobs.
+
+        A caller here has a job whose leader was lost. The question for it, from
+        a leader with a later attempt, was answered as if no run were left.
+        """
+        self.mesh.send = mock.Mock()
+        self.peer("p2", claims=[messages.LeadershipClaim("dc2", 7)])
+        self.mesh.peers["p2"] = _Link(self.mesh.peers["p2"])
+        self.leaders._scheduler = scheduler = mock.Mock()
+        scheduler.has_key.return_value = False
+        self.leaders.tell_left(
+            mock.Mock(key="k", accepted_at=999.5, indices=(0,))
+        )
+        scheduler.receive_notice.reset_mock()
+        question = messages.AttemptReplaced("k", "o", 1, (0,))
+        self.clock.now += 0.5
+        self.leaders.receive_notice("p2", question)
+        scheduler.receive_notice.assert_not_called()
+        self.mesh.send.assert_called_with(
+            self.mesh.peers["p2"], messages.AttemptEnded("k", "o", 1.0, (0,))
+        )
+        # The next leader has told of it by then.
+        self.clock.now += 1.0
+        self.leaders.receive_notice("p2", question)
+        scheduler.receive_notice.assert_called_once_with("p2", question)
+        self.leaders._scheduler = None
 
     async def test_stream_that_loses_a_cancel_is_closed(self):
         """Guards against a job that its leader runs on for a live origin.
