Place no task of a job whose deadline has passed

Since starts are refused after the deadline of their caller, a leader placed such a task again at once, without end in virtual time and for up to 0.1 s in a process, until its next check ended the job. The placement leaves these jobs out, as those of silent origins.

--- a/sesameroad/jobs/active_job.py
+++ b/sesameroad/jobs/active_job.py
@@ -176,8 +176,11 @@
     def may_resume(self, now: float) -> bool:
         """Returns whether an origin lives and runs that were given up are gone.
 
-        All origins that live must have been heard since then.
+        All origins that live must have been heard since then, and the caller
+        must still wait.
         """
+        if now >= self._job.deadline_at:
+            return False
         live = [w.origin for w in self._waiters.values() if w.origin.live]
         return bool(live) and all(
             now - origin.silent_s >= self.resumes_after for origin in live
--- a/tests/test_loop_pulse.py
+++ b/tests/test_loop_pulse.py
@@ -34,7 +34,11 @@
         self.assertEqual(started, {"b" * 16})
 
     async def test_start_after_the_deadline_of_its_caller_is_not_sent(self):
-        """Guards against the same, for a caller whose time is over."""
+        """Guards against the same, for a caller whose time is over.
+
+        Also against a leader that places such a task again and again until its
+        next check ends the job.
+        """
         site = _jobs.Site(count=1)
         async with site.leader() as leader:
             await leader.submit(site.job(deadline_s=0.0), site.origin)
