Tell other leaders of a job after 0.5 s instead of 1 s

A leader that is killed before it has told the others of a job is made up for by the job's origins, which notice the loss within 0.75 s. With a notice age of 1 s, a caller that came again 1.3 s after its job was accepted could be ahead of them, if the job was 0.55 s to 1 s old at the loss. With 0.5 s it can't be. Cuts between leaders matter only for jobs younger than 0.5 s, too.

--- a/sesameroad/settings/node.py
+++ b/sesameroad/settings/node.py
@@ -59,7 +59,7 @@
     announce_period_s: _PositiveSeconds = 2.0
     stop_notice_s: _PositiveSeconds = 2.5
     graceful_stop_s: _PositiveSeconds = 5.3
-    attempt_notice_s: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    attempt_notice_s: Annotated[float, msgspec.Meta(ge=0)] = 0.5
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/tests/test_divided_jobs.py
+++ b/tests/test_divided_jobs.py
@@ -338,7 +338,7 @@
                 on_fenced=self._on_fenced,
                 metrics=job_metrics.JobMetrics(),
                 peers=links.open(self.name),
-                attempt_notice_s=1.0,
+                attempt_notice_s=0.5,
                 cancel_reports=_jobs.PeerReports(links, self.name),
                 held_up_notices=links.held_up(self.name),
                 pending_starts=links.pending(self.name),
