Answer for moved jobs also while another part of them is here

A leader whose caller's job had lost the leader of one part answered the question for it at once if another part ran at the leader itself. It now answers with the time that the lost leader's runs may be left, whatever parts it has. A scheduler that ends settles its own starts only, as the next one in the same process may have sent some already. Whether requests may have waited in a pause is read without changing anything.

--- a/sesameroad/jobs/attempts.py
+++ b/sesameroad/jobs/attempts.py
@@ -294,17 +294,24 @@
                 replaced.append(active)
         return replaced
 
-    def answer(self, leader: str, notice: attempts.Replaced) -> None:
+    def answer(
+        self, leader: str, notice: attempts.Replaced, *, left_s: float = 0.0
+    ) -> None:
         """Answers that no run of another attempt is left here.
 
         Runs of a former term of this leader may be left until their lease ends,
         and the origin of the attempt may still offer it to the next leader.
+
+        Args:
+            leader: The leader that has asked.
+            notice: Its question.
+            left_s: Time in seconds for which other leaders may have left runs.
         """
         if self._peers is None:
             return
         started_s = self._clock.monotonic() - self._started_at
-        within_s = max(0.0, RESIGNED_S - started_s)
-        self._peers.send(leader, ended(notice, within_s))
+        within_s = max(left_s, RESIGNED_S - started_s)
+        self._peers.send(leader, _ended(notice, within_s))
 
     def _known(self, key: str) -> list[tuple[_Part, _Elsewhere]]:
         return list(self._elsewhere.get(key, {}).items())
@@ -393,8 +400,7 @@
     return now + within_s * (1 + _MAX_RATE_DIFFERENCE)
 
 
-def ended(notice: attempts.Replaced, within_s: float) -> attempts.Ended:
-    """Returns the answer that other attempts have ended within a time."""
+def _ended(notice: attempts.Replaced, within_s: float) -> attempts.Ended:
     return attempts.Ended(notice.key, notice.origin, within_s, notice.indices)
 
 
@@ -406,6 +412,6 @@
     """
     match notice:
         case attempts.Replaced():
-            return ended(notice, RESIGNED_S)
+            return _ended(notice, RESIGNED_S)
         case _:
             return None
--- a/sesameroad/jobs/pending_starts.py
+++ b/sesameroad/jobs/pending_starts.py
@@ -61,11 +61,6 @@
         if self._starts.pop(run, None) is not None:
             self._has_settled = True
 
-    def clear(self) -> None:
-        """Removes all starts, of which all instances have been told."""
-        self._has_settled = self._has_settled or bool(self._starts)
-        self._starts.clear()
-
     def tell_added(self) -> None:
         """Tells the keepers of the starts that were added."""
         if self._has_added and self._send is not None:
--- a/sesameroad/jobs/run_tracker.py
+++ b/sesameroad/jobs/run_tracker.py
@@ -283,7 +283,7 @@
             for run in leased.runs.values():
                 if run.sent_at and now < run.held_up_until:
                     self._record_held_up(leased, run)
-        self._pending_starts.clear()
+                self._pending_starts.settle(run)
         self.tell_settled_starts()
 
     def _record_held_up(
--- a/sesameroad/jobs/scheduler.py
+++ b/sesameroad/jobs/scheduler.py
@@ -499,12 +499,17 @@
             left_ms=int(max(start.left_s for start in starts) * 1_000),
         )
 
-    def has_key(self, key: str) -> bool:
-        """Returns whether any part of a caller's job is here."""
-        return bool(self._table.of_key(key))
+    def receive_notice(
+        self, leader: str, notice: notices.Notice, *, left_s: float = 0.0
+    ) -> None:
+        """Handles a notice of another leader on attempts of a caller.
 
-    def receive_notice(self, leader: str, notice: notices.Notice) -> None:
-        """Handles a notice of another leader on attempts of a caller."""
+        Args:
+            leader: The other leader.
+            notice: The notice.
+            left_s: Time in seconds for which other leaders may have left runs of
+                the job of a caller of this instance.
+        """
         match notice:
             case notices.Running():
                 self._attempts.record_running(leader, notice)
@@ -512,7 +517,7 @@
                 for active in self._attempts.replaced_by(notice):
                     self._tracker.finish(active, ending.replaced())
                 if not self._may_run_beside(notice):
-                    self._attempts.answer(leader, notice)
+                    self._attempts.answer(leader, notice, left_s=left_s)
             case notices.Ended():
                 self._attempts.record_ended(leader, notice)
                 for active in self._table.of_key(notice.key):
--- a/sesameroad/node/leaders.py
+++ b/sesameroad/node/leaders.py
@@ -614,15 +614,10 @@
     def receive_notice(self, leader: str, notice: notices.Notice) -> None:
         """Handles a notice of another leader."""
         if self._scheduler is not None:
-            match notice:
-                case notices.Replaced(key=key) if (
-                    left_s := self._left.get(key, 0.0) - self._clock.monotonic()
-                ) > 0 and not self._scheduler.has_key(key):
-                    # The former leader may have left runs. The next one tells of
-                    # the job within this time.
-                    self.send(leader, attempts.ended(notice, left_s))
-                case _:
-                    self._scheduler.receive_notice(leader, notice)
+            left_s = self._left.get(notice.key, 0.0) - self._clock.monotonic()
+            self._scheduler.receive_notice(
+                leader, notice, left_s=max(0.0, left_s)
+            )
             return
         answer = attempts.answer_without_leader(notice)
         if answer is not None:
--- a/sesameroad/node/node.py
+++ b/sesameroad/node/node.py
@@ -212,14 +212,19 @@
     @property
     def settled(self) -> bool:
         """Whether requests can be handled without a wait after a start or pause."""
-        now = self._clock.monotonic()
-        if self._pulse.is_older_than(_PAUSE_S):
-            self._settled_at = max(self._settled_at, now + _ARREARS_S)
-        return self.catalogue.version > 0 and now >= self._settled_at
+        return self.catalogue.version > 0 and not self._has_arrears
+
+    @property
+    def _has_arrears(self) -> bool:
+        """Whether requests may have waited whose callers have left meanwhile."""
+        return (
+            self._pulse.is_older_than(_PAUSE_S)
+            or self._clock.monotonic() < self._settled_at
+        )
 
     async def wait_settled(self) -> None:
         """Waits a short time until requests can be handled after that."""
-        if self._clock.monotonic() < self._settled_at:
+        if self._has_arrears:
             await asyncio.sleep(_DEPARTURE_S)
         await self._configuration_watcher.wait_first(_FIRST_CONFIGURATION_S)
 
--- a/tests/test_divided_jobs.py
+++ b/tests/test_divided_jobs.py
@@ -286,19 +286,9 @@
         )
 
     def receive_notice(self, leader, notice):
-        left_s = (
-            self._left.get(notice.key, 0.0) - self._play.site.clock.monotonic()
-        )
-        if (
-            isinstance(notice, notices.Replaced)
-            and left_s > 0
-            and not self._scheduler.has_key(notice.key)
-        ):
-            self._play.site.links.send(
-                self.name, leader, attempts.ended(notice, left_s)
-            )
-        else:
-            self._scheduler.receive_notice(leader, notice)
+        left_until = self._left.get(notice.key, 0.0)
+        left_s = max(0.0, left_until - self._play.site.clock.monotonic())
+        self._scheduler.receive_notice(leader, notice, left_s=left_s)
 
     def tell_attempts(self):
         self._scheduler.tell_attempts()
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -267,22 +267,17 @@
         self.peer("p2", claims=[messages.LeadershipClaim("dc2", 7)])
         self.mesh.peers["p2"] = _Link(self.mesh.peers["p2"])
         self.leaders._scheduler = scheduler = mock.Mock()
-        scheduler.has_key.return_value = False
         self.leaders.tell_left(
             mock.Mock(key="k", accepted_at=999.5, indices=(0,))
         )
-        scheduler.receive_notice.reset_mock()
         question = messages.AttemptReplaced("k", "o", 1, (0,))
-        self.clock.now += 0.5
-        self.leaders.receive_notice("p2", question)
-        scheduler.receive_notice.assert_not_called()
-        self.mesh.send.assert_called_with(
-            self.mesh.peers["p2"], messages.AttemptEnded("k", "o", 1.0, (0,))
-        )
-        # The next leader has told of it by then.
-        self.clock.now += 1.0
-        self.leaders.receive_notice("p2", question)
-        scheduler.receive_notice.assert_called_once_with("p2", question)
+        for passed_s, left_s in ((0.5, 1.0), (1.5, 0.0)):
+            scheduler.receive_notice.reset_mock()
+            self.clock.now += passed_s
+            self.leaders.receive_notice("p2", question)
+            scheduler.receive_notice.assert_called_once_with(
+                "p2", question, left_s=left_s
+            )
         self.leaders._scheduler = None
 
     async def test_stream_that_loses_a_cancel_is_closed(self):
--- a/tests/test_pending_starts.py
+++ b/tests/test_pending_starts.py
@@ -54,7 +54,8 @@
         self.assertEqual(self._kept_tasks(), [0, 1, 2])
         self.pending.tell_settled()
         self.assertEqual(self._kept_tasks(), [1, 2])
-        self.pending.clear()
+        self.pending.settle(second)
+        self.pending.settle(third)
         self.pending.tell_settled()
         self.assertEqual(self.kept.leaders, ())
 
