Let callers leave a paused instance in the series of mixed faults

In no series did a caller leave an instance while that was paused, so none had a request that waited in a pause beside a later attempt. Some do now, after 0.2 or 0.5 s. Also a test of the time in a leader's answer for a moved job of its own caller.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -9,6 +9,7 @@
 import dataclasses
 import itertools
 
+from sesameroad.jobs import attempts as attempts_module
 from sesameroad.model import attempts
 from sesameroad.model import outcomes
 from tests import _jobs
@@ -437,6 +438,23 @@
         self.assertEqual(answers, [outcomes.Complete(())])
         self.assertEqual(fleet.site.history.overlapping, [])
 
+    async def test_runs_that_another_leader_may_have_left_delay_the_answer(
+        self,
+    ):
+        """Guards against an answer for the own runs only.
+
+        The leader is the origin of a job whose leader was lost.
+        """
+        async with _Fleet() as fleet:
+            await asyncio.sleep(attempts_module.RESIGNED_S)
+            question = attempts.Replaced(fleet.job.key, "other", 0.1, (0,), 1)
+            for left_s in (0.0, 0.9):
+                fleet.leaders[0].receive_notice(
+                    "leader2", question, left_s=left_s
+                )
+                _, answer = fleet.site.links.sent[-1]
+                self.assertEqual(answer.within_s, left_s)
+
     async def test_later_attempt_that_joined_the_earlier_one_moves(self):
         """Guards against runs that the earlier origin keeps at their leader.
 
--- a/tests/test_mixed_faults_processes.py
+++ b/tests/test_mixed_faults_processes.py
@@ -25,6 +25,9 @@
   second one, which had joined the first one, still ran.
 - 27: an instance that had been killed led again 0.1 s before it was linked to the
   leader of the other data centre, which ran the earlier attempt.
+
+Callers may leave a paused instance. While none did, no series had a request that waited in
+a pause and ran beside a later attempt.
 """
 
 import asyncio
@@ -66,6 +69,8 @@
 # The same after a cut or the return of an instance: links and leaders come back,
 # and origins offer their jobs again.
 _RELINK_S = 1.3
+# Times at which the callers of a paused instance leave it, or do not.
+_LEAVE_S = (0.2, 0.5, math.inf)
 # Share of cuts shortly before which callers come again at another instance.
 _JOINED_SHARE = 0.6
 # Time for what instances write to their logs after a doubled run.
@@ -256,7 +261,13 @@
         self.back_at[number] = math.inf
         instance.signal(fault)
         if fault is signal.SIGSTOP:
-            await asyncio.sleep(for_s)
+            leave_s = self.random(f"leave {number} {for_s}").choice(_LEAVE_S)
+            await asyncio.sleep(min(leave_s, for_s))
+            if leave_s < for_s:
+                # Their requests, and the ends of these, wait in the instance.
+                for post in self.posts[number]:
+                    post.cancel()
+            await asyncio.sleep(max(0.0, for_s - leave_s))
             instance.signal(signal.SIGCONT)
         else:
             kill_at = time.monotonic() + _KILL_S
