Place no task of a job whose latest attempt has lost its origin

A leader refused to start such a task, since a job lives with the origin of its latest attempt, but its placement looked for any live origin. If that of an earlier attempt lived, the task was placed again at once, for up to 0.1 s of processor time until the next check ended the job. The placement now goes by the same origin. The schedule is an example of tests.test_leader_schedules; it does not end without the change.

--- a/sesameroad/jobs/active_job.py
+++ b/sesameroad/jobs/active_job.py
@@ -174,16 +174,18 @@
         return bool(self._waiters) and self.latest.origin.live
 
     def may_resume(self, now: float) -> bool:
-        """Returns whether an origin lives and runs that were given up are gone.
+        """Returns whether the caller waits and runs that were given up are gone.
 
-        All origins that live must have been heard since then, and the caller
-        must still wait.
+        All origins that live must have been heard since then. A start is refused
+        without a live origin of the latest attempt, or after the deadline; its
+        task would be placed again at once.
         """
-        if now >= self._job.deadline_at:
+        if now >= self._job.deadline_at or not self.has_live_origin:
             return False
-        live = [w.origin for w in self._waiters.values() if w.origin.live]
-        return bool(live) and all(
-            now - origin.silent_s >= self.resumes_after for origin in live
+        return all(
+            now - w.origin.silent_s >= self.resumes_after
+            for w in self._waiters.values()
+            if w.origin.live
         )
 
     def record_move(self, now: float, unstarted: Iterable[int] = ()) -> None:
--- a/sesameroad/jobs/pending_starts.py
+++ b/sesameroad/jobs/pending_starts.py
@@ -43,9 +43,6 @@
         self._has_added = False
         self._has_settled = False
 
-    def __len__(self) -> int:
-        return len(self._starts)
-
     def add(self, run: runs.Run, endpoint: str) -> None:
         """Adds a start that is about to be sent."""
         if self._send is None:
--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -1058,6 +1058,35 @@
 )
 
 
+# The origin of the latest attempt is silent, that of an earlier one lives. A leader that
+# places a task which may not start does so again and again, at one moment.
+_LATEST_ORIGIN_IS_SILENT = _Schedule(
+    endpoints=3,
+    phases=[0.11, 0.09],
+    events=[
+        _Arrival(0.23, origin=2, tasks=2, run_s=3.81, cores=2.0),
+        _Arrival(0.23, origin=2, tasks=2, run_s=0.3, cores=2.0),
+        _Arrival(0.25, origin=1, tasks=3, run_s=1.72, cores=8.0),
+        _Arrival(0.25, origin=1, tasks=3, run_s=2.77, cores=2.0),
+        _Arrival(0.48, origin=1, tasks=3, run_s=0.84, cores=4.0),
+        _Arrival(0.69, origin=0, tasks=1, run_s=2.23, cores=8.0),
+        _Cut(
+            0.85,
+            leader=0,
+            endpoints=frozenset({0, 2, 3}),
+            reset=False,
+            for_s=1.33,
+        ),
+        _Arrival(1.37, origin=0, tasks=2, run_s=0.3, cores=8.0),
+        _Claim(1.85, endpoints=frozenset({3})),
+        _Move(1.88, origin=3, leader=2, pause_s=0.18),
+        _Move(2.03, origin=2, leader=2, pause_s=0.21),
+        _Repeat(2.93, origin=0, next_origin=3),
+        _Move(3.03, origin=1, leader=2, pause_s=0.33),
+    ],
+)
+
+
 class LeaderSchedulesTest(unittest.TestCase):
 
     @_properties.examples(100)
@@ -1097,6 +1126,10 @@
     @hypothesis.example(_JOINS_AFTER_MOVE)
     @hypothesis.example(_JOINS_AFTER_RETURN)
     @hypothesis.example(_REPEATED_AT_NEXT_LEADER)
+    @hypothesis.example(_LATEST_ORIGIN_IS_SILENT)
     def test_tasks_of_several_leaders_run_once_at_a_time(self, schedule):
-        """Guards against leaders that rely on the end of the same lease."""
+        """Guards against leaders that rely on the end of the same lease.
+
+        Also against a leader that busy-waits, which ends no play in virtual time.
+        """
         self.assertEqual(_virtual.run(_Play(schedule).run()), [])
