Play schedules of several leaders with the default notice age

They had kept 1 s, while the default is 0.5 s since. With 0.5 s the next leader has been told of the job and holds it back. The schedule is an example now.

--- a/tests/test_leader_schedules.py
+++ b/tests/test_leader_schedules.py
@@ -41,6 +41,8 @@
 _CLAIM_PAUSE_S = 0.25
 # Time after which a caller without an answer comes again, at the earliest.
 _RETURN_S = 1.3
+# Age from which leaders tell each other of a job, by default.
+_NOTICE_S = 0.5
 # Distance of the tokens of two leaders, which raise them by one at a time.
 _TOKEN_STEP = 2**18
 _MAX_LEADERS = 3
@@ -251,7 +253,7 @@
             on_fenced=self._on_fenced,
             metrics=job_metrics.JobMetrics(),
             peers=play.site.links.open(self.name),
-            attempt_notice_s=1.0,
+            attempt_notice_s=_NOTICE_S,
             cancel_reports=_jobs.PeerReports(play.site.links, self.name),
             held_up_notices=play.site.links.held_up(self.name),
             pending_starts=play.site.links.pending(self.name),
@@ -1087,6 +1089,21 @@
 )
 
 
+# An origin moves a job that is 0.6 s old, and its former leader hears it for 0.26 s more.
+_HEARD_AFTER_MOVE = _Schedule(
+    endpoints=3,
+    phases=[0.0, 0.15, 0.23, 0.17],
+    events=[
+        _Arrival(0.09, origin=1, tasks=3, run_s=3.63, cores=2.0),
+        _Delay(1.65, origin=1, delay_s=0.47, for_s=1.92),
+        _Arrival(1.88, origin=0, tasks=2, run_s=1.36, cores=2.0),
+        _Cut(1.95, leader=0, endpoints=frozenset({3}), reset=True, for_s=1.91),
+        _Claim(2.49, endpoints=frozenset({0, 2, 3})),
+        _Move(2.5, origin=0, leader=0, pause_s=0.0, heard_s=0.26),
+    ],
+)
+
+
 class LeaderSchedulesTest(unittest.TestCase):
 
     @_properties.examples(100)
@@ -1127,6 +1144,7 @@
     @hypothesis.example(_JOINS_AFTER_RETURN)
     @hypothesis.example(_REPEATED_AT_NEXT_LEADER)
     @hypothesis.example(_LATEST_ORIGIN_IS_SILENT)
+    @hypothesis.example(_HEARD_AFTER_MOVE)
     def test_tasks_of_several_leaders_run_once_at_a_time(self, schedule):
         """Guards against leaders that rely on the end of the same lease.
 
