--- a/tests/test_divided_jobs.py
+++ b/tests/test_divided_jobs.py
@@ -30,6 +30,7 @@
 from tests import _jobs
 from tests import _properties
 from tests import _virtual
+from tests import test_leader_schedules as schedules
 
 _DATA_CENTRES = ("dc1", "dc2")
 _INSTANCES = 5
@@ -102,25 +103,6 @@
     for_s: float
 
 
-@dataclasses.dataclass(frozen=True)
-class _LateStarts:
-    """An endpoint carries out starts late and does not answer them."""
-
-    at: float
-    endpoint: int
-    late_s: float
-    for_s: float
-
-
-@dataclasses.dataclass(frozen=True)
-class _Restart:
-    """An endpoint starts again under its id."""
-
-    at: float
-    endpoint: int
-    down_s: float
-
-
 @dataclasses.dataclass(frozen=True)
 class _Schedule:
     events: list
@@ -468,12 +450,12 @@
                     await asyncio.sleep(event.for_s)
                     if not leader.killed:
                         leader.orders.cut -= names
-            case _LateStarts():
+            case schedules._LateStarts():
                 fault = self.site.fleet.endpoints[f"e{event.endpoint}"].fault
                 fault.late_s = event.late_s
                 await asyncio.sleep(event.for_s)
                 fault.late_s = 0.0
-            case _Restart():
+            case schedules._Restart():
                 endpoint = self.site.fleet.endpoints[f"e{event.endpoint}"]
                 endpoint.crash(down_s=event.down_s)
 
@@ -576,25 +558,19 @@
             self._send(live[number % len(live)], job)
 
 
-def _seconds(low, high):
-    return st.integers(round(low * 100), round(high * 100)).map(
-        lambda hundredths: hundredths / 100
-    )
-
-
-_TIMES = _seconds(0.1, _FAULTS_S)
+_TIMES = schedules._seconds(0.1, _FAULTS_S)
 _NUMBERS = st.integers(0, _INSTANCES - 1)
 _ENDPOINT_NUMBERS = st.integers(0, _ENDPOINTS - 1)
 
 
 def _schedules():
-    claims = {"claimant": _NUMBERS, "claim_s": _seconds(0.25, 0.6)}
+    claims = {"claimant": _NUMBERS, "claim_s": schedules._seconds(0.25, 0.6)}
     arrivals = st.builds(
         _Arrival,
-        at=_seconds(0.05, 0.6) | _seconds(0.05, 2.5),
+        at=schedules._seconds(0.05, 0.6) | schedules._seconds(0.05, 2.5),
         instance=_NUMBERS,
         tasks=st.integers(2, 6),
-        run_s=_seconds(0.3, 3.5),
+        run_s=schedules._seconds(0.3, 3.5),
         cores=st.sampled_from([4.0, 8.0, 16.0]),
     )
     changes = st.one_of(
@@ -613,8 +589,8 @@
         at=_TIMES,
         instance=_NUMBERS,
         next_instance=_NUMBERS,
-        return_s=_seconds(_RETURN_S, 1.8),
-        noticed_s=st.none() | _seconds(0.0, 1.0),
+        return_s=schedules._seconds(_RETURN_S, 1.8),
+        noticed_s=st.none() | schedules._seconds(0.0, 1.0),
     )
     others = st.one_of(
         st.builds(
@@ -622,27 +598,31 @@
             at=_TIMES,
             data_centre=st.integers(0, 1),
             endpoints=st.frozensets(_ENDPOINT_NUMBERS, min_size=1),
-            for_s=_seconds(0.2, 2.5),
+            for_s=schedules._seconds(0.2, 2.5),
         ),
         st.builds(
-            _LateStarts,
+            schedules._LateStarts,
             at=_TIMES,
             endpoint=_ENDPOINT_NUMBERS,
-            late_s=_seconds(0.2, 3.0),
-            for_s=_seconds(0.1, 1.0),
+            late_s=schedules._seconds(0.2, 3.0),
+            for_s=schedules._seconds(0.1, 1.0),
         ),
         st.builds(
-            _Restart,
+            schedules._Restart,
             at=_TIMES,
             endpoint=_ENDPOINT_NUMBERS,
-            down_s=_seconds(0.0, 0.5),
+            down_s=schedules._seconds(0.0, 0.5),
         ),
     )
     return st.builds(
         lambda phases, *groups: _Schedule(
             [event for group in groups for event in group], phases
         ),
-        st.lists(_seconds(0.0, 0.24), min_size=_INSTANCES, max_size=_INSTANCES),
+        st.lists(
+            schedules._seconds(0.0, 0.24),
+            min_size=_INSTANCES,
+            max_size=_INSTANCES,
+        ),
         st.lists(arrivals, min_size=4, max_size=8),
         st.lists(breaks, min_size=1, max_size=4),
         st.lists(changes, min_size=1, max_size=3),
