--- a/review/testbed.py
+++ b/review/testbed.py
@@ -561,19 +561,21 @@
                 return response
             content = msgspec.json.decode(response.body)
             for row in content.get("rows", ()):
-                if row["table"] in {"servers", "instances"} and row["value"]:
-                    value = json.loads(base64.b64decode(row["value"]))
-                    address = value.get("address")
-                    value["address"] = self._shown.get(
-                        (reader, address), address
-                    )
-                    row["value"] = base64.b64encode(
-                        json.dumps(value).encode()
-                    ).decode()
+                if row["table"] in {"servers", "instances"}:
+                    row["value"] = self._show_path(reader, row["value"])
             return web.json_response(content, status=response.status)
 
         return show
 
+    def _show_path(self, reader: str, value: str) -> str:
+        """Replaces the address in the value of a row, if it has one."""
+        try:
+            entry = json.loads(base64.b64decode(value))
+            entry["address"] = self._shown[reader, entry["address"]]
+        except (ValueError, TypeError, KeyError, RecursionError):
+            return value
+        return base64.b64encode(json.dumps(entry).encode()).decode()
+
     async def enlist(self, executor: Executor) -> None:
         """Writes the entry of an executor."""
         await self._store.put("servers", executor.id, executor.row)
@@ -657,6 +659,15 @@
             if reader in {None, name}
         ]
 
+    def paths_to_instances(self, name: str) -> list[Path]:
+        """Returns the paths between an instance and all others."""
+        return [
+            path
+            for (reader, other), path in self._paths.items()
+            if name in {reader, other}
+            and {reader, other} <= set(self.instances)
+        ]
+
     def paths_between(self, zone: str) -> list[Path]:
         """Returns the paths between a zone and the others, but not to the store."""
         zones = {e.id: e.zone for e in self.executors.values()}
