--- a/review/testbed.py
+++ b/review/testbed.py
@@ -46,6 +46,9 @@
 _READY_S = 30.0
 # A case may take 120 s.
 _LONGEST_S = 100.0
+# Returns the time in seconds after which a start is carried out that gets no answer, or 0
+# for one that is carried out at once.
+Late = Callable[[dict[str, Any]], float]
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -189,15 +192,14 @@
     Attributes:
         id: Its id in the store.
         zone: Its zone.
-        late: Returns the time in seconds after which a start is carried out that
-            gets no answer, or 0 for a start that is carried out at once.
+        late: Decides which starts are held up.
         spans: Begin and end of each run, by task.
     """
 
     def __init__(self, name: str, zone: str, record: Record) -> None:
         self.id = name
         self.zone = zone
-        self.late: Callable[[dict[str, Any]], float] = lambda body: 0.0
+        self.late: Late = lambda body: 0.0
         self.spans: dict[str, list[tuple[float, float]]] = {}
         self.starts: list[tuple[float, str]] = []
         self._record = record
@@ -611,18 +613,22 @@
         settings.write_text(_render(template, self.instances[name]))
         self._processes[name] = self._spawn(name, settings)
         self.record.add(name, "is started")
-        address = self.instances[name]["listen-addrs"]["ready"]
         async with asyncio.timeout(_READY_S):
-            while True:
-                with contextlib.suppress(aiohttp.ClientError, OSError):
-                    async with self.session.get(
-                        f"http://{address}/api/ready"
-                    ) as answer:
-                        if answer.status == 200:
-                            break
+            while not await self.is_ready(name):  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
         self.record.add(name, "is ready")
 
+    async def is_ready(self, name: str) -> bool:
+        """Returns whether an instance stays in rotation."""
+        address = self.instances[name]["listen-addrs"]["ready"]
+        try:
+            async with self.session.get(
+                f"http://{address}/api/ready"
+            ) as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, OSError):
+            return False
+
     def _spawn(
         self, name: str, settings: pathlib.Path
     ) -> subprocess.Popen[bytes]:
