--- a/review/testbed.py
+++ b/review/testbed.py
@@ -431,6 +431,31 @@
         )
 
 
+class HeldUpStart:
+    """The first start that any executor gets, which is held up."""
+
+    def __init__(self, executors: Iterable[Executor], *, late_s: float) -> None:
+        self._late_s = late_s
+        self._found: asyncio.Future[Executor] = (
+            asyncio.get_running_loop().create_future()
+        )
+        for executor in executors:
+            executor.late = self._delay(executor)
+
+    async def wait(self) -> Executor:
+        """Returns the executor once it has got the start."""
+        return await self._found
+
+    def _delay(self, executor: Executor) -> Late:
+        def late_s(_: object) -> float:
+            if self._found.done():
+                return 0.0
+            self._found.set_result(executor)
+            return self._late_s
+
+        return late_s
+
+
 class Testbed:
     """Instances, executors and the store, with a path to each from each.
 
