--- a/review/testbed.py
+++ b/review/testbed.py
@@ -432,7 +432,7 @@
 
 
 class HeldUpStart:
-    """The first start that any executor gets, which is held up."""
+    """The next start that any executor gets, which is held up if it is to be late."""
 
     def __init__(self, executors: Iterable[Executor], *, late_s: float) -> None:
         self._late_s = late_s
@@ -766,21 +766,31 @@
         """Submits a best-effort job once."""
         return await self.call("POST", instance, PREFIX + key, **options)
 
-    def overlaps(self) -> list[str]:
-        """Returns the tasks with two runs at the same time."""
+    def check_overlaps(self) -> str:
+        """Returns how TWICE was broken by two runs of a task at a time, or ""."""
         spans: dict[str, list[tuple[float, float]]] = {}
         for executor in self.executors.values():
             for task, own in executor.spans.items():
                 spans.setdefault(task, []).extend(own)
-        found = []
         for task, known in spans.items():
             known.sort()
-            if any(
-                after[0] < before[1]
-                for before, after in zip(known, known[1:], strict=False)
-            ):
-                found.append(task)
-        return found
+            for before, after in zip(known, known[1:], strict=False):
+                if after[0] < before[1]:
+                    overlap_s = min(before[1], after[1]) - after[0]
+                    return f"TWICE: two runs of {task} for {overlap_s:.3f} s"
+        return ""
+
+    async def serve_others(self, count: int) -> None:
+        """Has jobs of other clients run to their ends."""
+        names = list(self.instances)
+        for number in range(count):
+            status, _ = await self.submit(
+                names[number % len(names)],
+                f"0000000000000{number:03x}",
+                body=job(tasks=1, run_s=0.1),
+            )
+            if status != 200:
+                raise RuntimeError(f"a job of another client got {status}")
 
 
 def job(*, tasks: int, run_s: float, cores: float = 6.8) -> dict[str, Any]:
